--- /dev/null
+++ b/include/common/event.h
@@ -0,0 +1,68 @@
+#ifndef TREFOILHILL_COMMON_EVENT_H
+#define TREFOILHILL_COMMON_EVENT_H
+
+#include <glib.h>
+#include <pthread.h>
+#include <stdint.h>
+
+#include "common/clock.h"
+#include "common/str.h"
+
+/* What a node may put on the time line; names in common/event.c. */
+enum event_kind {
+	EVENT_NODE_STARTED,
+	EVENT_NODE_READY,
+	EVENT_NODE_DRAINING,
+	EVENT_NODE_STOPPED,
+	EVENT_VERSION_ACCEPTED,
+	EVENT_VERSION_REFUSED,
+	EVENT_VERSION_IGNORED,
+	EVENT_STATE_ADOPTED,
+	EVENT_READER_BEGAN,
+	EVENT_READER_ENDED,
+	EVENT_PLATFORM_LOST,
+	EVENT_PLATFORM_BACK,
+	EVENT_PEER_LOST,
+	EVENT_PEER_BACK,
+	EVENT_CALL_REFUSED,
+	EVENT_CALL_UNKNOWN,
+	EVENT_CALL_RETRIED,
+	EVENT_UPSTREAM_COLD,
+	EVENT_UPSTREAM_WARM,
+	EVENT_GUARD_CLOSED,
+	EVENT_GUARD_OPENED,
+	EVENT_KIND_COUNT,
+};
+
+enum {
+	EVENT_SUBJECT_MAX = 48,
+};
+
+struct event {
+	uint64_t sequence; /* from 1, dense within a process */
+	struct timespec wall;
+	enum event_kind kind;
+	uint64_t version; /* configuration version, 0 if none */
+	uint64_t request; /* request id, 0 if none */
+	int64_t value;    /* meaning depends on the kind */
+	char subject[EVENT_SUBJECT_MAX];
+};
+
+/* A bounded ring: the oldest event makes room for the newest. */
+struct event_log {
+	struct clock *clock;
+	pthread_mutex_t lock;
+	struct event *ring;
+	size_t capacity;
+	uint64_t next_sequence;
+};
+
+const char *event_kind_name(enum event_kind kind);
+struct event_log *event_log_new(struct clock *clock, size_t capacity);
+void event_log_free(struct event_log *log);
+void event_record(struct event_log *log, enum event_kind kind, uint64_t version,
+    uint64_t request, int64_t value, struct str subject);
+size_t event_log_copy(
+    struct event_log *log, uint64_t after, struct event *out, size_t out_max);
+
+#endif
