--- /dev/null
+++ b/include/platform/config_source.h
@@ -0,0 +1,64 @@
+#ifndef TREFOILHILL_PLATFORM_CONFIG_SOURCE_H
+#define TREFOILHILL_PLATFORM_CONFIG_SOURCE_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#include "common/str.h"
+#include "config/snapshot.h"
+#include "mesh/mesh.h"
+
+/*
+ * The platform as a node sees it: it can only be read and watched. Answers
+ * come on a thread of the source's own.
+ */
+struct config_source;
+
+struct config_answer {
+	enum platform_request request;
+	enum {
+		CONFIG_ANSWER_CHANGES,
+		CONFIG_ANSWER_RECORDS,
+		CONFIG_ANSWER_HOSTS,
+		CONFIG_ANSWER_COMPACTED,
+		CONFIG_ANSWER_FAILED,
+	} kind;
+	GPtrArray *publications; /* CHANGES */
+	uint64_t head; /* CHANGES, RECORDS: revision; COMPACTED: oldest */
+	struct raw_record *records;
+	size_t record_count;
+	struct mesh_host_entry *hosts;
+	size_t host_count;
+	GError *error; /* FAILED */
+};
+
+struct config_source_ops {
+	void (*request)(struct config_source *, enum platform_request request,
+	    uint64_t after);
+	void (*cancel)(struct config_source *, enum platform_request request);
+	void (*free)(struct config_source *);
+};
+struct config_source {
+	const struct config_source_ops *ops;
+};
+
+struct http_config_source_settings {
+	struct str url; /* http://IP:PORT */
+	struct str node;
+	uint32_t timeout_ms;
+	uint32_t watch_ms;
+	/* Takes the answer over; on the source's thread. */
+	void (*handle_answer)(void *arg, struct config_answer *answer);
+	void *arg;
+};
+
+struct config_source *http_config_source_new(
+    const struct http_config_source_settings *settings, GError **error);
+void config_source_request(struct config_source *source,
+    enum platform_request request, uint64_t after);
+void config_source_cancel(
+    struct config_source *source, enum platform_request request);
+void config_source_free(struct config_source *source);
+void config_answer_free(struct config_answer *answer);
+
+#endif
--- /dev/null
+++ b/include/route/choice.h
@@ -0,0 +1,67 @@
+#ifndef TREFOILHILL_ROUTE_CHOICE_H
+#define TREFOILHILL_ROUTE_CHOICE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/clock.h"
+#include "common/counter.h"
+#include "common/rng.h"
+#include "common/str.h"
+#include "config/snapshot.h"
+#include "guard/guard.h"
+
+/*
+ * An entry's choice of an upstream. Holds the last word of each guard; every
+ * function is safe from several threads at once (atomics and RCU).
+ */
+struct chooser;
+
+enum choice_policy {
+	CHOICE_ROUND_ROBIN, /* baseline without hints */
+	CHOICE_THIN,        /* power of two choices by own calls in flight */
+	CHOICE_HINTED,      /* the design */
+};
+
+struct choice_settings {
+	struct str host; /* of this node */
+	struct str zone;
+	enum choice_policy policy;
+	uint32_t hint_fresh_ms; /* age at which a hint has lost its weight */
+};
+
+enum {
+	CHOICE_TRIED_MAX = 4
+};
+
+struct choice_request {
+	const struct snapshot *snapshot;
+	struct str service;
+	const struct record *tried[CHOICE_TRIED_MAX];
+	size_t tried_count;
+};
+
+struct choice {
+	const struct record *upstream;
+	const struct record *host;
+	struct guard_hint known; /* for the fence in OPEN */
+};
+
+struct chooser *chooser_new(
+    const struct choice_settings *settings, struct clock *clock);
+void chooser_free(struct chooser *chooser);
+/* False: no upstream can take it; retry_after_ms says when to come back. */
+bool chooser_pick(struct chooser *chooser, const struct choice_request *request,
+    struct rng *rng, struct choice *choice, uint32_t *retry_after_ms);
+/* A call was sent to, or has ended at, this upstream. */
+void chooser_begin(struct chooser *chooser, struct str upstream);
+void chooser_end(struct chooser *chooser, struct str upstream);
+/* The guard's word came with an answer, or the peer did not answer. */
+void chooser_learn(struct chooser *chooser, struct str upstream,
+    const struct guard_hint *hint);
+void chooser_lost(struct chooser *chooser, struct str upstream);
+/* Drop what is kept of upstreams that the snapshot no longer has. */
+void chooser_prune(struct chooser *chooser, const struct snapshot *snapshot);
+const struct counter_set *chooser_counters(const struct chooser *chooser);
+
+#endif
--- /dev/null
+++ b/include/wire/transport.h
@@ -0,0 +1,65 @@
+#ifndef TREFOILHILL_WIRE_TRANSPORT_H
+#define TREFOILHILL_WIRE_TRANSPORT_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#include "common/counter.h"
+#include "common/str.h"
+
+/*
+ * Frames between nodes over ZeroMQ. One thread owns the sockets; sends come
+ * from any thread through a queue. A frame is one typed head (protobuf) and
+ * optionally raw body bytes.
+ */
+struct transport;
+
+enum frame_class {
+	FRAME_MESH,
+	FRAME_CALL,
+	FRAME_CLASS_COUNT,
+};
+
+enum {
+	FRAME_PROTOCOL = 1,
+	FRAME_HEAD_MAX = 2 * 1024 * 1024,
+	FRAME_BODY_MAX = 128 * 1024,
+	ORIGIN_ID_MAX = 32,
+};
+
+/* Return path of a received frame; plain data, may be copied and kept. */
+struct frame_origin {
+	uint8_t len;
+	uint8_t id[ORIGIN_ID_MAX];
+};
+
+struct frame_handler {
+	/* On the transport's thread; must not block. Bytes are borrowed. */
+	void (*handle_frame)(void *arg, const struct frame_origin *origin,
+	    struct str head, struct str body);
+	void *arg;
+};
+
+struct transport_settings {
+	struct str address; /* IP:PORT to bind */
+	uint32_t high_water_frames;
+	uint32_t peer_idle_ms; /* close connections unused for so long */
+};
+
+struct transport *transport_new(
+    const struct transport_settings *settings, GError **error);
+void transport_set_handler(struct transport *transport, enum frame_class class,
+    struct frame_handler handler);
+int transport_start(struct transport *transport, GError **error);
+void transport_stop(struct transport *transport);
+void transport_free(struct transport *transport);
+/* Send to a peer's node address; takes both byte buffers over. */
+void transport_send(struct transport *transport, struct str address,
+    enum frame_class class, GBytes *head, GBytes *body);
+/* Answer along the path that a frame came by. */
+void transport_reply(struct transport *transport,
+    const struct frame_origin *origin, enum frame_class class, GBytes *head,
+    GBytes *body);
+const struct counter_set *transport_counters(const struct transport *transport);
+
+#endif
