--- /dev/null
+++ b/config/live.c
@@ -0,0 +1,63 @@
+#include <urcu-bp.h>
+
+#include "config/live.h"
+
+struct live_config {
+	struct snapshot *current;
+};
+
+/*
+ * Return a holder without a snapshot.
+ */
+struct live_config *
+live_config_new(void)
+{
+	return g_new0(struct live_config, 1);
+}
+
+/*
+ * Free the holder and its reference. No reader may be left.
+ */
+void
+live_config_free(struct live_config *live)
+{
+	if (live == NULL)
+		return;
+	if (live->current != NULL)
+		snapshot_unref(live->current);
+	g_free(live);
+}
+
+/*
+ * Pin the snapshot in force: a request works on one version from its first
+ * byte to its last. The read section spans only the taking of the reference,
+ * so a long request never holds up the writer.
+ */
+struct snapshot *
+live_config_get(struct live_config *live)
+{
+	struct snapshot *snapshot;
+
+	rcu_read_lock();
+	snapshot = rcu_dereference(live->current);
+	if (snapshot != NULL)
+		snapshot_ref(snapshot);
+	rcu_read_unlock();
+	return snapshot;
+}
+
+/*
+ * Put a snapshot in force and drop the one before it. Takes a reference of
+ * its own. Only one thread may publish.
+ */
+void
+live_config_publish(struct live_config *live, struct snapshot *snapshot)
+{
+	struct snapshot *before = live->current;
+
+	rcu_assign_pointer(live->current, snapshot_ref(snapshot));
+	if (before == NULL)
+		return;
+	synchronize_rcu();
+	snapshot_unref(before);
+}
