trefoilhilld: read and check settings

One table describes every setting: section, key, type, bounds and default. Parsing, the unknown-key check and the text of an error all follow from it, so a new setting is one line. The formatter is told to keep spaces inside braces, as style(9) writes initializers.

--- a/common/clock.c
+++ b/common/clock.c
@@ -33,16 +33,16 @@
 }
 
 static const struct clock_ops system_ops = {
-    .monotonic = system_monotonic,
-    .realtime = system_realtime,
+	.monotonic = system_monotonic,
+	.realtime = system_realtime,
 };
 
 static const struct clock_ops fake_ops = {
-    .monotonic = fake_now,
-    .realtime = fake_now,
+	.monotonic = fake_now,
+	.realtime = fake_now,
 };
 
-static struct clock system_clock = {.ops = &system_ops};
+static struct clock system_clock = { .ops = &system_ops };
 
 /*
  * Return the clock of this machine. It is shared and never freed.
@@ -98,8 +98,8 @@
 timespec_from_ms(int64_t ms)
 {
 	struct timespec t = {
-	    .tv_sec = ms / MS_PER_S,
-	    .tv_nsec = (ms % MS_PER_S) * NS_PER_MS,
+		.tv_sec = ms / MS_PER_S,
+		.tv_nsec = (ms % MS_PER_S) * NS_PER_MS,
 	};
 
 	return t;
--- a/common/event.c
+++ b/common/event.c
@@ -3,27 +3,27 @@
 #include "common/event.h"
 
 static const char *const kind_names[EVENT_KIND_COUNT] = {
-    [EVENT_NODE_STARTED] = "node_started",
-    [EVENT_NODE_READY] = "node_ready",
-    [EVENT_NODE_DRAINING] = "node_draining",
-    [EVENT_NODE_STOPPED] = "node_stopped",
-    [EVENT_VERSION_ACCEPTED] = "version_accepted",
-    [EVENT_VERSION_REFUSED] = "version_refused",
-    [EVENT_VERSION_IGNORED] = "version_ignored",
-    [EVENT_STATE_ADOPTED] = "state_adopted",
-    [EVENT_READER_BEGAN] = "reader_began",
-    [EVENT_READER_ENDED] = "reader_ended",
-    [EVENT_PLATFORM_LOST] = "platform_lost",
-    [EVENT_PLATFORM_BACK] = "platform_back",
-    [EVENT_PEER_LOST] = "peer_lost",
-    [EVENT_PEER_BACK] = "peer_back",
-    [EVENT_CALL_REFUSED] = "call_refused",
-    [EVENT_CALL_UNKNOWN] = "call_unknown",
-    [EVENT_CALL_RETRIED] = "call_retried",
-    [EVENT_UPSTREAM_COLD] = "upstream_cold",
-    [EVENT_UPSTREAM_WARM] = "upstream_warm",
-    [EVENT_GUARD_CLOSED] = "guard_closed",
-    [EVENT_GUARD_OPENED] = "guard_opened",
+	[EVENT_NODE_STARTED] = "node_started",
+	[EVENT_NODE_READY] = "node_ready",
+	[EVENT_NODE_DRAINING] = "node_draining",
+	[EVENT_NODE_STOPPED] = "node_stopped",
+	[EVENT_VERSION_ACCEPTED] = "version_accepted",
+	[EVENT_VERSION_REFUSED] = "version_refused",
+	[EVENT_VERSION_IGNORED] = "version_ignored",
+	[EVENT_STATE_ADOPTED] = "state_adopted",
+	[EVENT_READER_BEGAN] = "reader_began",
+	[EVENT_READER_ENDED] = "reader_ended",
+	[EVENT_PLATFORM_LOST] = "platform_lost",
+	[EVENT_PLATFORM_BACK] = "platform_back",
+	[EVENT_PEER_LOST] = "peer_lost",
+	[EVENT_PEER_BACK] = "peer_back",
+	[EVENT_CALL_REFUSED] = "call_refused",
+	[EVENT_CALL_UNKNOWN] = "call_unknown",
+	[EVENT_CALL_RETRIED] = "call_retried",
+	[EVENT_UPSTREAM_COLD] = "upstream_cold",
+	[EVENT_UPSTREAM_WARM] = "upstream_warm",
+	[EVENT_GUARD_CLOSED] = "guard_closed",
+	[EVENT_GUARD_OPENED] = "guard_opened",
 };
 
 /*
@@ -80,12 +80,12 @@
 	pthread_mutex_lock(&log->lock);
 	event = &log->ring[log->next_sequence % log->capacity];
 	*event = (struct event){
-	    .sequence = log->next_sequence++,
-	    .wall = clock_wall(log->clock),
-	    .kind = kind,
-	    .version = version,
-	    .request = request,
-	    .value = value,
+		.sequence = log->next_sequence++,
+		.wall = clock_wall(log->clock),
+		.kind = kind,
+		.version = version,
+		.request = request,
+		.value = value,
 	};
 	if (len > 0)
 		memcpy(event->subject, subject.ptr, len);
--- a/common/rng.c
+++ b/common/rng.c
@@ -29,8 +29,8 @@
 }
 
 static const struct rng_ops glib_rng_ops = {
-    .next = glib_rng_next,
-    .free = glib_rng_free,
+	.next = glib_rng_next,
+	.free = glib_rng_free,
 };
 
 /*
@@ -40,7 +40,7 @@
 rng_seeded_new(uint64_t seed)
 {
 	struct glib_rng *rng = g_new0(struct glib_rng, 1);
-	guint32 words[] = {(guint32)seed, (guint32)(seed >> HALF_WORD_BITS)};
+	guint32 words[] = { (guint32)seed, (guint32)(seed >> HALF_WORD_BITS) };
 
 	rng->base.ops = &glib_rng_ops;
 	rng->rand = g_rand_new_with_seed_array(words, G_N_ELEMENTS(words));
--- a/common/str.c
+++ b/common/str.c
@@ -18,7 +18,7 @@
 struct str
 str_make(const void *ptr, size_t len)
 {
-	struct str s = {.len = len, .ptr = ptr};
+	struct str s = { .len = len, .ptr = ptr };
 
 	return s;
 }
--- /dev/null
+++ b/include/trefoilhilld/setting_desc.h
@@ -0,0 +1,40 @@
+#ifndef TREFOILHILL_TREFOILHILLD_SETTING_DESC_H
+#define TREFOILHILL_TREFOILHILLD_SETTING_DESC_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "trefoilhilld/settings.h"
+
+enum setting_type {
+	SETTING_NAME,     /* 1 to 63 bytes of a-z 0-9 . - */
+	SETTING_ADDRESS,  /* IP:PORT */
+	SETTING_SEEDS,    /* IP:PORT, comma-separated, may be empty */
+	SETTING_HTTP_URL, /* http://IP:PORT */
+	SETTING_NUMBER,
+	SETTING_CHOICE,
+};
+
+struct setting_desc {
+	const char *section;
+	const char *key;
+	const char *fallback; /* NULL: the setting is required */
+	enum setting_type type;
+	size_t offset; /* of the member in struct settings */
+	uint32_t min;
+	uint32_t max;
+	const char *const *choices; /* NULL-terminated */
+};
+
+extern const struct setting_desc setting_descs[];
+extern const size_t setting_desc_count;
+
+const struct setting_desc *setting_desc_find(
+    const char *section, const char *key);
+bool setting_section_exists(const char *section);
+char *setting_desc_expected(const struct setting_desc *desc);
+bool setting_desc_store(const struct setting_desc *desc, const char *text,
+    struct settings *settings);
+
+#endif
--- a/tests/common/test_common.c
+++ b/tests/common/test_common.c
@@ -19,7 +19,7 @@
 static void
 test_clock_arithmetic(void)
 {
-	struct timespec t = {.tv_sec = 1, .tv_nsec = 999000000};
+	struct timespec t = { .tv_sec = 1, .tv_nsec = 999000000 };
 	struct timespec later = timespec_plus_ms(t, 2);
 
 	CU_ASSERT_EQUAL(later.tv_sec, 2);
@@ -45,8 +45,8 @@
 test_counter_families(void)
 {
 	static const struct counter_desc descs[] = {
-	    {"x_total{reason=\"a\"}", "What x counts."},
-	    {"x_total{reason=\"b\"}", "What x counts."},
+		{ "x_total{reason=\"a\"}", "What x counts." },
+		{ "x_total{reason=\"b\"}", "What x counts." },
 	};
 	struct counter_set set;
 	GString *out = g_string_new(NULL);
@@ -80,12 +80,12 @@
 main(void)
 {
 	static const struct test_case cases[] = {
-	    {"strings are ordered bytewise", test_str_order},
-	    {"time arithmetic carries", test_clock_arithmetic},
-	    {"a seed repeats its sequence", test_rng_repeats},
-	    {"a family has one heading", test_counter_families},
-	    {"the event ring is bounded", test_event_ring_is_bounded},
-	    {NULL, NULL},
+		{ "strings are ordered bytewise", test_str_order },
+		{ "time arithmetic carries", test_clock_arithmetic },
+		{ "a seed repeats its sequence", test_rng_repeats },
+		{ "a family has one heading", test_counter_families },
+		{ "the event ring is bounded", test_event_ring_is_bounded },
+		{ NULL, NULL },
 	};
 
 	return harness_run("common", cases);
