guard: gate one upstream by local facts

The limit learns from completed work alone and starts cold; the queue is bounded by count and by expected wait. An OPEN that bears no incarnation, a foreign one or an old tick is refused, so a sender makes first contact with one extra round trip; ticks follow the clock, not a timer, so that a process that stood still sees the right tick as it wakes.

The look at the record of recent calls comes before every other check: else a late copy of a running call would be told "not run". Refusals are kept until the fence would refuse their copies; without room for that, the fence's floor is raised instead. A duplicate is the one refusal that is not a promise of "not run". Calls that are idempotent are not recorded.

An idle upstream counts as cold after 10 s, one that returns into service at once. A cold upstream that fails gets pauses, so that failing fast does not draw the calls to it.

--- /dev/null
+++ b/guard/limiter.c
@@ -0,0 +1,236 @@
+#include <glib.h>
+
+#include "guard/limiter.h"
+
+enum {
+	STEP_COMPLETIONS = 10, /* good completions for one more call at once */
+	FAILURES_COLD = 2, /* in a row, that show a cold upstream to be down */
+	FAILURES_WARM = 3, /* and a warm one to be cold or down */
+	WINDOW_MIN_COMPLETIONS = 10,
+	IDLE_MS = 10000, /* without evidence the upstream counts as cold */
+	BACKOFF_FIRST_MS = 50,
+	BACKOFF_MAX_MS = 500,
+	MEAN_SHARE = 8,       /* weight of a sample in the mean: 1/8 */
+	FLOOR_SHARE = 8,      /* upward drift of the floor in a window: 1/8 */
+	SLOW_FACTOR = 2,      /* over the floor: lower the limit */
+	SLOW_SLACK_US = 2000, /* and by as much at least */
+	JUMP_FACTOR = 4,      /* over the floor: the upstream has turned cold */
+	JUMP_SLACK_US = 20000,
+	LOWER_NUMERATOR = 7, /* a lowered limit is 7/8 of the one before */
+	LOWER_DENOMINATOR = 8,
+};
+
+static void
+restart_step(struct limiter *limiter)
+{
+	limiter->credit = 0;
+	limiter->peak = 0;
+}
+
+/*
+ * Start cold: a new guard knows nothing of its upstream.
+ */
+void
+limiter_init(struct limiter *limiter, uint32_t slots, uint32_t cold_limit,
+    struct timespec now)
+{
+	*limiter = (struct limiter){
+		.slots = MAX(slots, 1),
+		.paused_until = now,
+	};
+	limiter->cold_limit = CLAMP(cold_limit, 1, limiter->slots);
+	limiter_chill(limiter, now);
+}
+
+/*
+ * Go back to the cold limit. The latency floor is forgotten too, as a cold
+ * upstream may be slower than before.
+ */
+void
+limiter_chill(struct limiter *limiter, struct timespec now)
+{
+	limiter->phase =
+	    limiter->cold_limit < limiter->slots ? LIMITER_COLD : LIMITER_WARM;
+	limiter->limit = limiter->cold_limit;
+	restart_step(limiter);
+	limiter->floor_us = 0;
+	limiter->window_count = 0;
+	limiter->window_used = false;
+	limiter->last_evidence = now;
+}
+
+/*
+ * Tell whether nothing has completed for so long that the upstream may have
+ * turned cold unnoticed.
+ */
+bool
+limiter_is_outdated(const struct limiter *limiter, struct timespec now)
+{
+	return limiter->limit > limiter->cold_limit &&
+	    timespec_ms_between(limiter->last_evidence, now) >= IDLE_MS;
+}
+
+/*
+ * Return the milliseconds that the pause after failures still lasts.
+ */
+uint32_t
+limiter_pause_ms(const struct limiter *limiter, struct timespec now)
+{
+	int64_t ms = timespec_ms_between(now, limiter->paused_until);
+
+	return ms > 0 ? (uint32_t)ms : 0;
+}
+
+/*
+ * Return how many calls may be in the upstream at once at this moment.
+ */
+uint32_t
+limiter_allowance(const struct limiter *limiter, struct timespec now)
+{
+	return limiter_pause_ms(limiter, now) > 0 ? 0 : limiter->limit;
+}
+
+/*
+ * Hold calls back after a failure while cold, longer each time: a broken
+ * upstream that fails fast must not draw all the calls to itself.
+ */
+static void
+begin_pause(struct limiter *limiter, struct timespec now)
+{
+	if (limiter->backoff_ms == 0)
+		limiter->backoff_ms = BACKOFF_FIRST_MS;
+	else
+		limiter->backoff_ms =
+		    MIN(limiter->backoff_ms * 2, BACKOFF_MAX_MS);
+	limiter->paused_until = timespec_plus_ms(now, limiter->backoff_ms);
+}
+
+static void
+lower(struct limiter *limiter)
+{
+	uint32_t lowered = limiter->limit * LOWER_NUMERATOR / LOWER_DENOMINATOR;
+
+	limiter->limit = MAX(lowered, limiter->cold_limit);
+	restart_step(limiter);
+}
+
+static void
+raise_by_one(struct limiter *limiter)
+{
+	restart_step(limiter);
+	if (limiter->limit < limiter->slots)
+		limiter->limit++;
+	if (limiter->limit == limiter->slots)
+		limiter->phase = LIMITER_WARM;
+}
+
+/*
+ * Judge the quickest answer of a window against the floor. The quickest one
+ * is taken because calls differ in their work: slow ones say nothing as long
+ * as quick ones get through, and an upstream in trouble slows them all.
+ */
+static enum cold_cause
+close_window(struct limiter *limiter)
+{
+	uint64_t quickest = limiter->window_min_us;
+	uint64_t floor = limiter->floor_us;
+	enum cold_cause cause = COLD_NONE;
+
+	if (floor == 0 || quickest < floor)
+		limiter->floor_us = (uint32_t)MAX(quickest, 1);
+	else
+		limiter->floor_us +=
+		    (uint32_t)((quickest - floor) / FLOOR_SHARE);
+	if (floor != 0 && quickest > JUMP_FACTOR * floor + JUMP_SLACK_US)
+		cause = COLD_LATENCY;
+	else if (floor != 0 && limiter->window_used &&
+	    quickest > SLOW_FACTOR * floor + SLOW_SLACK_US)
+		lower(limiter);
+	limiter->window_count = 0;
+	limiter->window_used = false;
+	return cause;
+}
+
+static enum cold_cause
+learn_good(struct limiter *limiter, const struct limiter_sample *sample)
+{
+	int64_t change =
+	    (int64_t)sample->latency_us - (int64_t)limiter->mean_us;
+
+	limiter->failures = 0;
+	limiter->backoff_ms = 0;
+	if (limiter->mean_us == 0)
+		limiter->mean_us = sample->latency_us;
+	else
+		limiter->mean_us =
+		    (uint32_t)(limiter->mean_us + change / MEAN_SHARE);
+	if (limiter->window_count == 0 ||
+	    sample->latency_us < limiter->window_min_us)
+		limiter->window_min_us = sample->latency_us;
+	limiter->window_count++;
+	limiter->credit++;
+	limiter->peak = MAX(limiter->peak, sample->in_flight);
+	if (sample->in_flight >= limiter->limit)
+		limiter->window_used = true;
+	if (limiter->credit >= STEP_COMPLETIONS &&
+	    limiter->peak >= limiter->limit)
+		raise_by_one(limiter);
+	if (limiter->window_count < MAX(limiter->limit, WINDOW_MIN_COMPLETIONS))
+		return COLD_NONE;
+	return close_window(limiter);
+}
+
+static enum cold_cause
+learn_bad(struct limiter *limiter, enum cold_cause cause, struct timespec now)
+{
+	uint32_t bound =
+	    limiter->phase == LIMITER_COLD ? FAILURES_COLD : FAILURES_WARM;
+
+	limiter->failures++;
+	restart_step(limiter);
+	if (limiter->phase == LIMITER_COLD || limiter->failures >= bound ||
+	    cause == COLD_REFUSED)
+		begin_pause(limiter, now);
+	if (limiter->limit <= limiter->cold_limit)
+		return COLD_NONE;
+	if (limiter->failures < bound && cause != COLD_REFUSED)
+		return COLD_NONE;
+	return cause;
+}
+
+static void
+learn_shed(struct limiter *limiter, struct timespec now)
+{
+	lower(limiter);
+	if (limiter->limit <= limiter->cold_limit)
+		begin_pause(limiter, now);
+}
+
+/*
+ * Take in how one call ended and return why the upstream counts as cold from
+ * now on, or COLD_NONE; the caller then calls limiter_chill. Calls that were
+ * dispatched before the last turn to cold say nothing about the time since.
+ */
+enum cold_cause
+limiter_learn(struct limiter *limiter, const struct limiter_sample *sample,
+    struct timespec now)
+{
+	if (sample->stale || sample->outcome == OUTCOME_CANCELLED)
+		return COLD_NONE;
+	limiter->last_evidence = now;
+	switch (sample->outcome) {
+	case OUTCOME_OK:
+		return learn_good(limiter, sample);
+	case OUTCOME_SHED:
+		learn_shed(limiter, now);
+		return COLD_NONE;
+	case OUTCOME_REFUSED:
+		return learn_bad(limiter, COLD_REFUSED, now);
+	case OUTCOME_FAILED:
+	case OUTCOME_TIMEOUT:
+		return learn_bad(limiter, COLD_FAILURES, now);
+	case OUTCOME_CANCELLED:
+		break;
+	}
+	return COLD_NONE;
+}
--- /dev/null
+++ b/guard/once.c
@@ -0,0 +1,258 @@
+#include "guard/once.h"
+
+enum once_state {
+	STATE_LIVE,
+	STATE_RAN,
+	STATE_REFUSED,
+};
+
+struct once_entry {
+	struct str request;
+	struct str key;
+	uint32_t attempt;
+	enum once_state state;
+	struct timespec expiry;
+	GList *link; /* in the queue of its state; NULL while live */
+};
+
+struct once_record {
+	size_t capacity;
+	uint32_t ran_lease_ms;
+	uint32_t refused_lease_ms;
+	GHashTable *by_request; /* struct str * of the entry to the entry */
+	GHashTable *by_key;
+	GQueue ran;     /* oldest first */
+	GQueue refused; /* oldest first */
+};
+
+static guint
+str_key_hash(gconstpointer ptr)
+{
+	const struct str *s = ptr;
+	guint hash = 5381;
+
+	for (size_t i = 0; i < s->len; i++)
+		hash = hash * 33 + (guint)(unsigned char)s->ptr[i];
+	return hash;
+}
+
+static gboolean
+str_key_equal(gconstpointer a, gconstpointer b)
+{
+	return str_equal(*(const struct str *)a, *(const struct str *)b);
+}
+
+static void
+once_entry_free(gpointer ptr)
+{
+	struct once_entry *entry = ptr;
+
+	str_release(&entry->request);
+	str_release(&entry->key);
+	g_free(entry);
+}
+
+/*
+ * Return an empty record for capacity calls, live and remembered ones
+ * together. The leases are in milliseconds.
+ */
+struct once_record *
+once_record_new(
+    size_t capacity, uint32_t ran_lease_ms, uint32_t refused_lease_ms)
+{
+	struct once_record *record = g_new0(struct once_record, 1);
+
+	record->capacity = MAX(capacity, 1);
+	record->ran_lease_ms = ran_lease_ms;
+	record->refused_lease_ms = refused_lease_ms;
+	record->by_request = g_hash_table_new_full(
+	    str_key_hash, str_key_equal, NULL, once_entry_free);
+	record->by_key = g_hash_table_new(str_key_hash, str_key_equal);
+	g_queue_init(&record->ran);
+	g_queue_init(&record->refused);
+	return record;
+}
+
+/*
+ * Free a record with all its entries. NULL is allowed.
+ */
+void
+once_record_free(struct once_record *record)
+{
+	if (record == NULL)
+		return;
+	g_queue_clear(&record->ran);
+	g_queue_clear(&record->refused);
+	g_hash_table_destroy(record->by_key);
+	g_hash_table_destroy(record->by_request);
+	g_free(record);
+}
+
+static GQueue *
+entry_queue(struct once_record *record, const struct once_entry *entry)
+{
+	return entry->state == STATE_RAN ? &record->ran : &record->refused;
+}
+
+static void
+drop_key(struct once_record *record, struct once_entry *entry)
+{
+	if (entry->key.len > 0 &&
+	    g_hash_table_lookup(record->by_key, &entry->key) == entry)
+		g_hash_table_remove(record->by_key, &entry->key);
+}
+
+static void
+drop_entry(struct once_record *record, struct once_entry *entry)
+{
+	if (entry->link != NULL)
+		g_queue_delete_link(entry_queue(record, entry), entry->link);
+	drop_key(record, entry);
+	g_hash_table_remove(record->by_request, &entry->request);
+}
+
+static void
+expire_queue(struct once_record *record, GQueue *queue, struct timespec now)
+{
+	struct once_entry *oldest;
+
+	while ((oldest = g_queue_peek_head(queue)) != NULL &&
+	    timespec_before(oldest->expiry, now))
+		drop_entry(record, oldest);
+}
+
+static void
+remember(struct once_record *record, struct once_entry *entry,
+    enum once_state state, struct timespec expiry)
+{
+	GQueue *queue;
+
+	entry->state = state;
+	entry->expiry = expiry;
+	queue = entry_queue(record, entry);
+	g_queue_push_tail(queue, entry);
+	entry->link = g_queue_peek_tail_link(queue);
+}
+
+static struct once_entry *
+insert_entry(struct once_record *record, struct str request, uint32_t attempt)
+{
+	struct once_entry *entry = g_new0(struct once_entry, 1);
+
+	entry->request = str_dup(request);
+	entry->attempt = attempt;
+	g_hash_table_insert(record->by_request, &entry->request, entry);
+	return entry;
+}
+
+/*
+ * Look a call up. A later attempt of a request that was refused here is new.
+ */
+enum once_verdict
+once_record_check(struct once_record *record, struct str request,
+    struct str key, uint32_t attempt, struct timespec now)
+{
+	struct once_entry *entry;
+
+	expire_queue(record, &record->ran, now);
+	expire_queue(record, &record->refused, now);
+	entry = g_hash_table_lookup(record->by_request, &request);
+	if (entry != NULL && entry->state != STATE_REFUSED)
+		return ONCE_DUPLICATE;
+	if (key.len > 0 && g_hash_table_contains(record->by_key, &key))
+		return ONCE_DUPLICATE;
+	if (entry != NULL && attempt <= entry->attempt)
+		return ONCE_REFUSED;
+	return ONCE_NEW;
+}
+
+/*
+ * Enter a call that is about to be admitted. The entry stays valid until it
+ * is handed to once_record_ran or once_record_not_run.
+ */
+enum once_verdict
+once_record_enter(struct once_record *record, struct str request,
+    struct str key, uint32_t attempt, struct timespec now,
+    struct once_entry **out)
+{
+	enum once_verdict verdict =
+	    once_record_check(record, request, key, attempt, now);
+	struct once_entry *entry;
+
+	if (verdict != ONCE_NEW)
+		return verdict;
+	entry = g_hash_table_lookup(record->by_request, &request);
+	if (entry != NULL)
+		drop_entry(record, entry);
+	else if (once_record_count(record) >= record->capacity)
+		return ONCE_FULL;
+	entry = insert_entry(record, request, attempt);
+	entry->state = STATE_LIVE;
+	if (key.len > 0) {
+		entry->key = str_dup(key);
+		g_hash_table_insert(record->by_key, &entry->key, entry);
+	}
+	*out = entry;
+	return ONCE_NEW;
+}
+
+/*
+ * A call has ended that may have run: remember it for the lease, and as long
+ * as its sender may still try again, whichever is later.
+ */
+void
+once_record_ran(struct once_record *record, struct once_entry *entry,
+    struct timespec now, struct timespec deadline)
+{
+	struct timespec from = timespec_before(now, deadline) ? deadline : now;
+
+	remember(record, entry, STATE_RAN,
+	    timespec_plus_ms(from, record->ran_lease_ms));
+}
+
+/*
+ * A call has ended without having run: its key is free again, and later
+ * attempts of it may run, but no second copy of this one.
+ */
+void
+once_record_not_run(
+    struct once_record *record, struct once_entry *entry, struct timespec now)
+{
+	drop_key(record, entry);
+	str_release(&entry->key);
+	remember(record, entry, STATE_REFUSED,
+	    timespec_plus_ms(now, record->refused_lease_ms));
+}
+
+/*
+ * Remember the refusal of a call that was never entered.
+ */
+bool
+once_record_refuse(struct once_record *record, struct str request,
+    uint32_t attempt, struct timespec now)
+{
+	struct once_entry *entry =
+	    g_hash_table_lookup(record->by_request, &request);
+
+	if (entry != NULL) {
+		if (entry->state != STATE_REFUSED)
+			return true;
+		attempt = MAX(attempt, entry->attempt);
+		drop_entry(record, entry);
+	} else if (once_record_count(record) >= record->capacity) {
+		return false;
+	}
+	entry = insert_entry(record, request, attempt);
+	remember(record, entry, STATE_REFUSED,
+	    timespec_plus_ms(now, record->refused_lease_ms));
+	return true;
+}
+
+/*
+ * Return the number of calls that the record holds.
+ */
+size_t
+once_record_count(const struct once_record *record)
+{
+	return g_hash_table_size(record->by_request);
+}
--- /dev/null
+++ b/include/guard/fence.h
@@ -0,0 +1,28 @@
+#ifndef TREFOILHILL_GUARD_FENCE_H
+#define TREFOILHILL_GUARD_FENCE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/clock.h"
+
+/*
+ * Keeps old calls out: counts ticks by this host's monotonic clock alone and
+ * admits what bears this incarnation and a tick of the recent past.
+ */
+struct fence {
+	uint64_t incarnation;
+	uint32_t tick_ms;
+	uint32_t tick_bound;
+	struct timespec started;
+	uint64_t floor; /* ticks up to this one are refused */
+};
+
+void fence_init(struct fence *fence, uint64_t incarnation, uint32_t tick_ms,
+    uint32_t tick_bound, struct timespec now);
+uint64_t fence_tick(const struct fence *fence, struct timespec now);
+bool fence_allows(const struct fence *fence, uint64_t incarnation,
+    uint64_t tick, struct timespec now);
+void fence_raise(struct fence *fence, struct timespec now);
+
+#endif
--- a/include/guard/guard.h
+++ b/include/guard/guard.h
@@ -23,7 +23,7 @@
 	REFUSAL_QUEUE_WAIT, /* its turn would come too late */
 	REFUSAL_DRAINING,
 	REFUSAL_OUT,    /* host or zone is out of service */
-	REFUSAL_FENCED, /* other incarnation, or a tick too old */
+	REFUSAL_FENCED, /* other incarnation or none, or a tick too old */
 	REFUSAL_DEADLINE,
 	REFUSAL_NOT_READY,   /* no configuration yet */
 	REFUSAL_DUPLICATE,   /* same call is running or has run */
@@ -31,9 +31,13 @@
 	REFUSAL_UNKNOWN_UPSTREAM,
 	REFUSAL_SHED, /* the upstream itself said: not begun */
 	REFUSAL_TOO_LARGE,
+	REFUSAL_CANCELLED,   /* the sender gave it up before its first byte */
+	REFUSAL_RECORD_FULL, /* no room to remember that it ran */
 	REFUSAL_COUNT,
 };
 const char *refusal_reason_name(enum refusal_reason reason);
+/* False for REFUSAL_DUPLICATE alone: the earlier copy may have run. */
+bool refusal_is_not_run(enum refusal_reason reason);
 
 /* What a guard says of itself; piggybacked on each answer, a hint only. */
 struct guard_hint {
@@ -53,16 +57,24 @@
 	uint32_t queue_limit;
 	uint32_t queue_wait_ms;
 	uint32_t tick_ms;
-	uint32_t tick_bound;   /* ticks after which an OPEN is too old */
-	uint32_t once_entries; /* bound of the at-most-once record */
+	uint32_t tick_bound;    /* ticks after which an OPEN is too old */
+	uint32_t once_entries;  /* bound of the at-most-once record */
+	uint32_t once_lease_ms; /* how long a call that ran is remembered */
+	struct str upstream;    /* its name, for events; copied */
 };
 
+/*
+ * One OPEN. A sender without a hint (incarnation 0) is always refused as
+ * REFUSAL_FENCED and sends again at once with the hint that came back. The
+ * sender takes the hint before it works out the remaining time, and numbers
+ * each OPEN of a request anew, those after a fence included.
+ */
 struct guard_call {
 	uint64_t incarnation; /* of the guard that the sender knew; 0: none */
 	uint64_t tick;        /* last tick that the sender saw */
 	struct str request;   /* request id */
 	struct str key;       /* Idempotency-Key, empty if none */
-	uint32_t attempt;
+	uint32_t attempt;     /* number of this OPEN of the request, from 0 */
 	bool idempotent;
 	struct timespec deadline; /* on this host's monotonic clock */
 };
@@ -82,6 +94,11 @@
 	OUTCOME_CANCELLED,
 };
 
+/*
+ * A new guard refuses with REFUSAL_NOT_READY until guard_set_in_service is
+ * called for the first time. A ticket ends with a refusal by guard_confirm or
+ * guard_next, with guard_complete, or with guard_cancel while it is queued.
+ */
 struct guard *guard_new(const struct guard_settings *settings,
     struct clock *clock, struct event_log *events);
 void guard_free(struct guard *guard);
@@ -97,7 +114,11 @@
 /* Next queued call that may run now, or that has to be refused now. */
 bool guard_next(struct guard *guard, uint64_t *ticket,
     enum guard_decision *decision, enum refusal_reason *reason);
-void guard_cancel(struct guard *guard, uint64_t ticket);
+/*
+ * The sender gave the call up. True: it was still queued and has ended, not
+ * run. False: guard_confirm will refuse it, or guard_complete has to follow.
+ */
+bool guard_cancel(struct guard *guard, uint64_t ticket);
 void guard_complete(struct guard *guard, uint64_t ticket,
     enum guard_outcome outcome, uint32_t latency_us);
 void guard_set_in_service(struct guard *guard, bool in_service);
--- /dev/null
+++ b/include/guard/stats.h
@@ -0,0 +1,24 @@
+#ifndef TREFOILHILL_GUARD_STATS_H
+#define TREFOILHILL_GUARD_STATS_H
+
+#include "common/counter.h"
+#include "guard/guard.h"
+#include "guard/limiter.h"
+
+/* Counters of one guard. Families stand next to each other. */
+enum guard_counter {
+	GUARD_ADMITTED,
+	GUARD_QUEUED,
+	GUARD_DEQUEUED,
+	GUARD_WARMED,
+	GUARD_FROZEN,
+	GUARD_REFUSED, /* plus enum refusal_reason */
+	GUARD_COMPLETED = GUARD_REFUSED + REFUSAL_COUNT, /* plus outcome */
+	GUARD_CHILLED =
+	    GUARD_COMPLETED + OUTCOME_CANCELLED + 1, /* plus cause */
+	GUARD_COUNTER_COUNT = GUARD_CHILLED + COLD_CAUSE_COUNT,
+};
+
+void guard_stats_init(struct counter_set *set);
+
+#endif
