--- /dev/null
+++ b/standin-upstream/work.c
@@ -0,0 +1,234 @@
+#include <glib.h>
+#include <inttypes.h>
+#include <string.h>
+
+#include "common/body_pattern.h"
+#include "standin-platform/http.h"
+#include "standin-upstream/serve.h"
+
+enum {
+	CHUNK_BYTES = 64 * 1024,
+	HEADERS_MAX = 256,
+	REQUEST_ID_MAX = 128,
+	WAIT_SLICE_MS = 100,
+	DEFAULT_TIMEOUT_MS = 600000,
+	DECIMAL = 10,
+};
+
+/* One request as the query and the headers describe it. */
+struct work {
+	char request[REQUEST_ID_MAX];
+	uint64_t work_ms;
+	uint64_t size;
+	uint64_t chunk_ms;
+	struct timespec deadline;
+	uint64_t generation;
+};
+
+enum work_end {
+	WORK_DONE,
+	WORK_CANCELLED,
+	WORK_DEADLINE,
+	WORK_LOST,
+};
+
+static void
+read_work(
+    struct mg_connection *conn, struct upstream *upstream, struct work *work)
+{
+	const char *id = mg_get_header(conn, "Trefoilhill-Request");
+	const char *timeout = mg_get_header(conn, "Trefoilhill-Timeout-Ms");
+	uint64_t timeout_ms = DEFAULT_TIMEOUT_MS;
+
+	if (id != NULL)
+		g_strlcpy(work->request, id, sizeof(work->request));
+	else
+		g_snprintf(work->request, sizeof(work->request),
+		    "unnamed-%" PRIuFAST64,
+		    atomic_fetch_add(&upstream->next_request, 1));
+	if (timeout != NULL)
+		timeout_ms =
+		    MIN(timeout_ms, g_ascii_strtoull(timeout, NULL, DECIMAL));
+	work->deadline =
+	    timespec_plus_ms(clock_now(upstream->clock), (int64_t)timeout_ms);
+	work->work_ms = MIN(standin_http_query(conn, "work_ms", 0),
+	    (uint64_t)DEFAULT_TIMEOUT_MS);
+	work->size = standin_http_query(conn, "size", 0);
+	work->chunk_ms = MIN(standin_http_query(conn, "chunk_ms", 0),
+	    (uint64_t)DEFAULT_TIMEOUT_MS);
+}
+
+static void
+discard_body(struct mg_connection *conn)
+{
+	char buffer[CHUNK_BYTES];
+
+	while (mg_read(conn, buffer, sizeof(buffer)) > 0)
+		continue;
+}
+
+/* Hang for as long as the state says so. */
+static enum work_end
+hang(struct mg_connection *conn, struct upstream *upstream)
+{
+	while (atomic_load(&upstream->hung)) {
+		if (atomic_load(&upstream->stopping) ||
+		    standin_http_peer_gone(conn, WAIT_SLICE_MS))
+			return WORK_CANCELLED;
+	}
+	return WORK_DONE;
+}
+
+/* Spend the time of the work; the peer and the deadline may end it early. */
+static enum work_end
+spend_work(struct mg_connection *conn, struct upstream *upstream,
+    const struct work *work)
+{
+	uint64_t times =
+	    upstream_cold(upstream) ? atomic_load(&upstream->cold_slowdown) : 1;
+	struct timespec end = timespec_plus_ms(
+	    clock_now(upstream->clock), (int64_t)(work->work_ms * times));
+
+	for (;;) {
+		struct timespec now = clock_now(upstream->clock);
+		int64_t left_ms = timespec_ms_between(now, end);
+
+		if (upstream_lost(upstream, work->generation))
+			return WORK_LOST;
+		if (!timespec_before(now, end))
+			return hang(conn, upstream);
+		if (!timespec_before(now, work->deadline))
+			return WORK_DEADLINE;
+		left_ms =
+		    MIN(left_ms, timespec_ms_between(now, work->deadline));
+		left_ms = CLAMP(left_ms, 1, WAIT_SLICE_MS);
+		if (standin_http_peer_gone(conn, (int)left_ms) ||
+		    atomic_load(&upstream->stopping))
+			return WORK_CANCELLED;
+	}
+}
+
+static void
+write_headers(struct upstream *upstream, const struct work *work, char *out)
+{
+	g_snprintf(out, HEADERS_MAX,
+	    "X-Standin-Name: %s\r\nX-Standin-Request: %s\r\n",
+	    upstream->options->name, work->request);
+}
+
+/* Send a body chunk by chunk; only one chunk is held. */
+static enum work_end
+stream_body(struct mg_connection *conn, struct upstream *upstream,
+    const struct work *work, const struct body_pattern *pattern)
+{
+	char headers[HEADERS_MAX];
+	char chunk[CHUNK_BYTES];
+
+	write_headers(upstream, work, headers);
+	mg_printf(conn,
+	    "HTTP/1.1 200 OK\r\nContent-Length: %" PRIu64 "\r\n%s\r\n",
+	    work->size, headers);
+	for (uint64_t at = 0; at < work->size; at += CHUNK_BYTES) {
+		size_t len = MIN(work->size - at, (uint64_t)CHUNK_BYTES);
+
+		if (at > 0 && work->chunk_ms > 0 &&
+		    standin_http_peer_gone(conn, (int)work->chunk_ms))
+			return WORK_CANCELLED;
+		if (upstream_lost(upstream, work->generation))
+			return WORK_LOST;
+		body_pattern_fill(pattern, at, chunk, len);
+		if (mg_write(conn, chunk, len) != (int)len ||
+		    atomic_load(&upstream->stopping))
+			return WORK_CANCELLED;
+	}
+	return WORK_DONE;
+}
+
+/* Send the answer. Once the head is out, a failure ends the connection. */
+static int
+send_answer(struct mg_connection *conn, struct upstream *upstream,
+    const struct work *work)
+{
+	bool head =
+	    strcmp(mg_get_request_info(conn)->request_method, "HEAD") == 0;
+	struct body_pattern pattern;
+	char headers[HEADERS_MAX];
+	char body[CHUNK_BYTES];
+	enum work_end end;
+
+	body_pattern_init(&pattern, str_from(work->request), work->size);
+	if (work->size > CHUNK_BYTES && !head) {
+		end = stream_body(conn, upstream, work, &pattern);
+		if (upstream_finish(
+			upstream, work->generation, end == WORK_DONE) &&
+		    end == WORK_DONE)
+			return 200;
+		atomic_fetch_add(&upstream->cancelled, end == WORK_CANCELLED);
+		return standin_http_drop(conn);
+	}
+	/* Free the slot first: the caller's next request may be quick. */
+	if (!upstream_finish(upstream, work->generation, true))
+		return standin_http_reply_error(conn, 500, "fallen_over");
+	write_headers(upstream, work, headers);
+	if (head)
+		return standin_http_reply(conn, 200, headers, NULL, 0);
+	body_pattern_fill(&pattern, 0, body, work->size);
+	return standin_http_reply(conn, 200, headers, body, work->size);
+}
+
+static int
+refuse(struct mg_connection *conn, struct upstream *upstream,
+    enum begin_result result)
+{
+	static const char refused[] = "{\"error\":\"shed\"}";
+
+	switch (result) {
+	case BEGIN_FALLEN:
+		return standin_http_reply_error(conn, 500, "fallen_over");
+	case BEGIN_CANCELLED:
+		atomic_fetch_add(&upstream->cancelled, 1);
+		return standin_http_drop(conn);
+	case BEGIN_DEADLINE:
+		atomic_fetch_add(&upstream->deadline_passed, 1);
+		break;
+	default:
+		break;
+	}
+	return standin_http_reply(conn, 503,
+	    "Retry-After: 1\r\nX-Standin-Outcome: shed\r\n", refused,
+	    strlen(refused));
+}
+
+/*
+ * Do the work that a request asks for, in a slot, and count the run.
+ */
+int
+serve_work(struct mg_connection *conn, struct upstream *upstream)
+{
+	struct work work;
+	enum begin_result result;
+
+	read_work(conn, upstream, &work);
+	discard_body(conn);
+	result =
+	    upstream_begin(upstream, conn, work.deadline, &work.generation);
+	if (result != BEGIN_OK)
+		return refuse(conn, upstream, result);
+	run_log_add(upstream->runs, str_from(work.request));
+	switch (spend_work(conn, upstream, &work)) {
+	case WORK_DONE:
+		return send_answer(conn, upstream, &work);
+	case WORK_LOST:
+		return standin_http_reply_error(conn, 500, "fallen_over");
+	case WORK_DEADLINE:
+		upstream_finish(upstream, work.generation, false);
+		atomic_fetch_add(&upstream->deadline_passed, 1);
+		return standin_http_reply(
+		    conn, 504, "X-Standin-Outcome: deadline\r\n", "", 0);
+	case WORK_CANCELLED:
+	default:
+		upstream_finish(upstream, work.generation, false);
+		atomic_fetch_add(&upstream->cancelled, 1);
+		return standin_http_drop(conn);
+	}
+}
