wire: carry frames between nodes over ZeroMQ

One thread owns a ROUTER and a DEALER for each peer; other threads hand it frames through a wait-free queue.

The test of a frame for a dead peer failed with the hold set to 60 s, and the one of hostile frames failed with the version check taken out.

--- a/include/wire/transport.h
+++ b/include/wire/transport.h
@@ -40,16 +40,54 @@
 	void *arg;
 };
 
+/*
+ * Told of a frame for a peer that was given up before a byte of it was
+ * sent: the peer has certainly not seen it.
+ */
+struct drop_handler {
+	/* On the transport's thread; must not block. Bytes are borrowed. */
+	void (*handle_drop)(void *arg, struct str address, struct str head);
+	void *arg;
+};
+
 struct transport_settings {
 	struct str address; /* IP:PORT to bind */
 	uint32_t high_water_frames;
 	uint32_t peer_idle_ms; /* close connections unused for so long */
 };
 
+#define TRANSPORT_ERROR (transport_error_quark())
+
+enum transport_error {
+	TRANSPORT_ERROR_SOCKET,
+	TRANSPORT_ERROR_BIND,
+	TRANSPORT_ERROR_THREAD,
+};
+
+enum transport_counter {
+	TRANSPORT_FRAMES_SENT,
+	TRANSPORT_FRAMES_RECEIVED,
+	TRANSPORT_BYTES_SENT_MESH,
+	TRANSPORT_BYTES_SENT_CALL,
+	TRANSPORT_BYTES_RECEIVED,
+	TRANSPORT_DROPPED_UNREACHABLE,
+	TRANSPORT_DROPPED_FULL,
+	TRANSPORT_DROPPED_PATH_GONE,
+	TRANSPORT_REJECTED_MALFORMED,
+	TRANSPORT_REJECTED_VERSION,
+	TRANSPORT_REJECTED_TOO_LARGE,
+	TRANSPORT_PEERS_OPENED,
+	TRANSPORT_PEERS_CLOSED,
+	TRANSPORT_COUNTER_COUNT,
+};
+
+GQuark transport_error_quark(void);
 struct transport *transport_new(
     const struct transport_settings *settings, GError **error);
 void transport_set_handler(struct transport *transport, enum frame_class class,
     struct frame_handler handler);
+void transport_set_drop_handler(struct transport *transport,
+    enum frame_class class, struct drop_handler handler);
 int transport_start(struct transport *transport, GError **error);
 void transport_stop(struct transport *transport);
 void transport_free(struct transport *transport);
--- /dev/null
+++ b/include/wire/transport_loop.h
@@ -0,0 +1,35 @@
+#ifndef TREFOILHILL_WIRE_TRANSPORT_LOOP_H
+#define TREFOILHILL_WIRE_TRANSPORT_LOOP_H
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <urcu/wfcqueue.h>
+
+#include "wire/transport.h"
+
+/* Inside of the transport; only its thread touches sockets and peers. */
+struct transport {
+	struct transport_settings settings;
+	char *address;
+	void *zmq;
+	void *router;
+	int wake_fd;
+	int epoll_fd;
+	GHashTable *peers; /* address to struct peer */
+	uint32_t peers_holding;
+	struct cds_wfcq_head queue_head;
+	struct cds_wfcq_tail queue_tail;
+	struct frame_handler handlers[FRAME_CLASS_COUNT];
+	struct drop_handler drop_handlers[FRAME_CLASS_COUNT];
+	struct counter_set counters;
+	pthread_t thread;
+	bool started;
+	atomic_bool stopping;
+	int64_t swept_at_us;
+};
+
+void *transport_run(void *transport);
+void transport_watch(struct transport *transport, int fd, void *ptr);
+
+#endif
--- /dev/null
+++ b/tests/wire/test_transport.c
@@ -0,0 +1,284 @@
+#include <pthread.h>
+#include <string.h>
+#include <unistd.h>
+#include <zmq.h>
+
+#include "harness.h"
+#include "wire/frame.h"
+#include "wire/transport.h"
+
+enum {
+	FRAMES_MAX = 512,
+	STEP_US = 2000,
+	WAIT_US = 3 * 1000 * 1000,
+	PORT_FIRST = 23100,
+	PORT_COUNT = 400,
+};
+
+struct inbox {
+	pthread_mutex_t lock;
+	size_t count;
+	char heads[FRAMES_MAX][16];
+	size_t body_len;
+	size_t drops;
+	struct transport *answer_with;
+};
+
+struct node {
+	struct transport *transport;
+	char address[32];
+	struct inbox inbox;
+};
+
+static void
+handle_frame(void *arg, const struct frame_origin *origin, struct str head,
+    struct str body)
+{
+	struct inbox *inbox = arg;
+
+	pthread_mutex_lock(&inbox->lock);
+	if (inbox->count < FRAMES_MAX)
+		g_strlcpy(inbox->heads[inbox->count++], head.ptr,
+		    MIN(head.len + 1, sizeof(inbox->heads[0])));
+	inbox->body_len += body.len;
+	pthread_mutex_unlock(&inbox->lock);
+	if (inbox->answer_with != NULL)
+		transport_reply(inbox->answer_with, origin, FRAME_CALL,
+		    g_bytes_new("answer", 6), NULL);
+}
+
+static void
+handle_drop(void *arg, struct str address, struct str head)
+{
+	struct inbox *inbox = arg;
+
+	pthread_mutex_lock(&inbox->lock);
+	inbox->drops++;
+	pthread_mutex_unlock(&inbox->lock);
+}
+
+static size_t
+inbox_count(struct inbox *inbox, const size_t *what)
+{
+	size_t count;
+
+	pthread_mutex_lock(&inbox->lock);
+	count = *what;
+	pthread_mutex_unlock(&inbox->lock);
+	return count;
+}
+
+static bool
+wait_for(struct inbox *inbox, const size_t *what, size_t wanted)
+{
+	for (int us = 0; us < WAIT_US; us += STEP_US) {
+		if (inbox_count(inbox, what) >= wanted)
+			return true;
+		usleep(STEP_US);
+	}
+	return false;
+}
+
+static void
+node_open(struct node *node, const char *address)
+{
+	struct transport_settings settings = {
+		.high_water_frames = 256,
+		.peer_idle_ms = 60000,
+	};
+	struct frame_handler frames = { handle_frame, &node->inbox };
+	struct drop_handler drops = { handle_drop, &node->inbox };
+
+	memset(&node->inbox, 0, sizeof(node->inbox));
+	pthread_mutex_init(&node->inbox.lock, NULL);
+	node->transport = NULL;
+	for (int i = 0; node->transport == NULL && i < PORT_COUNT; i++) {
+		g_snprintf(node->address, sizeof(node->address), "127.0.0.1:%d",
+		    PORT_FIRST + (getpid() + i) % PORT_COUNT);
+		if (address != NULL)
+			g_strlcpy(
+			    node->address, address, sizeof(node->address));
+		settings.address = str_from(node->address);
+		node->transport = transport_new(&settings, NULL);
+	}
+	g_assert_nonnull(node->transport);
+	transport_set_handler(node->transport, FRAME_CALL, frames);
+	transport_set_drop_handler(node->transport, FRAME_CALL, drops);
+	g_assert_cmpint(transport_start(node->transport, NULL), ==, 0);
+}
+
+static void
+node_close(struct node *node)
+{
+	transport_stop(node->transport);
+	transport_free(node->transport);
+	pthread_mutex_destroy(&node->inbox.lock);
+}
+
+static void
+send_head(struct node *from, const char *address, const char *head)
+{
+	transport_send(from->transport, str_from(address), FRAME_CALL,
+	    g_bytes_new(head, strlen(head)), NULL);
+}
+
+static void
+test_frames_arrive_in_order_and_are_answered(void)
+{
+	struct node a, b;
+	char text[16];
+	bool ordered = true;
+
+	node_open(&a, NULL);
+	node_open(&b, NULL);
+	b.inbox.answer_with = b.transport;
+	for (int i = 0; i < 200; i++) {
+		g_snprintf(text, sizeof(text), "%d", i);
+		send_head(&a, b.address, text);
+	}
+	CU_ASSERT_TRUE(wait_for(&b.inbox, &b.inbox.count, 200));
+	CU_ASSERT_TRUE(wait_for(&a.inbox, &a.inbox.count, 200));
+	for (int i = 0; i < 200; i++)
+		ordered = ordered && atoi(b.inbox.heads[i]) == i;
+	CU_ASSERT_TRUE(ordered);
+	CU_ASSERT_STRING_EQUAL(a.inbox.heads[0], "answer");
+	node_close(&a);
+	node_close(&b);
+}
+
+static void
+test_body_is_carried(void)
+{
+	struct node a, b;
+	char *body = g_malloc0(FRAME_BODY_MAX);
+
+	node_open(&a, NULL);
+	node_open(&b, NULL);
+	transport_send(a.transport, str_from(b.address), FRAME_CALL,
+	    g_bytes_new("x", 1), g_bytes_new_take(body, FRAME_BODY_MAX));
+	CU_ASSERT_TRUE(wait_for(&b.inbox, &b.inbox.count, 1));
+	CU_ASSERT_EQUAL(b.inbox.body_len, FRAME_BODY_MAX);
+	node_close(&a);
+	node_close(&b);
+}
+
+/*
+ * A frame for a peer that is down is given up and told, and doesn't arrive
+ * when the peer comes up later.
+ */
+static void
+test_frame_for_dead_peer_is_never_late(void)
+{
+	struct node a, b;
+	char address[32];
+
+	node_open(&a, NULL);
+	node_open(&b, NULL);
+	g_strlcpy(address, b.address, sizeof(address));
+	node_close(&b);
+	send_head(&a, address, "old");
+	CU_ASSERT_TRUE(wait_for(&a.inbox, &a.inbox.drops, 1));
+	node_open(&b, address);
+	for (int i = 0; i < 20 && inbox_count(&b.inbox, &b.inbox.count) == 0;
+	     i++) {
+		send_head(&a, address, "new");
+		usleep(100 * 1000);
+	}
+	CU_ASSERT_STRING_EQUAL(b.inbox.heads[0], "new");
+	node_close(&a);
+	node_close(&b);
+}
+
+static void
+send_raw(void *socket, const void *bytes, size_t len, int flags)
+{
+	zmq_send(socket, bytes, len, flags);
+}
+
+/*
+ * Hostile frames are counted by fault and leave the transport working.
+ */
+static void
+test_hostile_frames_are_counted(void)
+{
+	struct node b;
+	void *zmq = zmq_ctx_new();
+	void *socket = zmq_socket(zmq, ZMQ_DEALER);
+	char *big = g_malloc0(FRAME_BODY_MAX + 1);
+	char endpoint[64];
+	const struct counter_set *counters;
+	int linger = 0;
+
+	node_open(&b, NULL);
+	counters = transport_counters(b.transport);
+	g_snprintf(endpoint, sizeof(endpoint), "tcp://%s", b.address);
+	zmq_setsockopt(socket, ZMQ_LINGER, &linger, sizeof(linger));
+	zmq_connect(socket, endpoint);
+	send_raw(socket, "", 0, 0);
+	send_raw(socket, "Th", 2, 0);
+	send_raw(socket, "xx\1\1", 4, 0);
+	send_raw(socket, "Th\1\7", 4, 0);
+	send_raw(socket, "Th\2\1head", 8, 0);
+	send_raw(socket, "Th\1\1", 4, ZMQ_SNDMORE);
+	send_raw(socket, big, FRAME_BODY_MAX + 1, 0);
+	send_raw(socket, "Th\1\1", 4, ZMQ_SNDMORE);
+	send_raw(socket, "b", 1, ZMQ_SNDMORE);
+	send_raw(socket, "c", 1, ZMQ_SNDMORE);
+	send_raw(socket, "d", 1, 0);
+	send_raw(socket, "Th\1\1good", 8, 0);
+	CU_ASSERT_TRUE(wait_for(&b.inbox, &b.inbox.count, 1));
+	CU_ASSERT_EQUAL(b.inbox.count, 1);
+	CU_ASSERT_STRING_EQUAL(b.inbox.heads[0], "good");
+	CU_ASSERT_EQUAL(counter_get(counters, TRANSPORT_REJECTED_MALFORMED), 5);
+	CU_ASSERT_EQUAL(counter_get(counters, TRANSPORT_REJECTED_VERSION), 1);
+	CU_ASSERT_EQUAL(counter_get(counters, TRANSPORT_REJECTED_TOO_LARGE), 1);
+	node_close(&b);
+	zmq_close(socket);
+	zmq_ctx_term(zmq);
+	g_free(big);
+}
+
+/*
+ * A message over the size limit costs its sender the connection and is
+ * never held in memory.
+ */
+static void
+test_oversized_message_is_refused(void)
+{
+	struct node a, b;
+	size_t len = FRAME_HEAD_MAX + FRAME_PREAMBLE_LEN + 1;
+
+	node_open(&a, NULL);
+	node_open(&b, NULL);
+	transport_send(a.transport, str_from(b.address), FRAME_CALL,
+	    g_bytes_new_take(g_malloc0(len), len), NULL);
+	usleep(200 * 1000);
+	CU_ASSERT_EQUAL(inbox_count(&b.inbox, &b.inbox.count), 0);
+	for (int i = 0; i < 20 && inbox_count(&b.inbox, &b.inbox.count) == 0;
+	     i++) {
+		send_head(&a, b.address, "next");
+		usleep(100 * 1000);
+	}
+	CU_ASSERT_STRING_EQUAL(b.inbox.heads[0], "next");
+	node_close(&a);
+	node_close(&b);
+}
+
+int
+main(void)
+{
+	static const struct test_case cases[] = {
+		{ "frames arrive in order and are answered",
+		    test_frames_arrive_in_order_and_are_answered },
+		{ "body is carried", test_body_is_carried },
+		{ "frame for dead peer is never late",
+		    test_frame_for_dead_peer_is_never_late },
+		{ "hostile frames are counted",
+		    test_hostile_frames_are_counted },
+		{ "oversized message is refused",
+		    test_oversized_message_is_refused },
+		{ NULL, NULL },
+	};
+
+	return harness_run("transport", cases);
+}
--- /dev/null
+++ b/wire/call_decode.c
@@ -0,0 +1,267 @@
+#include <string.h>
+
+#include "gen/call.pb-c.h"
+#include "wire/call.h"
+
+enum {
+	STATUS_MIN = 200,
+	STATUS_MAX = 599,
+};
+
+static struct str
+str_of(ProtobufCBinaryData data)
+{
+	return str_make(data.data, data.len);
+}
+
+static bool
+fail(GError **error, enum call_error code, const char *what)
+{
+	g_set_error(error, CALL_ERROR, (gint)code, "%s", what);
+	return false;
+}
+
+/*
+ * Tell whether a string is free of the bytes that end a line or a string in
+ * HTTP, so that it can't smuggle a header or a second request.
+ */
+static bool
+is_one_line(struct str s)
+{
+	return s.len == 0 ||
+	    (memchr(s.ptr, '\r', s.len) == NULL &&
+		memchr(s.ptr, '\n', s.len) == NULL &&
+		memchr(s.ptr, '\0', s.len) == NULL);
+}
+
+/*
+ * Tell whether a string is a token of RFC 9110: a method or a header's name.
+ */
+static bool
+is_token(struct str s)
+{
+	for (size_t i = 0; i < s.len; i++)
+		if (!g_ascii_isalnum(s.ptr[i]) &&
+		    (s.ptr[i] == '\0' ||
+			strchr("!#$%&'*+-.^_`|~", s.ptr[i]) == NULL))
+			return false;
+	return s.len > 0;
+}
+
+static bool
+is_target(struct str s)
+{
+	for (size_t i = 0; i < s.len; i++)
+		if (!g_ascii_isgraph(s.ptr[i]))
+			return false;
+	return s.len > 0 && s.ptr[0] == '/';
+}
+
+static bool
+decode_headers(struct call_headers *to, size_t count,
+    Trefoilhill__Wire__CallHeader *const *list, GError **error)
+{
+	size_t bytes = 0;
+
+	if (count > CALL_HEADERS_MAX)
+		return fail(error, CALL_ERROR_TOO_LARGE, "too many headers");
+	for (size_t i = 0; i < count; i++) {
+		struct call_header *header = &to->list[i];
+
+		header->name = str_of(list[i]->name);
+		header->value = str_of(list[i]->value);
+		bytes += header->name.len + header->value.len;
+		if (!is_token(header->name) || !is_one_line(header->value))
+			return fail(error, CALL_ERROR_FIELD, "bad header");
+	}
+	if (bytes > CALL_HEADER_BYTES_MAX)
+		return fail(error, CALL_ERROR_TOO_LARGE, "headers too long");
+	to->count = count;
+	return true;
+}
+
+static bool
+check_open(const struct call_open *open, GError **error)
+{
+	if (open->request.len > CALL_REQUEST_MAX ||
+	    open->key.len > CALL_KEY_MAX ||
+	    open->upstream.len > CALL_NAME_MAX ||
+	    open->method.len > CALL_METHOD_MAX ||
+	    open->target.len > CALL_TARGET_MAX)
+		return fail(error, CALL_ERROR_TOO_LARGE, "field too long");
+	if (!is_token(open->method) || !is_target(open->target))
+		return fail(error, CALL_ERROR_FIELD, "bad request line");
+	if (open->request.len == 0 || !is_one_line(open->request) ||
+	    !is_one_line(open->key))
+		return fail(error, CALL_ERROR_FIELD, "bad request id or key");
+	if (open->timeout_ms > CALL_TIMEOUT_MAX_MS)
+		return fail(error, CALL_ERROR_FIELD, "bad timeout");
+	return true;
+}
+
+static bool
+decode_open(struct call_frame *to, const Trefoilhill__Wire__CallOpen *from,
+    GError **error)
+{
+	struct call_open *open = &to->open;
+
+	to->kind = CALL_OPEN;
+	open->request = str_of(from->request);
+	open->key = str_of(from->key);
+	open->upstream = str_of(from->upstream);
+	open->method = str_of(from->method);
+	open->target = str_of(from->target);
+	open->timeout_ms = from->timeout_ms;
+	open->attempt = from->attempt;
+	open->idempotent = from->idempotent;
+	open->guard_incarnation = from->guard_incarnation;
+	open->guard_tick = from->guard_tick;
+	open->length = from->length_plus_1 - 1;
+	open->end = from->end;
+	open->credit = from->credit;
+	return decode_headers(
+		   &open->headers, from->n_headers, from->headers, error) &&
+	    check_open(open, error);
+}
+
+static bool
+decode_head(struct call_frame *to, const Trefoilhill__Wire__CallHead *from,
+    GError **error)
+{
+	to->kind = CALL_HEAD;
+	to->head.status = from->status;
+	to->head.length = from->length_plus_1 - 1;
+	to->head.end = from->end;
+	if (from->status < STATUS_MIN || from->status > STATUS_MAX)
+		return fail(error, CALL_ERROR_FIELD, "bad status");
+	return decode_headers(
+	    &to->head.headers, from->n_headers, from->headers, error);
+}
+
+static bool
+decode_refused(struct call_frame *to,
+    const Trefoilhill__Wire__CallRefused *from, GError **error)
+{
+	to->kind = CALL_REFUSED;
+	if (from->reason >= REFUSAL_COUNT)
+		return fail(error, CALL_ERROR_FIELD, "unknown reason");
+	to->refused.reason = (enum refusal_reason)from->reason;
+	to->refused.not_run = from->not_run;
+	to->refused.retry_after_ms = from->retry_after_ms;
+	return true;
+}
+
+static bool
+decode_pong(struct call_frame *to, const Trefoilhill__Wire__CallPong *from,
+    GError **error)
+{
+	to->kind = CALL_PONG;
+	if (from->n_running > CALL_PING_MAX || from->n_gone > CALL_PING_MAX)
+		return fail(error, CALL_ERROR_TOO_LARGE, "too many calls");
+	to->pong.running.count = from->n_running;
+	to->pong.running.list = from->running;
+	to->pong.gone.count = from->n_gone;
+	to->pong.gone.list = from->gone;
+	return true;
+}
+
+static bool
+decode_ping(struct call_frame *to, const Trefoilhill__Wire__CallPing *from,
+    GError **error)
+{
+	to->kind = CALL_PING;
+	if (from->n_calls > CALL_PING_MAX)
+		return fail(error, CALL_ERROR_TOO_LARGE, "too many calls");
+	to->ping.count = from->n_calls;
+	to->ping.list = from->calls;
+	return true;
+}
+
+static bool
+decode_kind(struct call_frame *to, const Trefoilhill__Wire__CallFrame *from,
+    GError **error)
+{
+	switch (from->kind_case) {
+	case TREFOILHILL__WIRE__CALL_FRAME__KIND_OPEN:
+		return decode_open(to, from->open, error);
+	case TREFOILHILL__WIRE__CALL_FRAME__KIND_BODY:
+		to->kind = CALL_BODY;
+		to->body.offset = from->body->offset;
+		to->body.end = from->body->end;
+		return true;
+	case TREFOILHILL__WIRE__CALL_FRAME__KIND_CREDIT:
+		to->kind = CALL_CREDIT;
+		to->credit_upto = from->credit->upto;
+		return true;
+	case TREFOILHILL__WIRE__CALL_FRAME__KIND_CANCEL:
+		to->kind = CALL_CANCEL;
+		return true;
+	case TREFOILHILL__WIRE__CALL_FRAME__KIND_HEAD:
+		return decode_head(to, from->head, error);
+	case TREFOILHILL__WIRE__CALL_FRAME__KIND_REFUSED:
+		return decode_refused(to, from->refused, error);
+	case TREFOILHILL__WIRE__CALL_FRAME__KIND_PING:
+		return decode_ping(to, from->ping, error);
+	case TREFOILHILL__WIRE__CALL_FRAME__KIND_PONG:
+		return decode_pong(to, from->pong, error);
+	default:
+		return fail(error, CALL_ERROR_UNKNOWN_KIND, "unknown kind");
+	}
+}
+
+static void
+decode_hint(struct guard_hint *to, const Trefoilhill__Wire__CallHint *from)
+{
+	to->incarnation = from->incarnation;
+	to->tick = from->tick;
+	to->limit = from->limit;
+	to->in_flight = from->in_flight;
+	to->queued = from->queued;
+	to->latency_us = from->latency_us;
+	to->accepting = from->accepting;
+}
+
+/*
+ * Decode and check a frame of foreign bytes. The size is bounded before the
+ * decoder allocates anything. Returns a new frame, or NULL with error set.
+ */
+struct call_frame *
+call_frame_decode(struct str head, GError **error)
+{
+	Trefoilhill__Wire__CallFrame *message;
+	struct call_frame *frame;
+
+	if (head.len > CALL_HEAD_MAX) {
+		fail(error, CALL_ERROR_TOO_LARGE, "frame too long");
+		return NULL;
+	}
+	message = trefoilhill__wire__call_frame__unpack(
+	    NULL, head.len, (const uint8_t *)head.ptr);
+	if (message == NULL) {
+		fail(error, CALL_ERROR_MALFORMED, "no call frame");
+		return NULL;
+	}
+	frame = g_new0(struct call_frame, 1);
+	frame->storage = message;
+	frame->entry = message->entry;
+	frame->call = message->call;
+	frame->has_hint = message->hint != NULL;
+	if (frame->has_hint)
+		decode_hint(&frame->hint, message->hint);
+	if (decode_kind(frame, message, error))
+		return frame;
+	call_frame_free(frame);
+	return NULL;
+}
+
+/*
+ * Free a decoded frame. NULL is allowed.
+ */
+void
+call_frame_free(struct call_frame *frame)
+{
+	if (frame == NULL)
+		return;
+	trefoilhill__wire__call_frame__free_unpacked(frame->storage, NULL);
+	g_free(frame);
+}
