config: read records, apply publications, hand states over

A refused publication moves the version on with the old content. The fold of a raw read takes the largest set of publications in which every reference is met: retrying refused ones from below was ruled out, as two publications that need each other's surviving records would both stay out.

--- /dev/null
+++ b/config/apply.c
@@ -0,0 +1,106 @@
+#include "config/change.h"
+#include "config/snapshot_new.h"
+
+static void
+free_refusal(gpointer refusal)
+{
+	refusal_free(refusal);
+}
+
+static void
+note(GPtrArray *refusals, struct refusal *refusal)
+{
+	if (refusal == NULL)
+		return;
+	if (refusals->len < REFUSALS_MAX)
+		g_ptr_array_add(refusals, refusal);
+	else
+		refusal_free(refusal);
+}
+
+/*
+ * Take a change into a draft. A record is set after those that it may refer
+ * to, and removed before them, so each step can be judged when it is taken
+ * and the judgement is that of the whole result.
+ */
+static void
+change_enter(
+    const struct change *change, struct draft *draft, GPtrArray *refusals)
+{
+	for (size_t kind = 0; kind < RECORD_KIND_COUNT; kind++) {
+		const GPtrArray *sets = change->sets[kind];
+
+		for (size_t i = 0; i < sets->len; i++)
+			note(refusals, draft_put(draft, sets->pdata[i]));
+	}
+	for (size_t kind = RECORD_KIND_COUNT; kind-- > 0;) {
+		const GPtrArray *removes = change->removes[kind];
+
+		for (size_t i = 0; i < removes->len; i++)
+			note(refusals,
+			    draft_remove(draft, (enum record_kind)kind,
+				str_from(removes->pdata[i])));
+	}
+}
+
+/*
+ * Judge a publication that is the next one of the state.
+ */
+static struct snapshot *
+apply_next(struct snapshot *base, const struct publication *publication,
+    struct verdict *verdict)
+{
+	const struct draft *content = snapshot_content(base);
+	GPtrArray *refusals = g_ptr_array_new_with_free_func(free_refusal);
+	struct change change;
+	struct draft draft;
+
+	change_init(&change);
+	draft_init_from(&draft, content);
+	change_read(&change, publication, refusals);
+	if (refusals->len == 0)
+		change_enter(&change, &draft, refusals);
+	change_clear(&change);
+	if (refusals->len == 0) {
+		verdict->kind = VERDICT_ACCEPTED;
+		g_ptr_array_unref(refusals);
+	} else {
+		verdict->kind = VERDICT_REFUSED;
+		verdict->refusals = refusals;
+		draft_clear(&draft);
+		draft_init_from(&draft, content);
+	}
+	return snapshot_new(
+	    publication->version, snapshot_id(base).base, &draft);
+}
+
+/*
+ * Judge a publication against an accepted state: the verdict depends on these
+ * two alone, so nodes that see the same sequence hold the same state. The
+ * publication is taken whole or not at all; a refused one still moves the
+ * version on, so it does not stop the next. The result is a new reference.
+ */
+struct snapshot *
+snapshot_apply(struct snapshot *base, const struct publication *publication,
+    struct verdict *verdict)
+{
+	uint64_t version = snapshot_id(base).version;
+
+	verdict->refusals = NULL;
+	if (publication->version == version + 1)
+		return apply_next(base, publication, verdict);
+	verdict->kind =
+	    publication->version <= version ? VERDICT_IGNORED : VERDICT_GAP;
+	return snapshot_ref(base);
+}
+
+/*
+ * Free what a verdict holds.
+ */
+void
+verdict_clear(struct verdict *verdict)
+{
+	if (verdict->refusals != NULL)
+		g_ptr_array_unref(verdict->refusals);
+	verdict->refusals = NULL;
+}
--- /dev/null
+++ b/config/digest.c
@@ -0,0 +1,54 @@
+#include <xxhash.h>
+
+#include "config/digest.h"
+
+/*
+ * Hash one canonical form with XXH3-128. The digest of a set of records is
+ * the sum of theirs modulo 2^128, so that it follows each change in time
+ * proportional to the change and does not depend on the order.
+ */
+struct digest
+digest_of_bytes(struct str bytes)
+{
+	XXH128_hash_t hash = XXH3_128bits(bytes.ptr, bytes.len);
+	struct digest digest = { .low = hash.low64, .high = hash.high64 };
+
+	return digest;
+}
+
+/*
+ * Return a + b modulo 2^128.
+ */
+struct digest
+digest_add(struct digest a, struct digest b)
+{
+	struct digest sum = { .low = a.low + b.low, .high = a.high + b.high };
+
+	if (sum.low < a.low)
+		sum.high++;
+	return sum;
+}
+
+/*
+ * Return a - b modulo 2^128.
+ */
+struct digest
+digest_subtract(struct digest a, struct digest b)
+{
+	struct digest rest = { .low = a.low - b.low, .high = a.high - b.high };
+
+	if (a.low < b.low)
+		rest.high--;
+	return rest;
+}
+
+/*
+ * Order two digests as 128-bit numbers; negative, zero or positive.
+ */
+int
+digest_compare(struct digest a, struct digest b)
+{
+	if (a.high != b.high)
+		return a.high < b.high ? -1 : 1;
+	return (a.low > b.low) - (a.low < b.low);
+}
--- /dev/null
+++ b/config/table.c
@@ -0,0 +1,365 @@
+#include <string.h>
+
+#include "config/table.h"
+
+enum {
+	BLOCK_ENTRIES = 128,
+};
+
+struct block {
+	int refs;
+	size_t count;
+	struct entry *entries[BLOCK_ENTRIES];
+};
+
+struct table {
+	int refs;
+	size_t entry_count;
+	size_t block_count;
+	size_t block_capacity;
+	struct block **blocks;   /* none is empty */
+	struct record **records; /* made by table_records on demand */
+};
+
+/* Where an entry is, or would be put. */
+struct place {
+	size_t block;
+	size_t index;
+	bool found;
+};
+
+static void
+block_unref(struct block *block)
+{
+	if (!g_atomic_int_dec_and_test(&block->refs))
+		return;
+	for (size_t i = 0; i < block->count; i++)
+		entry_unref(block->entries[i]);
+	g_free(block);
+}
+
+/*
+ * Return an empty table with one reference.
+ */
+struct table *
+table_new(void)
+{
+	struct table *table = g_new0(struct table, 1);
+
+	table->refs = 1;
+	return table;
+}
+
+/*
+ * Take one more reference; from now on the table does not change.
+ */
+struct table *
+table_ref(struct table *table)
+{
+	g_atomic_int_inc(&table->refs);
+	return table;
+}
+
+/*
+ * Drop one reference and free the table with the last one.
+ */
+void
+table_unref(struct table *table)
+{
+	if (!g_atomic_int_dec_and_test(&table->refs))
+		return;
+	for (size_t i = 0; i < table->block_count; i++)
+		block_unref(table->blocks[i]);
+	g_free(table->blocks);
+	g_free(table->records);
+	g_free(table);
+}
+
+/*
+ * Return the number of entries.
+ */
+size_t
+table_count(const struct table *table)
+{
+	return table->entry_count;
+}
+
+/*
+ * Return the last block whose first key is not above the given one, or the
+ * first block.
+ */
+static size_t
+find_block(const struct table *table, struct str key)
+{
+	size_t low = 0;
+	size_t high = table->block_count;
+
+	while (high - low > 1) {
+		size_t middle = low + (high - low) / 2;
+		struct str first = table->blocks[middle]->entries[0]->key;
+
+		if (str_compare(first, key) <= 0)
+			low = middle;
+		else
+			high = middle;
+	}
+	return low;
+}
+
+static struct place
+find_place(const struct table *table, struct str key)
+{
+	struct place place = { 0 };
+	const struct block *block;
+	size_t high;
+
+	if (table->block_count == 0)
+		return place;
+	place.block = find_block(table, key);
+	block = table->blocks[place.block];
+	high = block->count;
+	while (place.index < high) {
+		size_t middle = place.index + (high - place.index) / 2;
+		int order = str_compare(block->entries[middle]->key, key);
+
+		if (order == 0) {
+			place.index = middle;
+			place.found = true;
+			return place;
+		}
+		if (order < 0)
+			place.index = middle + 1;
+		else
+			high = middle;
+	}
+	return place;
+}
+
+/*
+ * Return the entry of a key, or NULL. It lives as long as the table.
+ */
+struct entry *
+table_find(const struct table *table, struct str key)
+{
+	struct place place = find_place(table, key);
+
+	return place.found ? table->blocks[place.block]->entries[place.index]
+			   : NULL;
+}
+
+/*
+ * Return the first entry whose key is not below the given one, or NULL.
+ */
+struct entry *
+table_find_from(const struct table *table, struct str key)
+{
+	struct place place = find_place(table, key);
+
+	if (table->block_count == 0)
+		return NULL;
+	if (place.index == table->blocks[place.block]->count) {
+		place.block++;
+		place.index = 0;
+	}
+	return place.block < table->block_count
+	    ? table->blocks[place.block]->entries[place.index]
+	    : NULL;
+}
+
+/*
+ * Return all records in the order of their keys. The array is made by the
+ * first who asks, on any thread, and lives as long as the table.
+ */
+struct record *const *
+table_records(struct table *table)
+{
+	struct record **records = g_atomic_pointer_get(&table->records);
+	size_t filled = 0;
+
+	if (records != NULL)
+		return records;
+	records = g_new(struct record *, table->entry_count + 1);
+	for (size_t i = 0; i < table->block_count; i++) {
+		const struct block *block = table->blocks[i];
+
+		for (size_t j = 0; j < block->count; j++)
+			records[filled++] = block->entries[j]->record;
+	}
+	records[filled] = NULL;
+	if (!g_atomic_pointer_compare_and_exchange(
+		&table->records, NULL, records)) {
+		g_free(records);
+		records = g_atomic_pointer_get(&table->records);
+	}
+	return records;
+}
+
+/*
+ * Make *table one that nobody else holds.
+ */
+static void
+own_table(struct table **table)
+{
+	struct table *shared = *table;
+	struct table *copy;
+
+	if (g_atomic_int_get(&shared->refs) == 1) {
+		g_clear_pointer(&shared->records, g_free);
+		return;
+	}
+	copy = table_new();
+	copy->entry_count = shared->entry_count;
+	copy->block_count = shared->block_count;
+	copy->block_capacity = shared->block_count + 1;
+	copy->blocks = g_new0(struct block *, copy->block_capacity);
+	for (size_t i = 0; i < shared->block_count; i++) {
+		copy->blocks[i] = shared->blocks[i];
+		g_atomic_int_inc(&copy->blocks[i]->refs);
+	}
+	*table = copy;
+	table_unref(shared);
+}
+
+/*
+ * Return a block of an owned table as one that nobody else holds.
+ */
+static struct block *
+own_block(struct table *table, size_t index)
+{
+	struct block *shared;
+	struct block *copy;
+
+	g_assert(index < table->block_count);
+	shared = table->blocks[index];
+	if (g_atomic_int_get(&shared->refs) == 1)
+		return shared;
+	copy = g_memdup2(shared, sizeof(*shared));
+	copy->refs = 1;
+	for (size_t i = 0; i < copy->count; i++)
+		entry_ref(copy->entries[i]);
+	table->blocks[index] = copy;
+	block_unref(shared);
+	return copy;
+}
+
+static void
+insert_block(struct table *table, size_t index, struct block *block)
+{
+	size_t tail = table->block_count - index;
+
+	if (table->block_count == table->block_capacity) {
+		table->block_capacity = 2 * table->block_capacity + 1;
+		table->blocks = g_renew(
+		    struct block *, table->blocks, table->block_capacity);
+	}
+	memmove(&table->blocks[index + 1], &table->blocks[index],
+	    tail * sizeof(struct block *));
+	table->blocks[index] = block;
+	table->block_count++;
+}
+
+/*
+ * Move the upper half of a full block to a new one behind it, and let the
+ * place follow.
+ */
+static void
+split_block(struct table *table, struct place *place)
+{
+	struct block *block = table->blocks[place->block];
+	struct block *upper = g_new0(struct block, 1);
+	size_t half = block->count / 2;
+
+	upper->refs = 1;
+	upper->count = block->count - half;
+	memcpy(upper->entries, &block->entries[half],
+	    upper->count * sizeof(struct entry *));
+	block->count = half;
+	insert_block(table, place->block + 1, upper);
+	if (place->index > half) {
+		place->block++;
+		place->index -= half;
+	}
+}
+
+/*
+ * Put an entry in its place, instead of one with the same key if there is
+ * one; takes the reference over.
+ */
+void
+table_put(struct table **table, struct entry *entry)
+{
+	struct place place = find_place(*table, entry->key);
+	struct block *block;
+
+	own_table(table);
+	if ((*table)->block_count == 0) {
+		block = g_new0(struct block, 1);
+		block->refs = 1;
+		insert_block(*table, 0, block);
+	}
+	block = own_block(*table, place.block);
+	if (place.found) {
+		entry_unref(block->entries[place.index]);
+		block->entries[place.index] = entry;
+		return;
+	}
+	if (block->count == BLOCK_ENTRIES) {
+		split_block(*table, &place);
+		block = (*table)->blocks[place.block];
+	}
+	memmove(&block->entries[place.index + 1], &block->entries[place.index],
+	    (block->count - place.index) * sizeof(struct entry *));
+	block->entries[place.index] = entry;
+	block->count++;
+	(*table)->entry_count++;
+}
+
+/*
+ * Remove the entry of a key, if there is one.
+ */
+void
+table_remove(struct table **table, struct str key)
+{
+	struct place place = find_place(*table, key);
+	struct block *block;
+
+	if (!place.found)
+		return;
+	own_table(table);
+	block = own_block(*table, place.block);
+	entry_unref(block->entries[place.index]);
+	block->count--;
+	(*table)->entry_count--;
+	memmove(&block->entries[place.index], &block->entries[place.index + 1],
+	    (block->count - place.index) * sizeof(struct entry *));
+	if (block->count > 0)
+		return;
+	block_unref(block);
+	(*table)->block_count--;
+	memmove(&(*table)->blocks[place.block],
+	    &(*table)->blocks[place.block + 1],
+	    ((*table)->block_count - place.block) * sizeof(struct block *));
+}
+
+/*
+ * Return the entry of a key as one that may be changed, or NULL. It is valid
+ * until the table changes again or is shared.
+ */
+struct entry *
+table_edit(struct table **table, struct str key)
+{
+	struct place place = find_place(*table, key);
+	struct entry **slot;
+	struct entry *shared;
+
+	if (!place.found)
+		return NULL;
+	own_table(table);
+	slot = &own_block(*table, place.block)->entries[place.index];
+	shared = *slot;
+	if (g_atomic_int_get(&shared->refs) > 1) {
+		*slot = entry_copy(shared);
+		entry_unref(shared);
+	}
+	return *slot;
+}
--- /dev/null
+++ b/include/config/field_reader.h
@@ -0,0 +1,49 @@
+#ifndef TREFOILHILL_CONFIG_FIELD_READER_H
+#define TREFOILHILL_CONFIG_FIELD_READER_H
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/str.h"
+#include "config/refusal.h"
+
+enum {
+	FIELD_NAME_MAX = 63,
+	FIELD_AUTHORITY_MAX = 253,
+	FIELD_PREFIX_MAX = 255,
+	FIELD_READER_FIELDS = 8,
+};
+
+/*
+ * Strict reader of one JSON object: the first fault sticks, later reads do
+ * nothing, and fields that nobody read are faults too. Views that it gives
+ * belong to the JSON value.
+ */
+struct field_reader {
+	const json_t *object;
+	const char *fields[FIELD_READER_FIELDS];
+	size_t field_count;
+	struct refusal *fault;
+};
+
+void field_reader_init(struct field_reader *reader, const json_t *object);
+bool field_reader_has(const struct field_reader *reader, const char *field);
+void field_read_name(
+    struct field_reader *reader, const char *field, struct str *out);
+void field_read_address(
+    struct field_reader *reader, const char *field, struct str *out);
+void field_read_authority(
+    struct field_reader *reader, const char *field, struct str *out);
+void field_read_prefix(
+    struct field_reader *reader, const char *field, struct str *out);
+void field_read_number(struct field_reader *reader, const char *field,
+    uint32_t least, uint32_t most, uint32_t *out);
+void field_read_bool(struct field_reader *reader, const char *field, bool *out);
+void field_read_in_or_out(
+    struct field_reader *reader, const char *field, bool *out);
+void field_reader_finish(struct field_reader *reader);
+
+bool name_is_valid(struct str name);
+
+#endif
--- a/include/config/snapshot.h
+++ b/include/config/snapshot.h
@@ -7,6 +7,7 @@
 
 #include "config/publication.h"
 #include "config/record.h"
+#include "config/refusal.h"
 
 struct snapshot;
 
@@ -29,13 +30,6 @@
 	VERDICT_GAP,     /* not the next version: nothing changes */
 };
 
-struct refusal {
-	char *record; /* "kind/name", or "" for the whole publication */
-	char *field;
-	char *reason;
-	int code; /* enum config_error */
-};
-
 /* Members are owned by the verdict; end it with verdict_clear. */
 struct verdict {
 	enum verdict_kind kind;
