route: choose upstreams by zone and by the guards' word

Retries: a fenced attempt is sent again without the budget. A refusal by another incarnation than the OPEN was addressed to is "unknown": a copy of it may have run at the one before.

--- /dev/null
+++ b/include/route/choice_stats.h
@@ -0,0 +1,22 @@
+#ifndef TREFOILHILL_ROUTE_CHOICE_STATS_H
+#define TREFOILHILL_ROUTE_CHOICE_STATS_H
+
+#include "common/counter.h"
+#include "route/load_estimate.h"
+
+enum choice_counter {
+	CHOICE_PICKED_LOCAL, /* plus enum load_class */
+	CHOICE_PICKED_REMOTE = CHOICE_PICKED_LOCAL + LOAD_AVOID,
+	CHOICE_REFUSED_NO_SERVICE = CHOICE_PICKED_REMOTE + LOAD_AVOID,
+	CHOICE_REFUSED_NONE_IN_SERVICE,
+	CHOICE_REFUSED_NO_ROOM,
+	CHOICE_HINT_LEARNED,
+	CHOICE_HINT_OLD,
+	CHOICE_PEER_LOST,
+	CHOICE_PEER_PRUNED,
+	CHOICE_COUNTER_COUNT,
+};
+
+void choice_stats_init(struct counter_set *set);
+
+#endif
--- a/include/route/retry.h
+++ b/include/route/retry.h
@@ -4,6 +4,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "guard/guard.h"
+
 /*
  * Retry budget of one entry: retries may be a share of fresh requests only.
  * Lock-free; safe from several threads.
@@ -19,18 +21,37 @@
 enum attempt_end {
 	ATTEMPT_NOT_RUN,
 	ATTEMPT_UNKNOWN,
+	ATTEMPT_FENCED, /* not run; send again at once with the new hint */
 };
 
+/*
+ * What a refusal means to the sender of the OPEN. sent is the hint that the
+ * OPEN bore, answer the hint that came with the refusal. A refusal by another
+ * incarnation than the OPEN was addressed to is unknown: that one may have
+ * run a copy of it before it was replaced. An OPEN that bore no incarnation
+ * runs nowhere.
+ */
+enum attempt_end attempt_classify(const struct guard_hint *sent,
+    enum refusal_reason reason, const struct guard_hint *answer);
+
 struct retry_question {
 	enum attempt_end end;
 	bool idempotent;
 	bool body_replayable;
-	uint32_t attempt; /* of this hop, from 0 */
+	uint32_t attempt; /* of this hop, from 0; fenced ones don't count */
 	uint32_t attempts_max;
+	uint32_t fenced; /* fenced attempts of this hop before this one */
 	uint32_t incoming_attempt; /* the caller's own, from its header */
 	int64_t remaining_ms;
 };
 
+/*
+ * A fenced attempt is sent again without the budget, FENCED_RESENDS_MAX times
+ * at most. The number in OPEN rises with every attempt, fenced ones included.
+ */
+enum {
+	FENCED_RESENDS_MAX = 3,
+};
 bool retry_allowed(
     const struct retry_question *question, struct retry_budget *budget);
 
--- a/tests/guard/test_guard.c
+++ b/tests/guard/test_guard.c
@@ -33,7 +33,7 @@
 	CU_ASSERT_EQUAL(admit(&f, call, &ticket, &reason), GUARD_REFUSE);
 	call = fixture_call(&f, "a", true);
 	fake_clock_advance_ms(
-	    &f.clock, FIXTURE_TICK_MS * (FIXTURE_TICK_BOUND + 1));
+	    &f.clock, (int64_t)FIXTURE_TICK_MS * (FIXTURE_TICK_BOUND + 1));
 	CU_ASSERT_EQUAL(admit(&f, call, &ticket, &reason), GUARD_REFUSE);
 	CU_ASSERT_EQUAL(reason, REFUSAL_FENCED);
 	CU_ASSERT_EQUAL(
