mesh: join, spread and repair as a state machine without I/O

Nodes pass on raw publications in the platform's order and reach the verdict each by itself. Readers of a zone are the first hosts of a rendezvous order that beat; the spread tree is salted with the version; heartbeats carry the state's identity, and whoever is behind pulls. A joiner takes a peer's accepted state, asks the keepers of its host's floor, and does not serve below it. Reads out of turn are drawn from a budget of the whole fleet.

--- a/include/mesh/mesh.h
+++ b/include/mesh/mesh.h
@@ -110,6 +110,8 @@
 };
 void mesh_tick(struct mesh *mesh);
 void mesh_handle_message(struct mesh *mesh, const struct mesh_message *message);
+/* A frame that mesh_message_decode refused: it is counted, no more. */
+void mesh_handle_bad_frame(struct mesh *mesh, const GError *error);
 void mesh_handle_changes(struct mesh *mesh, enum platform_request request,
     GPtrArray *publications, uint64_t head);
 void mesh_handle_records(struct mesh *mesh, const struct raw_record *records,
--- a/include/mesh/message.h
+++ b/include/mesh/message.h
@@ -40,7 +40,8 @@
 
 struct reader_beat {
 	struct str host;
-	uint64_t beat; /* rises while the host reads the platform */
+	uint64_t beat;   /* rises while the host reads the platform */
+	uint32_t age_ms; /* since the sender saw the beat rise */
 };
 
 struct mesh_heartbeat {
@@ -62,7 +63,7 @@
 
 struct mesh_state_pull {
 	uint64_t request;
-	struct state_id want; /* version 0: the current one */
+	struct state_id want; /* offset 0: this one or a better one */
 	uint64_t offset;
 };
 
--- /dev/null
+++ b/include/mesh/rendezvous.h
@@ -0,0 +1,19 @@
+#ifndef TREFOILHILL_MESH_RENDEZVOUS_H
+#define TREFOILHILL_MESH_RENDEZVOUS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/str.h"
+
+/* Place of a host in an order that each node works out by itself. */
+struct rendezvous_score {
+	uint64_t hash;
+	struct str host; /* decides between equal hashes */
+};
+
+struct rendezvous_score rendezvous_score(
+    struct str salt, uint64_t number, struct str host);
+bool rendezvous_before(struct rendezvous_score a, struct rendezvous_score b);
+
+#endif
--- /dev/null
+++ b/mesh/answer.c
@@ -0,0 +1,131 @@
+#include "mesh/mesh_private.h"
+
+enum {
+	WELCOME_TRIES = 2 * MESH_WELCOME_PEERS_MAX,
+	/* One named peer in so many is of another zone. */
+	WELCOME_ELSEWHERE_SHARE = 4,
+};
+
+/*
+ * Answer a pull from the ring: the publications right after the peer's
+ * version, as many as fit one message, or a gap when the ring begins later.
+ */
+void
+mesh_answer_pull(struct mesh *mesh, const struct mesh_message *message)
+{
+	struct publication *list[MESH_PUBLICATIONS_MAX];
+	struct mesh_message answer =
+	    mesh_message_begin(mesh, MESH_PUBLICATIONS);
+	uint64_t version = message->pull.after;
+	size_t bytes = 0;
+	size_t count = 0;
+
+	while (count < MESH_PUBLICATIONS_MAX) {
+		struct publication *next =
+		    publication_ring_find(&mesh->ring, ++version);
+
+		if (next == NULL)
+			break;
+		bytes += g_bytes_get_size(next->json);
+		if (count > 0 && bytes > MESH_PUBLICATIONS_BYTES)
+			break;
+		list[count++] = next;
+	}
+	answer.publications.request = message->pull.request;
+	answer.publications.list = list;
+	answer.publications.count = count;
+	answer.publications.gap =
+	    count == 0 && message->pull.after < answer.state.version;
+	mesh_send(mesh, message->sender.address, &answer);
+}
+
+static bool
+is_known_unready(const struct mesh *mesh, struct str host)
+{
+	const struct peer *peer =
+	    g_hash_table_lookup(mesh->peers.by_host, &host);
+
+	return peer != NULL && !peer->ready;
+}
+
+static size_t
+name_members(struct mesh *mesh, struct mesh_node *out)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < WELCOME_TRIES && count < MESH_WELCOME_PEERS_MAX;
+	     i++) {
+		const struct record *host = i % WELCOME_ELSEWHERE_SHARE == 0
+		    ? members_pick_elsewhere(&mesh->members, mesh->env.rng)
+		    : members_pick_zone(&mesh->members, mesh->env.rng);
+
+		if (host == NULL || is_known_unready(mesh, host->name))
+			continue;
+		out[count++] = (struct mesh_node){
+			.host = host->name,
+			.zone = host->host.zone,
+			.address = host->host.node,
+		};
+	}
+	return count;
+}
+
+/* Before there is a snapshot, only those who wrote to us are known. */
+static size_t
+name_heard(struct mesh *mesh, struct mesh_node *out)
+{
+	GHashTableIter iter;
+	gpointer value;
+	size_t count = 0;
+
+	g_hash_table_iter_init(&iter, mesh->peers.by_host);
+	while (count < MESH_WELCOME_PEERS_MAX &&
+	    g_hash_table_iter_next(&iter, NULL, &value))
+		out[count++] = ((struct peer *)value)->node;
+	return count;
+}
+
+/*
+ * Answer a joiner: the floor that its host has here, and peers to ask.
+ */
+void
+mesh_answer_join(struct mesh *mesh, const struct mesh_message *message)
+{
+	struct mesh_node peers[MESH_WELCOME_PEERS_MAX];
+	struct mesh_message answer = mesh_message_begin(mesh, MESH_WELCOME);
+
+	answer.welcome.floor =
+	    peer_table_floor(&mesh->peers, message->sender.host);
+	answer.welcome.peers = peers;
+	answer.welcome.peer_count = mesh->members.host_count > 0
+	    ? name_members(mesh, peers)
+	    : name_heard(mesh, peers);
+	mesh_send(mesh, message->sender.address, &answer);
+}
+
+/*
+ * Send one part of a whole accepted state. A joiner has none to give, and
+ * few transfers begin in a second; who has to wait gets other peers instead.
+ */
+void
+mesh_answer_state_pull(struct mesh *mesh, const struct mesh_message *message)
+{
+	const struct mesh_state_pull *pull = &message->state_pull;
+	struct mesh_message answer = mesh_message_begin(mesh, MESH_STATE_PART);
+	struct mesh_state_part *part = &answer.state_part;
+
+	if (mesh->state != MESH_READY ||
+	    (pull->offset == 0 &&
+		!handover_begin(&mesh->handover, mesh->now))) {
+		counter_add(&mesh->counters, MESH_COUNTER_HANDOVER_BUSY, 1);
+		mesh_answer_join(mesh, message);
+		return;
+	}
+	handover_prepare(&mesh->handover, mesh->snapshot, pull->want,
+	    pull->offset > 0, mesh->now);
+	if (!handover_part(&mesh->handover, pull->offset, part))
+		return;
+	part->request = pull->request;
+	mesh_send(mesh, message->sender.address, &answer);
+	g_bytes_unref(part->bytes);
+}
--- /dev/null
+++ b/mesh/handover.c
@@ -0,0 +1,96 @@
+#include "common/clock.h"
+#include "mesh/handover.h"
+
+enum {
+	MS_PER_S = 1000,
+};
+
+/*
+ * Drop the serialized state.
+ */
+void
+handover_release(struct handover *handover)
+{
+	if (handover->bytes != NULL)
+		g_bytes_unref(handover->bytes);
+	handover->bytes = NULL;
+}
+
+/*
+ * Tell whether one more transfer may begin now. Few begin in each second, so
+ * that a herd of joiners spreads over the nodes that have a state already.
+ */
+bool
+handover_begin(struct handover *handover, struct timespec now)
+{
+	if (timespec_ms_between(handover->window, now) >= MS_PER_S) {
+		handover->window = now;
+		handover->starts = 0;
+	}
+	if (handover->starts >= HANDOVER_STARTS_PER_S)
+		return false;
+	handover->starts++;
+	return true;
+}
+
+static bool
+handover_suits(
+    const struct handover *handover, struct state_id want, bool exact)
+{
+	int order;
+
+	if (handover->bytes == NULL)
+		return false;
+	order = state_id_compare(handover->id, want);
+	return exact ? order == 0 : order >= 0;
+}
+
+/*
+ * Have a serialized state at hand. A transfer that goes on (exact) needs the
+ * very state that it began with; one that begins takes any that is at least
+ * as good as the wanted one. Else the current state is serialized now.
+ */
+void
+handover_prepare(struct handover *handover, struct snapshot *snapshot,
+    struct state_id want, bool exact, struct timespec now)
+{
+	handover->used = now;
+	if (handover_suits(handover, want, exact))
+		return;
+	handover_release(handover);
+	handover->bytes = snapshot_serialize(snapshot);
+	handover->id = snapshot_id(snapshot);
+	handover->made = now;
+}
+
+/*
+ * Fill in the part at an offset; its bytes are a reference that the caller
+ * drops. False when the offset is beyond the state's end.
+ */
+bool
+handover_part(const struct handover *handover, uint64_t offset,
+    struct mesh_state_part *part)
+{
+	size_t total = g_bytes_get_size(handover->bytes);
+
+	if (offset > total)
+		return false;
+	part->id = handover->id;
+	part->total = total;
+	part->offset = offset;
+	part->bytes = g_bytes_new_from_bytes(handover->bytes, offset,
+	    MIN(total - offset, (size_t)MESH_PART_BYTES));
+	return true;
+}
+
+/*
+ * Give the memory back when nobody has asked for a while.
+ */
+void
+handover_expire(struct handover *handover, struct timespec now)
+{
+	if (handover->bytes != NULL &&
+	    (timespec_ms_between(handover->used, now) > HANDOVER_KEEP_MS ||
+		timespec_ms_between(handover->made, now) > HANDOVER_AGE_MAX_MS))
+		handover_release(handover);
+}
--- /dev/null
+++ b/mesh/join.c
@@ -0,0 +1,164 @@
+#include "mesh/mesh_private.h"
+
+enum {
+	JOIN_ASK_PEERS = 3,
+	JOIN_ASK_FIRST_MS = 200,
+	JOIN_ASK_MAX_MS = 2000,
+	JOIN_SETTLE_MS = 300,
+};
+
+static void
+send_join(struct mesh *mesh, struct str address)
+{
+	struct mesh_message message = mesh_message_begin(mesh, MESH_JOIN);
+
+	mesh_send(mesh, address, &message);
+}
+
+static void
+ask_seeds(struct mesh *mesh)
+{
+	struct contacts *contacts = &mesh->contacts;
+	size_t asked = 0;
+
+	for (size_t i = 0; i < contacts->count && asked < JOIN_ASK_PEERS; i++) {
+		if (!contacts->items[i].seed)
+			continue;
+		send_join(mesh, contacts->items[i].address);
+		asked++;
+	}
+}
+
+static void
+ask_some(struct mesh *mesh)
+{
+	for (size_t i = 0; i < JOIN_ASK_PEERS; i++) {
+		const struct contact *contact =
+		    contacts_pick(&mesh->contacts, mesh->env.rng);
+
+		if (contact != NULL)
+			send_join(mesh, contact->address);
+	}
+}
+
+/* Ask again and again, at growing intervals, so that a herd stays bearable. */
+static void
+ask_peers(struct mesh *mesh)
+{
+	struct joining *joining = &mesh->joining;
+
+	if (timespec_before(mesh->now, joining->ask_next))
+		return;
+	if (joining->first_asked)
+		ask_some(mesh);
+	else
+		ask_seeds(mesh);
+	joining->first_asked = true;
+	joining->ask_wait_ms =
+	    CLAMP(joining->ask_wait_ms * 2, JOIN_ASK_FIRST_MS, JOIN_ASK_MAX_MS);
+	joining->ask_next = timespec_plus_ms(mesh->now,
+	    joining->ask_wait_ms / 2 +
+		(int64_t)rng_below(
+		    mesh->env.rng, (uint64_t)joining->ask_wait_ms));
+}
+
+/* A state that came from a peer, or the platform's up to its head. */
+static bool
+has_whole_state(const struct mesh *mesh)
+{
+	const struct reading *reading = &mesh->reading;
+
+	return mesh->joining.given ||
+	    (reading->answered && !reading->compacted &&
+		snapshot_id(mesh->snapshot).version >= reading->head);
+}
+
+static void
+begin_settling(struct mesh *mesh)
+{
+	struct joining *joining = &mesh->joining;
+
+	joining->settling = true;
+	joining->keepers_answered = 0;
+	joining->settle_until = timespec_plus_ms(mesh->now, JOIN_SETTLE_MS);
+	for (size_t i = 0; i < mesh->members.keeper_count; i++)
+		send_join(mesh, mesh->members.keepers[i]->host.node);
+}
+
+static bool
+all_keepers_answered(const struct mesh *mesh)
+{
+	size_t count = mesh->members.keeper_count;
+
+	return count > 0 && mesh->joining.keepers_answered == (1U << count) - 1;
+}
+
+/*
+ * Once a state is held, ask the keepers of this host's floor, which its own
+ * record and zone now name. The node is ready when all of them answered or
+ * had the time to, and the state is not below the floor.
+ */
+static void
+settle(struct mesh *mesh)
+{
+	struct joining *joining = &mesh->joining;
+
+	if (!has_whole_state(mesh))
+		return;
+	if (!joining->settling) {
+		begin_settling(mesh);
+		return;
+	}
+	if (!all_keepers_answered(mesh) &&
+	    timespec_before(mesh->now, joining->settle_until))
+		return;
+	if (snapshot_id(mesh->snapshot).version < joining->floor) {
+		counter_add(&mesh->counters, MESH_COUNTER_FLOOR_WAIT, 1);
+		joining->settling = false;
+		return;
+	}
+	mesh_become_ready(mesh);
+}
+
+/*
+ * Do what is due while joining.
+ */
+void
+mesh_join_tick(struct mesh *mesh)
+{
+	ask_peers(mesh);
+	settle(mesh);
+}
+
+static void
+note_keeper(struct mesh *mesh, struct str host)
+{
+	for (size_t i = 0; i < mesh->members.keeper_count; i++)
+		if (str_equal(mesh->members.keepers[i]->name, host))
+			mesh->joining.keepers_answered |= 1U << i;
+}
+
+/*
+ * Take an answer to a join: a floor, peers to ask, and from a ready peer the
+ * version below which this node will not serve.
+ */
+void
+mesh_handle_welcome(struct mesh *mesh, const struct mesh_message *message)
+{
+	const struct mesh_welcome *welcome = &message->welcome;
+	struct joining *joining = &mesh->joining;
+
+	for (size_t i = 0; i < welcome->peer_count; i++)
+		contacts_add(
+		    &mesh->contacts, welcome->peers[i].address, mesh->env.rng);
+	mesh_pull_busy(mesh, message);
+	if (mesh->state != MESH_JOINING)
+		return;
+	joining->floor = MAX(joining->floor, welcome->floor);
+	note_keeper(mesh, message->sender.host);
+	if (!message->ready)
+		return;
+	joining->floor = MAX(joining->floor, message->state.version);
+	joining->ready_peer = true;
+	joining->last_ready_answer = mesh->now;
+}
--- /dev/null
+++ b/mesh/members.c
@@ -0,0 +1,138 @@
+#include "mesh/members.h"
+#include "mesh/rendezvous.h"
+
+enum {
+	PICK_TRIES = 4,
+};
+
+/*
+ * Set up an empty view of a node's fleet. The names are borrowed.
+ */
+void
+members_init(struct members *members, struct str host, struct str zone)
+{
+	*members = (struct members){ .host = host, .zone = zone };
+}
+
+static void
+members_refresh_zones(struct members *members)
+{
+	size_t count;
+	struct record *const *zones =
+	    snapshot_records(members->snapshot, RECORD_ZONE, &count);
+
+	members->other_zone_count = 0;
+	for (size_t i = 0; i < count; i++) {
+		struct str name = zones[i]->name;
+
+		if (members->other_zone_count == MEMBERS_ZONES_MAX)
+			break;
+		if (!str_equal(name, members->zone))
+			members->other_zones[members->other_zone_count++] =
+			    name;
+	}
+}
+
+/* Rank 0 is the first in the order, the best reader of the zone. */
+static void
+members_refresh_rank(struct members *members)
+{
+	struct rendezvous_score own =
+	    rendezvous_score(members->zone, 0, members->host);
+
+	members->rank = 0;
+	members->present = false;
+	for (size_t i = 0; i < members->host_count; i++) {
+		struct str host = members->hosts[i]->name;
+
+		if (str_equal(host, members->host))
+			members->present = true;
+		else if (rendezvous_before(
+			     rendezvous_score(members->zone, 0, host), own))
+			members->rank++;
+	}
+}
+
+/*
+ * The keepers of a host are the first hosts of its zone in an order salted
+ * by its own name, so that both it and its successor find them.
+ */
+static void
+members_refresh_keepers(struct members *members)
+{
+	struct rendezvous_score best[MEMBERS_KEEPERS];
+
+	members->keeper_count = 0;
+	for (size_t i = 0; i < members->host_count; i++) {
+		const struct record *host = members->hosts[i];
+		struct rendezvous_score score =
+		    rendezvous_score(members->host, 0, host->name);
+		size_t at = members->keeper_count;
+
+		if (str_equal(host->name, members->host))
+			continue;
+		while (at > 0 && rendezvous_before(score, best[at - 1]))
+			at--;
+		if (at == MEMBERS_KEEPERS)
+			continue;
+		if (members->keeper_count < MEMBERS_KEEPERS)
+			members->keeper_count++;
+		for (size_t j = members->keeper_count - 1; j > at; j--) {
+			best[j] = best[j - 1];
+			members->keepers[j] = members->keepers[j - 1];
+		}
+		best[at] = score;
+		members->keepers[at] = host;
+	}
+}
+
+/*
+ * Work out the view anew for a snapshot; takes time proportional to the
+ * zone's hosts. The snapshot must outlive its use here.
+ */
+void
+members_refresh(struct members *members, const struct snapshot *snapshot)
+{
+	members->snapshot = snapshot;
+	members->hosts =
+	    snapshot_zone_hosts(snapshot, members->zone, &members->host_count);
+	members->fleet_size = snapshot_count(snapshot, RECORD_HOST);
+	members_refresh_zones(members);
+	members_refresh_rank(members);
+	members_refresh_keepers(members);
+}
+
+/*
+ * Pick a host of the own zone at random.
+ */
+const struct record *
+members_pick_zone(const struct members *members, struct rng *rng)
+{
+	for (size_t i = 0; i < PICK_TRIES && members->host_count > 0; i++) {
+		const struct record *host =
+		    members->hosts[rng_below(rng, members->host_count)];
+
+		if (!str_equal(host->name, members->host))
+			return host;
+	}
+	return NULL;
+}
+
+/*
+ * Pick a host of another zone at random, each zone alike.
+ */
+const struct record *
+members_pick_elsewhere(const struct members *members, struct rng *rng)
+{
+	for (size_t i = 0; i < PICK_TRIES && members->other_zone_count > 0;
+	     i++) {
+		size_t zone = rng_below(rng, members->other_zone_count);
+		size_t count;
+		struct record *const *hosts = snapshot_zone_hosts(
+		    members->snapshot, members->other_zones[zone], &count);
+
+		if (count > 0)
+			return hosts[rng_below(rng, count)];
+	}
+	return NULL;
+}
--- /dev/null
+++ b/mesh/mesh.c
@@ -0,0 +1,208 @@
+#include "mesh/mesh_private.h"
+
+static void
+copy_settings(struct mesh *mesh, const struct mesh_settings *settings)
+{
+	mesh->settings = *settings;
+	mesh->settings.host = str_dup(settings->host);
+	mesh->settings.zone = str_dup(settings->zone);
+	mesh->settings.address = str_dup(settings->address);
+	mesh->settings.seeds = NULL;
+	mesh->settings.seed_count = 0;
+}
+
+/*
+ * Return a node that has no state yet and begins to join with its first
+ * tick. Settings are copied; what env points to must outlive the mesh.
+ */
+struct mesh *
+mesh_new(const struct mesh_settings *settings, const struct mesh_env *env)
+{
+	struct mesh *mesh = g_new0(struct mesh, 1);
+
+	copy_settings(mesh, settings);
+	mesh->env = *env;
+	mesh->state = MESH_JOINING;
+	mesh->now = clock_now(env->clock);
+	mesh->snapshot = snapshot_empty_new();
+	/* Answers to an earlier process of this address must not fit. */
+	mesh->next_request = rng_next(env->rng) >> 1 | 1;
+	mesh->reading.up = true;
+	mesh->joining.began = mesh->now;
+	mesh->last_news = mesh->now;
+	counter_set_init(
+	    &mesh->counters, mesh_counter_descs, MESH_COUNTER_COUNT);
+	publication_ring_init(&mesh->ring, MESH_RING_CAPACITY, MESH_RING_BYTES);
+	members_init(&mesh->members, mesh->settings.host, mesh->settings.zone);
+	members_refresh(&mesh->members, mesh->snapshot);
+	peer_table_init(&mesh->peers);
+	contacts_init(&mesh->contacts, mesh->settings.address, settings->seeds,
+	    settings->seed_count);
+	election_init(&mesh->election, mesh->settings.host, mesh->settings.zone,
+	    settings->heartbeat_ms, settings->readers_per_zone);
+	return mesh;
+}
+
+/*
+ * Free a node. NULL is allowed.
+ */
+void
+mesh_free(struct mesh *mesh)
+{
+	if (mesh == NULL)
+		return;
+	mesh_pull_stop(mesh);
+	handover_release(&mesh->handover);
+	election_release(&mesh->election);
+	contacts_release(&mesh->contacts);
+	peer_table_release(&mesh->peers);
+	publication_ring_release(&mesh->ring);
+	snapshot_unref(mesh->snapshot);
+	str_release(&mesh->settings.host);
+	str_release(&mesh->settings.zone);
+	str_release(&mesh->settings.address);
+	g_free(mesh);
+}
+
+/*
+ * Return the number of hosts of the fleet by the snapshot, or else by the
+ * platform's list; 0 when neither is known.
+ */
+size_t
+mesh_fleet_size(const struct mesh *mesh)
+{
+	return mesh->members.fleet_size > 0 ? mesh->members.fleet_size
+					    : mesh->listed_hosts;
+}
+
+/*
+ * Begin to serve: publish the state, and tell the keepers and those joiners
+ * that asked while there was nothing to give.
+ */
+void
+mesh_become_ready(struct mesh *mesh)
+{
+	mesh->state = MESH_READY;
+	mesh->last_news = mesh->now;
+	mesh->heartbeat_next = mesh->now;
+	event_record(mesh->env.events, EVENT_NODE_READY,
+	    snapshot_id(mesh->snapshot).version, 0,
+	    timespec_ms_between(mesh->joining.began, mesh->now),
+	    mesh->settings.host);
+	mesh_announce_some(mesh);
+	for (size_t i = 0; i < mesh->contacts.count; i++) {
+		struct contact *contact = &mesh->contacts.items[i];
+
+		if (contact->asked_us)
+			mesh_send_announce(mesh, contact->address);
+		contact->asked_us = false;
+	}
+	mesh_publish(mesh);
+}
+
+/*
+ * A tick that comes late shows that this process was stopped, and that what
+ * it did not see in the meantime proves nothing.
+ */
+static void
+check_late_tick(struct mesh *mesh)
+{
+	int64_t gap = timespec_ms_between(mesh->last_tick, mesh->now);
+
+	if (mesh->ticked && gap > MESH_LATE_TICK_MS) {
+		counter_add(&mesh->counters, MESH_COUNTER_LATE_TICK, 1);
+		election_shift(&mesh->election, gap);
+		mesh->last_news = mesh->now;
+		mesh->pulling.deadline =
+		    timespec_plus_ms(mesh->now, MESH_PULL_TIMEOUT_MS);
+	}
+	mesh->ticked = true;
+	mesh->last_tick = mesh->now;
+}
+
+/*
+ * Do what is due.
+ */
+void
+mesh_tick(struct mesh *mesh)
+{
+	mesh->now = clock_now(mesh->env.clock);
+	check_late_tick(mesh);
+	if (mesh->state == MESH_JOINING)
+		mesh_join_tick(mesh);
+	else
+		mesh_heartbeat_tick(mesh);
+	mesh_pull_tick(mesh);
+	mesh_reading_tick(mesh);
+	handover_expire(&mesh->handover, mesh->now);
+}
+
+/*
+ * Tell whether the node may serve.
+ */
+enum mesh_state
+mesh_state(const struct mesh *mesh)
+{
+	return mesh->state;
+}
+
+/*
+ * Return the state held, borrowed; while joining it must not be served.
+ */
+struct snapshot *
+mesh_snapshot(const struct mesh *mesh)
+{
+	return mesh->snapshot;
+}
+
+/*
+ * Tell whether this node reads the platform for its zone.
+ */
+bool
+mesh_is_reader(const struct mesh *mesh)
+{
+	return mesh->state == MESH_READY && mesh->reading.mode != READ_NONE;
+}
+
+/*
+ * Tell whether the platform answered this node's last request; true for one
+ * that never asked.
+ */
+bool
+mesh_platform_up(const struct mesh *mesh)
+{
+	return mesh->reading.up;
+}
+
+/*
+ * Return the node's counters; safe to read from any thread.
+ */
+const struct counter_set *
+mesh_counters(const struct mesh *mesh)
+{
+	return &mesh->counters;
+}
+
+/*
+ * List the peers heard of, up to out_max, in no order; hosts are borrowed.
+ */
+size_t
+mesh_peers(const struct mesh *mesh, struct mesh_peer_view *out, size_t out_max)
+{
+	struct timespec now = clock_now(mesh->env.clock);
+	GHashTableIter iter;
+	gpointer value;
+	size_t count = 0;
+
+	g_hash_table_iter_init(&iter, mesh->peers.by_host);
+	while (count < out_max && g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct peer *peer = value;
+
+		out[count++] = (struct mesh_peer_view){
+			.host = peer->node.host,
+			.version = peer->version,
+			.age_ms = timespec_ms_between(peer->heard, now),
+		};
+	}
+	return count;
+}
--- /dev/null
+++ b/mesh/read_budget.c
@@ -0,0 +1,33 @@
+#include <glib.h>
+
+#include "mesh/read_budget.h"
+
+enum {
+	MS_PER_S = 1000,
+};
+
+/*
+ * Return the time in milliseconds over which a fleet of that size (0:
+ * unknown) spreads one draw of each node, a draw costing that many reads, so
+ * that all together stay within READ_BUDGET_PER_S.
+ */
+int64_t
+read_budget_window_ms(size_t fleet_size, size_t reads)
+{
+	size_t fleet = fleet_size == 0 ? READ_BUDGET_FLEET_UNKNOWN : fleet_size;
+	int64_t window =
+	    (int64_t)(fleet * reads * MS_PER_S / READ_BUDGET_PER_S);
+
+	return MAX(window, READ_BUDGET_WINDOW_MIN_MS);
+}
+
+/*
+ * Draw the time to wait before one node's read: uniform over the window.
+ */
+int64_t
+read_budget_draw_ms(struct rng *rng, size_t fleet_size, size_t reads)
+{
+	int64_t window = read_budget_window_ms(fleet_size, reads);
+
+	return (int64_t)rng_below(rng, (uint64_t)window);
+}
--- /dev/null
+++ b/mesh/receive.c
@@ -0,0 +1,112 @@
+#include "mesh/mesh_private.h"
+#include "wire/mesh_codec.h"
+
+static const enum mesh_counter bad_counters[MESH_CODEC_ERROR_COUNT] = {
+	[MESH_CODEC_ERROR_TOO_LARGE] = MESH_COUNTER_BAD_TOO_LARGE,
+	[MESH_CODEC_ERROR_MALFORMED] = MESH_COUNTER_BAD_MALFORMED,
+	[MESH_CODEC_ERROR_PROTOCOL] = MESH_COUNTER_BAD_PROTOCOL,
+	[MESH_CODEC_ERROR_KIND] = MESH_COUNTER_BAD_KIND,
+	[MESH_CODEC_ERROR_FIELD] = MESH_COUNTER_BAD_FIELD,
+};
+
+/*
+ * Count a frame that could not be decoded.
+ */
+void
+mesh_handle_bad_frame(struct mesh *mesh, const GError *error)
+{
+	if (error->code >= 0 && error->code < MESH_CODEC_ERROR_COUNT)
+		counter_add(&mesh->counters, bad_counters[error->code], 1);
+}
+
+static void
+learn_readers(struct mesh *mesh, const struct mesh_message *message)
+{
+	const struct mesh_heartbeat *heartbeat = &message->heartbeat;
+
+	if (!str_equal(message->sender.zone, mesh->settings.zone))
+		return;
+	for (size_t i = 0; i < heartbeat->reader_count; i++)
+		election_learn(
+		    &mesh->election, &heartbeat->readers[i], mesh->now);
+}
+
+static void
+note_joiner(struct mesh *mesh, const struct mesh_message *message)
+{
+	struct contact *contact = contacts_add(
+	    &mesh->contacts, message->sender.address, mesh->env.rng);
+
+	if (contact != NULL)
+		contact->asked_us = mesh->state == MESH_JOINING;
+}
+
+static void
+dispatch(struct mesh *mesh, const struct mesh_message *message)
+{
+	switch (message->kind) {
+	case MESH_HEARTBEAT:
+		learn_readers(mesh, message);
+		break;
+	case MESH_PULL:
+		mesh_answer_pull(mesh, message);
+		break;
+	case MESH_PUBLICATIONS:
+		mesh_handle_publications(mesh, message);
+		break;
+	case MESH_STATE_PULL:
+		mesh_answer_state_pull(mesh, message);
+		break;
+	case MESH_STATE_PART:
+		mesh_handle_state_part(mesh, message);
+		break;
+	case MESH_JOIN:
+		note_joiner(mesh, message);
+		mesh_answer_join(mesh, message);
+		break;
+	case MESH_WELCOME:
+		mesh_handle_welcome(mesh, message);
+		break;
+	case MESH_ANNOUNCE:
+	case MESH_MESSAGE_KIND_COUNT:
+		break;
+	}
+}
+
+/* Repair: whoever is behind pulls, whoever is ahead says so. */
+static void
+compare_states(struct mesh *mesh, const struct mesh_message *message)
+{
+	int order =
+	    state_id_compare(message->state, snapshot_id(mesh->snapshot));
+	bool reports =
+	    message->kind == MESH_HEARTBEAT || message->kind == MESH_ANNOUNCE;
+
+	if (!message->ready)
+		return;
+	if (order > 0)
+		mesh_pull_consider(
+		    mesh, message->sender.address, message->state);
+	else if (order < 0 && reports && mesh->state == MESH_READY)
+		mesh_send_announce(mesh, message->sender.address);
+}
+
+/*
+ * Take one message of a peer. It may be late, doubled or crossed with others:
+ * what it says of states is compared by their total order, so an old one
+ * changes nothing. One that claims this node's own host is not taken.
+ */
+void
+mesh_handle_message(struct mesh *mesh, const struct mesh_message *message)
+{
+	mesh->now = clock_now(mesh->env.clock);
+	if (str_equal(message->sender.host, mesh->settings.host)) {
+		counter_add(&mesh->counters, MESH_COUNTER_BAD_SENDER, 1);
+		return;
+	}
+	counter_add(&mesh->counters, MESH_COUNTER_RECEIVED, 1);
+	mesh->last_news = mesh->now;
+	peer_table_hear(&mesh->peers, message, mesh->now);
+	dispatch(mesh, message);
+	compare_states(mesh, message);
+}
--- /dev/null
+++ b/mesh/rendezvous.c
@@ -0,0 +1,31 @@
+#include <xxhash.h>
+
+#include "mesh/rendezvous.h"
+
+/*
+ * Score a host by hash under a salt and a number (a version, or 0). Every
+ * node that knows the host gets the same score.
+ */
+struct rendezvous_score
+rendezvous_score(struct str salt, uint64_t number, struct str host)
+{
+	uint64_t seed = XXH3_64bits_withSeed(salt.ptr, salt.len, number);
+	struct rendezvous_score score = {
+		.hash = XXH3_64bits_withSeed(host.ptr, host.len, seed),
+		.host = host,
+	};
+
+	return score;
+}
+
+/*
+ * Tell whether a comes before b. The order is strict and total over hosts of
+ * different names.
+ */
+bool
+rendezvous_before(struct rendezvous_score a, struct rendezvous_score b)
+{
+	if (a.hash != b.hash)
+		return a.hash < b.hash;
+	return str_compare(a.host, b.host) < 0;
+}
--- /dev/null
+++ b/mesh/spread.c
@@ -0,0 +1,89 @@
+#include "mesh/mesh_private.h"
+#include "mesh/spread_tree.h"
+
+enum {
+	ANNOUNCE_RANDOM = 2,
+	/* One push in so many goes to another zone as well. */
+	PUSH_ELSEWHERE_SHARE = 4,
+};
+
+/*
+ * Tell the keepers of this host's floor and some random peers of the zone
+ * which state this node holds.
+ */
+void
+mesh_announce_some(struct mesh *mesh)
+{
+	for (size_t i = 0; i < mesh->members.keeper_count; i++)
+		mesh_send_announce(mesh, mesh->members.keepers[i]->host.node);
+	if (mesh->settings.policy == SPREAD_POLL)
+		return;
+	for (size_t i = 0; i < ANNOUNCE_RANDOM; i++) {
+		const struct record *peer =
+		    members_pick_zone(&mesh->members, mesh->env.rng);
+
+		if (peer != NULL)
+			mesh_send_announce(mesh, peer->host.node);
+	}
+}
+
+static size_t
+pick_random_targets(struct mesh *mesh, const struct record **out)
+{
+	size_t fanout = MIN(mesh->settings.fanout, SPREAD_FANOUT_MAX);
+	const struct record *peer;
+	size_t found = 0;
+
+	for (size_t i = 0; i < fanout; i++) {
+		peer = members_pick_zone(&mesh->members, mesh->env.rng);
+		if (peer != NULL)
+			out[found++] = peer;
+	}
+	if (rng_below(mesh->env.rng, PUSH_ELSEWHERE_SHARE) != 0)
+		return found;
+	peer = members_pick_elsewhere(&mesh->members, mesh->env.rng);
+	if (peer != NULL)
+		out[found++] = peer;
+	return found;
+}
+
+static bool
+fits_one_message(struct publication **list, size_t count)
+{
+	size_t bytes = 0;
+
+	for (size_t i = 0; i < count; i++)
+		bytes += g_bytes_get_size(list[i]->json);
+	return count <= MESH_PUBLICATIONS_MAX &&
+	    bytes <= MESH_PUBLICATIONS_BYTES;
+}
+
+/*
+ * Pass on publications that this node just took, as the policy says, and
+ * announce the state. More than one message can hold is announced only:
+ * whoever lacks it pulls. from_outside: not from a peer of the own zone.
+ */
+void
+mesh_spread(struct mesh *mesh, struct publication **list, size_t count,
+    bool from_outside)
+{
+	struct mesh_message message =
+	    mesh_message_begin(mesh, MESH_PUBLICATIONS);
+	const struct record *targets[SPREAD_TARGETS_MAX];
+	size_t target_count = 0;
+
+	message.publications.list = list;
+	message.publications.count = count;
+	if (!fits_one_message(list, count))
+		goto announce;
+	if (mesh->settings.policy == SPREAD_TREE)
+		target_count =
+		    spread_tree_targets(&mesh->members, message.state.version,
+			mesh->settings.fanout, from_outside, targets);
+	else if (mesh->settings.policy == SPREAD_PUSH)
+		target_count = pick_random_targets(mesh, targets);
+	for (size_t i = 0; i < target_count; i++)
+		mesh_send(mesh, targets[i]->host.node, &message);
+announce:
+	mesh_announce_some(mesh);
+}
--- /dev/null
+++ b/tests/mesh/net.h
@@ -0,0 +1,104 @@
+#ifndef TREFOILHILL_TESTS_MESH_NET_H
+#define TREFOILHILL_TESTS_MESH_NET_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+#include "mesh/mesh.h"
+#include "mesh/message.h"
+#include "net_platform.h"
+
+/*
+ * Mesh objects joined by queues of encoded frames, with a fake clock and a
+ * fake platform. Everything depends on the seed alone.
+ */
+enum {
+	NET_NODES_MAX = 64,
+	NET_ZONES = 3,
+	NET_NAME_MAX = 32,
+	NET_SEEDS = 3,
+};
+
+/* What may happen to frames on the way. */
+enum net_disorder {
+	NET_ORDERLY,
+	NET_LATE,    /* some arrive 3 s late */
+	NET_DOUBLED, /* all arrive twice */
+	NET_CROSSED, /* each takes 0 to 200 ms */
+};
+
+struct net;
+
+struct net_node {
+	struct net *net;
+	size_t index;
+	char host[NET_NAME_MAX];
+	char zone[NET_NAME_MAX];
+	char address[NET_NAME_MAX];
+	struct mesh *mesh; /* NULL: the process is dead */
+	struct rng *rng;
+	struct mesh_transport transport;
+	struct mesh_platform platform;
+	struct mesh_observer observer;
+	uint64_t incarnation;
+	bool frozen;
+	GQueue *held;              /* what arrived while frozen */
+	struct state_id published; /* over all processes of this host */
+	uint64_t bytes_out;
+	uint64_t messages_out;
+	uint64_t busy_ns;
+};
+
+struct net_settings {
+	size_t nodes; /* dealt to the zones in turn */
+	uint64_t seed;
+	enum spread_policy policy;
+	size_t seeds; /* how many of the first nodes are named as seeds */
+};
+
+struct net {
+	struct net_settings settings;
+	struct fake_clock clock;
+	struct rng *rng;
+	struct net_node nodes[NET_NODES_MAX];
+	struct str seeds[NET_SEEDS];
+	bool cut[NET_NODES_MAX][NET_NODES_MAX];
+	enum net_disorder disorder;
+	int64_t link_us; /* one way */
+	GSequence *queue;
+	uint64_t next_order;
+	struct net_platform source;
+	uint64_t sent[MESH_MESSAGE_KIND_COUNT];
+	uint64_t bytes[MESH_MESSAGE_KIND_COUNT];
+	uint64_t trace; /* digest of all that happened */
+	/* checks */
+	size_t steps_back;
+	size_t broken_states;
+	size_t bad_content;
+	void (*handle_publish)(struct net *, struct net_node *);
+	void *arg;
+};
+
+void net_init(struct net *net, const struct net_settings *settings);
+void net_release(struct net *net);
+void net_start(struct net *net, size_t index);
+void net_start_all(struct net *net);
+void net_kill(struct net *net, size_t index);
+void net_freeze(struct net *net, size_t index, bool frozen);
+void net_cut_zone(struct net *net, size_t zone, bool cut);
+void net_cut_node(struct net *net, size_t index, bool in, bool out);
+void net_heal_links(struct net *net);
+void net_run(struct net *net, int64_t ms);
+/* Run until all are at the platform's head and equal; -1 when it fails. */
+int64_t net_run_settled(struct net *net, int64_t limit_ms);
+bool net_settled(const struct net *net);
+uint64_t net_version(const struct net *net, size_t index);
+void net_deliver_later(struct net *net, struct net_node *node, int64_t us,
+    void (*run)(struct net_node *, void *), GDestroyNotify drop, void *data);
+/* Publish a mesh of the net's hosts, a small change, or a bad one. */
+void net_publish_fleet(struct net *net, size_t extra_hosts);
+void net_publish_change(struct net *net);
+void net_publish_bad(struct net *net);
+void net_publish_zone_mark(struct net *net, size_t zone, bool out);
+
+#endif
--- /dev/null
+++ b/tests/mesh/test_mesh.c
@@ -0,0 +1,95 @@
+#include "harness.h"
+#include "net.h"
+
+static void
+assert_sound(const struct net *net)
+{
+	CU_ASSERT_EQUAL(net->steps_back, 0);
+	CU_ASSERT_EQUAL(net->broken_states, 0);
+	CU_ASSERT_EQUAL(net->bad_content, 0);
+}
+
+/* A whole fleet starts together: nobody has anything to give. */
+static void
+cold_start(enum spread_policy policy, size_t seeds, int64_t limit_ms)
+{
+	struct net_settings settings = {
+		.nodes = 12, .seed = 1, .policy = policy, .seeds = seeds
+	};
+	struct net *net = g_new(struct net, 1);
+	int64_t ms;
+
+	net_init(net, &settings);
+	net_publish_fleet(net, 0);
+	net_publish_change(net);
+	net_start_all(net);
+	ms = net_run_settled(net, limit_ms);
+	g_print("cold start policy %d seeds %zu: %d ms, %d reads\n", policy,
+	    seeds, (int)ms, (int)net->source.reads);
+	CU_ASSERT(ms >= 0);
+	assert_sound(net);
+	net_release(net);
+	g_free(net);
+}
+
+static void
+test_cold_start(void)
+{
+	cold_start(SPREAD_TREE, 3, 3000);
+	cold_start(SPREAD_PUSH, 3, 3000);
+	cold_start(SPREAD_POLL, 3, 3000);
+	cold_start(SPREAD_TREE, 0, 3000);
+}
+
+static void
+spread(enum spread_policy policy, int64_t limit_ms)
+{
+	struct net_settings settings = {
+		.nodes = 48, .seed = 2, .policy = policy, .seeds = 3
+	};
+	struct net *net = g_new(struct net, 1);
+	int64_t worst = 0;
+
+	net_init(net, &settings);
+	net_publish_fleet(net, 0);
+	net_start_all(net);
+	CU_ASSERT(net_run_settled(net, 5000) >= 0);
+	net_run(net, 10000);
+	for (size_t i = 0; i < 50; i++) {
+		int64_t ms;
+
+		if (i % 5 == 0)
+			net_publish_bad(net);
+		else
+			net_publish_change(net);
+		ms = net_run_settled(net, 5000);
+		CU_ASSERT(ms >= 0);
+		worst = MAX(worst, ms);
+		net_run(net, 100);
+	}
+	g_print("spread policy %d: worst %d ms\n", policy, (int)worst);
+	CU_ASSERT(worst <= limit_ms);
+	assert_sound(net);
+	net_release(net);
+	g_free(net);
+}
+
+static void
+test_spread(void)
+{
+	spread(SPREAD_TREE, 250);
+	spread(SPREAD_PUSH, 250);
+	spread(SPREAD_POLL, 3000);
+}
+
+int
+main(void)
+{
+	static const struct test_case cases[] = {
+		{ "a cold fleet comes up", test_cold_start },
+		{ "a change is in force everywhere", test_spread },
+		{ NULL, NULL },
+	};
+
+	return harness_run("mesh", cases);
+}
--- a/wire/gen/mesh.pb-c.c
+++ b/wire/gen/mesh.pb-c.c
@@ -733,7 +733,7 @@
   (ProtobufCMessageInit) trefoilhill__mesh__state_id__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor trefoilhill__mesh__reader_beat__field_descriptors[2] =
+static const ProtobufCFieldDescriptor trefoilhill__mesh__reader_beat__field_descriptors[3] =
 {
   {
     "host",
@@ -759,15 +759,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Trefoilhill__Mesh__ReaderBeat, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned trefoilhill__mesh__reader_beat__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
   1,   /* field[1] = beat */
   0,   /* field[0] = host */
 };
 static const ProtobufCIntRange trefoilhill__mesh__reader_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor trefoilhill__mesh__reader_beat__descriptor =
 {
@@ -777,7 +790,7 @@
   "Trefoilhill__Mesh__ReaderBeat",
   "trefoilhill.mesh",
   sizeof(Trefoilhill__Mesh__ReaderBeat),
-  2,
+  3,
   trefoilhill__mesh__reader_beat__field_descriptors,
   trefoilhill__mesh__reader_beat__field_indices_by_name,
   1,  trefoilhill__mesh__reader_beat__number_ranges,
--- a/wire/gen/mesh.pb-c.h
+++ b/wire/gen/mesh.pb-c.h
@@ -63,15 +63,19 @@
     , 0, 0, 0, 0 }
 
 
+/*
+ * age_ms: since the sender saw the beat rise.
+ */
 struct  Trefoilhill__Mesh__ReaderBeat
 {
   ProtobufCMessage base;
   ProtobufCBinaryData host;
   uint64_t beat;
+  uint32_t age_ms;
 };
 #define TREFOILHILL__MESH__READER_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&trefoilhill__mesh__reader_beat__descriptor) \
-    , {0,NULL}, 0 }
+    , {0,NULL}, 0, 0 }
 
 
 struct  Trefoilhill__Mesh__Publication
--- a/wire/mesh_decode.c
+++ b/wire/mesh_decode.c
@@ -102,6 +102,7 @@
 			return field_error(error, "heartbeat.readers.host");
 		out->readers[i].host = decode_str(host);
 		out->readers[i].beat = body->readers[i]->beat;
+		out->readers[i].age_ms = body->readers[i]->age_ms;
 		out->reader_count = i + 1;
 	}
 	return true;
@@ -127,7 +128,6 @@
 		last = item->version;
 		json = g_bytes_new(item->json.data, item->json.len);
 		out->list[i] = publication_new(item->version, json);
-		g_bytes_unref(json);
 		out->count = i + 1;
 	}
 	return true;
--- a/wire/mesh_encode.c
+++ b/wire/mesh_encode.c
@@ -69,6 +69,7 @@
 		trefoilhill__mesh__reader_beat__init(&beats[i]);
 		beats[i].host = binary_str(heartbeat->readers[i].host);
 		beats[i].beat = heartbeat->readers[i].beat;
+		beats[i].age_ms = heartbeat->readers[i].age_ms;
 		enc->pointers[i] = &beats[i];
 	}
 	trefoilhill__mesh__heartbeat__init(out);
