common: add a histogram with bounded relative error

No HdrHistogram is packaged, so the load tool needs its own: buckets grow with the value, and a quantile is at most one part in 128 too high.

--- /dev/null
+++ b/common/histogram.c
@@ -0,0 +1,105 @@
+#include <math.h>
+#include <stddef.h>
+
+#include "common/histogram.h"
+
+enum {
+	SUB_BUCKETS = 1 << HISTOGRAM_SUB_BITS,
+	WORD_TOP_BIT = 63,
+};
+
+static const uint64_t value_max = (UINT64_C(1) << HISTOGRAM_VALUE_BITS) - 1;
+
+/* The shift that brings a value below 2 * SUB_BUCKETS. */
+static unsigned int
+shift_of(uint64_t value)
+{
+	if (value < SUB_BUCKETS)
+		return 0;
+	return WORD_TOP_BIT - (unsigned int)__builtin_clzll(value) -
+	    HISTOGRAM_SUB_BITS;
+}
+
+static size_t
+bucket_of(uint64_t value)
+{
+	unsigned int shift = shift_of(value);
+
+	return ((size_t)shift << HISTOGRAM_SUB_BITS) + (value >> shift);
+}
+
+/* The largest value that falls into a bucket. */
+static uint64_t
+bucket_top(size_t bucket)
+{
+	uint64_t shift = bucket >> HISTOGRAM_SUB_BITS;
+	uint64_t low = bucket;
+
+	if (shift > 0)
+		shift--;
+	low -= shift << HISTOGRAM_SUB_BITS;
+	return ((low + 1) << shift) - 1;
+}
+
+/*
+ * Count one value.
+ */
+void
+histogram_record(struct histogram *histogram, uint64_t value)
+{
+	if (value > value_max)
+		value = value_max;
+	histogram->count++;
+	histogram->sum += value;
+	if (value > histogram->max)
+		histogram->max = value;
+	histogram->buckets[bucket_of(value)]++;
+}
+
+/*
+ * Add the counts of one histogram to another.
+ */
+void
+histogram_merge(struct histogram *into, const struct histogram *from)
+{
+	into->count += from->count;
+	into->sum += from->sum;
+	if (from->max > into->max)
+		into->max = from->max;
+	for (size_t i = 0; i < HISTOGRAM_BUCKETS; i++)
+		into->buckets[i] += from->buckets[i];
+}
+
+/*
+ * Return the value that a share of the values, from 0 to 1, doesn't exceed;
+ * 0 when there are none.
+ */
+uint64_t
+histogram_quantile(const struct histogram *histogram, double quantile)
+{
+	uint64_t rank = (uint64_t)ceil(quantile * (double)histogram->count);
+	uint64_t seen = 0;
+
+	if (histogram->count == 0)
+		return 0;
+	if (rank == 0)
+		rank = 1;
+	for (size_t i = 0; i < HISTOGRAM_BUCKETS; i++) {
+		seen += histogram->buckets[i];
+		if (seen >= rank) {
+			uint64_t top = bucket_top(i);
+
+			return top < histogram->max ? top : histogram->max;
+		}
+	}
+	return histogram->max;
+}
+
+/*
+ * Return the mean of the values, 0 when there are none.
+ */
+uint64_t
+histogram_mean(const struct histogram *histogram)
+{
+	return histogram->count == 0 ? 0 : histogram->sum / histogram->count;
+}
