trefoilhill-load: send an open-loop load and check every answer

Each answer is checked against the body pattern of its own request id, and in the end the upstreams' counts of runs against what the callers were told.

--- /dev/null
+++ b/include/trefoilhill-load/call.h
@@ -0,0 +1,35 @@
+#ifndef TREFOILHILL_LOAD_CALL_H
+#define TREFOILHILL_LOAD_CALL_H
+
+#include <curl/curl.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <time.h>
+
+#include "common/body_pattern.h"
+#include "trefoilhill-load/options.h"
+#include "trefoilhill-load/outcome.h"
+#include "trefoilhill-load/plan.h"
+
+/* One request under way; kept and used again for later ones. */
+struct call {
+	CURL *easy;
+	struct curl_slist *headers;
+	size_t index; /* in the plan */
+	struct timespec due;
+	char id[REQUEST_ID_DIGITS + 1];
+	struct body_pattern expected;
+	uint64_t received;
+	bool mismatch; /* a byte or the echoed id was another's */
+	bool typed;    /* the answer names its outcome */
+	enum outcome outcome;
+};
+
+struct call *call_new(void);
+void call_free(struct call *call);
+void call_prepare(struct call *call, const struct load_options *options,
+    const struct plan *plan, size_t index, struct timespec due);
+enum outcome call_judge(struct call *call, CURLcode code);
+
+#endif
--- /dev/null
+++ b/include/trefoilhill-load/plan.h
@@ -0,0 +1,33 @@
+#ifndef TREFOILHILL_LOAD_PLAN_H
+#define TREFOILHILL_LOAD_PLAN_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "trefoilhill-load/options.h"
+#include "trefoilhill-load/outcome.h"
+
+enum {
+	REQUEST_ID_DIGITS = 16,
+};
+
+/* One request of the run, and in the end what became of it. */
+struct planned_request {
+	uint16_t kind;
+	uint16_t target;
+	uint8_t outcome; /* enum outcome */
+};
+
+/* Which request goes where: a function of the options and the seed. */
+struct plan {
+	struct planned_request *requests;
+	size_t count;
+	uint32_t run_tag; /* tells the request ids of this run from others */
+};
+
+struct plan *plan_new(const struct load_options *options, uint32_t run_tag);
+void plan_free(struct plan *plan);
+void plan_request_id(const struct plan *plan, size_t index, char *out);
+int plan_find(const struct plan *plan, const char *id, size_t *index);
+
+#endif
--- /dev/null
+++ b/trefoilhill-load/audit.c
@@ -0,0 +1,107 @@
+#include <curl/curl.h>
+#include <jansson.h>
+
+#include "trefoilhill-load/audit.h"
+#include "trefoilhill-load/request_kind.h"
+
+enum {
+	PAGE_BYTES_MAX = 64 * 1024 * 1024,
+	FETCH_TIMEOUT_MS = 5000,
+};
+
+static size_t
+handle_page(char *bytes, size_t size, size_t count, void *arg)
+{
+	GString *page = arg;
+	size_t len = size * count;
+
+	if (page->len + len > PAGE_BYTES_MAX)
+		return 0;
+	g_string_append_len(page, bytes, (gssize)len);
+	return len;
+}
+
+/* Fetch the counts of one upstream as an object, or NULL. */
+static json_t *
+fetch_runs(const char *address)
+{
+	GString *page = g_string_new(NULL);
+	char *url = g_strdup_printf("http://%s/standin/runs", address);
+	CURL *easy = curl_easy_init();
+	json_t *json = NULL;
+
+	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)FETCH_TIMEOUT_MS);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, handle_page);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, page);
+	if (curl_easy_perform(easy) == CURLE_OK)
+		json = json_loadb(page->str, page->len, 0, NULL);
+	curl_easy_cleanup(easy);
+	g_free(url);
+	g_string_free(page, TRUE);
+	return json;
+}
+
+static void
+count_runs(const struct plan *plan, json_t *runs, uint32_t *counts)
+{
+	const char *id;
+	json_t *value;
+	size_t index;
+
+	for (void *iter = json_object_iter(runs); iter != NULL;
+	     iter = json_object_iter_next(runs, iter)) {
+		id = json_object_iter_key(iter);
+		value = json_object_iter_value(iter);
+		if (plan_find(plan, id, &index) == 0)
+			counts[index] += (uint32_t)json_integer_value(value);
+	}
+}
+
+static void
+judge_request(struct audit *audit, const struct planned_request *request,
+    const struct request_kind *kind, uint32_t runs)
+{
+	audit->runs += runs;
+	if (runs > 1 && kind->idempotent)
+		audit->reruns++;
+	else if (runs > 1)
+		audit->double_runs++;
+	if (runs > 0 && request->outcome == OUTCOME_NOT_RUN)
+		audit->false_not_runs++;
+	if (runs == 0 && request->outcome == OUTCOME_OK)
+		audit->ok_without_run++;
+}
+
+/*
+ * Compare what the callers were told with what the upstreams ran. Does
+ * nothing without upstreams. An idempotent request that was retried may have
+ * run and then been refused; that is no false promise only when no attempt
+ * ran, so such a one counts too.
+ */
+void
+audit_take(struct audit *audit, const struct load_options *options,
+    const struct plan *plan)
+{
+	uint32_t *counts;
+
+	*audit = (struct audit){ 0 };
+	if (options->upstreams->len == 0)
+		return;
+	counts = g_new0(uint32_t, plan->count);
+	for (guint i = 0; i < options->upstreams->len; i++) {
+		json_t *json = fetch_runs(options->upstreams->pdata[i]);
+
+		if (json == NULL)
+			audit->upstreams_lost++;
+		count_runs(plan, json_object_get(json, "runs"), counts);
+		json_decref(json);
+	}
+	for (size_t i = 0; i < plan->count; i++)
+		judge_request(audit, &plan->requests[i],
+		    options->kinds->pdata[plan->requests[i].kind], counts[i]);
+	audit->done = true;
+	g_free(counts);
+}
--- /dev/null
+++ b/trefoilhill-load/outcome.c
@@ -0,0 +1,20 @@
+#include "trefoilhill-load/outcome.h"
+
+static const char *const names[OUTCOME_COUNT] = {
+	[OUTCOME_OK] = "ok",
+	[OUTCOME_NOT_RUN] = "not_run",
+	[OUTCOME_UNKNOWN] = "unknown",
+	[OUTCOME_CUT] = "cut",
+	[OUTCOME_WRONG] = "wrong",
+	[OUTCOME_ERROR] = "error",
+	[OUTCOME_NO_ANSWER] = "no_answer",
+};
+
+/*
+ * Return the name of an outcome as the reports print it.
+ */
+const char *
+outcome_name(enum outcome outcome)
+{
+	return names[outcome];
+}
