--- a/config/live.c
+++ b/config/live.c
@@ -1,9 +1,11 @@
+#include <stdatomic.h>
 #include <urcu-bp.h>
 
 #include "config/live.h"
 
 struct live_config {
-	struct snapshot *current;
+	/* atomic, as the thread sanitizer cannot see rcu_assign_pointer */
+	struct snapshot *_Atomic current;
 };
 
 /*
@@ -23,8 +25,8 @@
 {
 	if (live == NULL)
 		return;
-	if (live->current != NULL)
-		snapshot_unref(live->current);
+	if (atomic_load(&live->current) != NULL)
+		snapshot_unref(atomic_load(&live->current));
 	g_free(live);
 }
 
@@ -39,7 +41,7 @@
 	struct snapshot *snapshot;
 
 	rcu_read_lock();
-	snapshot = rcu_dereference(live->current);
+	snapshot = atomic_load_explicit(&live->current, memory_order_acquire);
 	if (snapshot != NULL)
 		snapshot_ref(snapshot);
 	rcu_read_unlock();
@@ -53,9 +55,10 @@
 void
 live_config_publish(struct live_config *live, struct snapshot *snapshot)
 {
-	struct snapshot *before = live->current;
+	struct snapshot *before = atomic_load(&live->current);
 
-	rcu_assign_pointer(live->current, snapshot_ref(snapshot));
+	atomic_store_explicit(
+	    &live->current, snapshot_ref(snapshot), memory_order_release);
 	if (before == NULL)
 		return;
 	synchronize_rcu();
