--- a/route/peer_table.c
+++ b/route/peer_table.c
@@ -6,7 +6,7 @@
 #include "route/peer_table.h"
 
 enum {
-	BUCKETS = 4096, /* of a fixed number, a power of two */
+	BUCKETS = 256, /* of a fixed number, a power of two */
 };
 
 struct peer_table {
