--- a/tests/daemon/fixture.c
+++ b/tests/daemon/fixture.c
@@ -233,9 +233,10 @@
 }
 
 static size_t
-handle_reply_bytes(char *bytes, size_t size, size_t count, void *arg)
+handle_reply_bytes(const void *data, size_t size, size_t count, void *arg)
 {
 	struct reply *reply = arg;
+	const char *bytes = data;
 	size_t len = size * count;
 
 	for (size_t i = 0; i < len; i++) {
--- a/tests/daemon/test_data_path.c
+++ b/tests/daemon/test_data_path.c
@@ -9,7 +9,8 @@
 	LOCAL = 1, /* the upstream on the entry's own host */
 	REMOTE = 2,
 	BOTH = 3,
-	MIB = 1024 * 1024,
+	FIVE_MIB = 5 * 1024 * 1024,
+	SIXTEEN_MIB = 16 * 1024 * 1024,
 };
 
 static struct reply
@@ -96,8 +97,8 @@
 		{ 65536, false },
 		{ 65536, true },
 		{ 65537, false },
-		{ 16 * MIB, false },
-		{ 5 * MIB, true },
+		{ SIXTEEN_MIB, false },
+		{ FIVE_MIB, true },
 	};
 	struct fixture *fixture;
 
--- a/trefoilhilld/data_path/data_path.c
+++ b/trefoilhilld/data_path/data_path.c
@@ -48,6 +48,13 @@
 	return frame;
 }
 
+static void
+drop_body(GBytes *body)
+{
+	if (body != NULL)
+		g_bytes_unref(body);
+}
+
 /*
  * A word of a guard's node on calls of this entry.
  */
@@ -73,11 +80,11 @@
 
 	if (frame->kind == CALL_PONG) {
 		handle_pong(path, frame);
-		g_clear_pointer(&body, g_bytes_unref);
+		drop_body(body);
 	} else if (frame->entry != entry->incarnation) {
 		counter_add(&entry->counters, ENTRY_LATE_FRAMES, 1);
 		call_frame_free(frame);
-		g_clear_pointer(&body, g_bytes_unref);
+		drop_body(body);
 	} else if (!call_table_deliver(entry->table, frame, body)) {
 		counter_add(&entry->counters, ENTRY_LATE_FRAMES, 1);
 	}
@@ -105,7 +112,7 @@
 		    call_link_answer(path->env.transport, origin), true);
 	} else {
 		call_frame_free(frame);
-		g_clear_pointer(&bytes, g_bytes_unref);
+		drop_body(bytes);
 	}
 }
 
@@ -140,7 +147,7 @@
 	if (frame != NULL)
 		handle_answer(path, frame, body);
 	else
-		g_clear_pointer(&body, g_bytes_unref);
+		drop_body(body);
 }
 
 /*
@@ -157,7 +164,7 @@
 		call_service_handle_frame(
 		    path->service, frame, body, call_link_local(back), false);
 	else
-		g_clear_pointer(&body, g_bytes_unref);
+		drop_body(body);
 }
 
 static void
--- a/trefoilhilld/data_path/entry_request.c
+++ b/trefoilhilld/data_path/entry_request.c
@@ -246,8 +246,9 @@
 void
 entry_request_clear(struct entry_request *request)
 {
-	g_clear_pointer(&request->target, g_free);
-	g_clear_pointer(&request->first, g_bytes_unref);
+	g_free(request->target);
+	if (request->first != NULL)
+		g_bytes_unref(request->first);
 }
 
 /*
--- a/trefoilhilld/data_path/upstream_client.c
+++ b/trefoilhilld/data_path/upstream_client.c
@@ -239,7 +239,8 @@
 set_headers(struct upstream_client *client, const struct call_open *open,
     int64_t remaining_ms)
 {
-	g_clear_pointer(&client->headers, curl_slist_free_all);
+	curl_slist_free_all(client->headers);
+	client->headers = NULL;
 	for (size_t i = 0; i < open->headers.count; i++) {
 		struct str name = open->headers.list[i].name;
 		struct str value = open->headers.list[i].value;
