--- a/standin-upstream/work.c
+++ b/standin-upstream/work.c
@@ -223,9 +223,11 @@
 	discard_body(conn);
 	result =
 	    upstream_begin(upstream, conn, work.deadline, &work.generation);
+	/* A 500 promises nothing, so it counts as a run. */
+	if (result == BEGIN_OK || result == BEGIN_FALLEN)
+		run_log_add(upstream->runs, str_from(work.request));
 	if (result != BEGIN_OK)
 		return refuse(conn, upstream, result);
-	run_log_add(upstream->runs, str_from(work.request));
 	switch (spend_work(conn, upstream, &work)) {
 	case WORK_DONE:
 		return send_answer(conn, upstream, &work);
