trefoilhilld: close connections in time when few workers are left

CivetWeb gives each kept connection a thread, so as many idle callers as there are workers shut everybody else out for the 5 s of the keep-alive. At three quarters of the workers a connection now ends with its answer.

--- a/include/trefoilhilld/caller_entry.h
+++ b/include/trefoilhilld/caller_entry.h
@@ -16,6 +16,7 @@
 
 enum entry_counter {
 	ENTRY_REQUESTS,
+	ENTRY_CROWDED,
 	ENTRY_ANSWERED,
 	ENTRY_NOT_RUN,
 	ENTRY_UNKNOWN,
@@ -45,6 +46,7 @@
 	struct rng **rngs; /* one a worker */
 	atomic_uint next_worker;
 	atomic_uint running;
+	atomic_uint connections;
 	atomic_bool ready;
 	atomic_bool draining;
 	struct counter_set counters;
--- a/include/trefoilhilld/entry_answer.h
+++ b/include/trefoilhilld/entry_answer.h
@@ -13,6 +13,7 @@
 /* The answer to one request, written as it comes. */
 struct entry_answer {
 	struct entry_request *request;
+	bool close; /* the connection ends with the answer */
 	bool begun;
 	bool ended;
 	bool chunked;
@@ -23,7 +24,7 @@
 };
 
 void entry_answer_init(
-    struct entry_answer *answer, struct entry_request *request);
+    struct entry_answer *answer, struct entry_request *request, bool close);
 /* Head and the body bytes that came with it; false: the caller is gone. */
 bool entry_answer_begin(
     struct entry_answer *answer, const struct call_head *head, struct str body);
--- a/trefoilhilld/data_path/caller_entry.c
+++ b/trefoilhilld/data_path/caller_entry.c
@@ -5,12 +5,16 @@
 
 enum {
 	STOP_STEP_US = 10000,
+	KEPT_SHARE = 3, /* this of KEPT_OF workers may have kept connections */
+	KEPT_OF = 4,
 	STATUS_HEAD_TOO_LARGE = 413, /* as CivetWeb has it */
 };
 
 static const struct counter_desc counter_descs[ENTRY_COUNTER_COUNT] = {
 	[ENTRY_REQUESTS] = { "trefoilhill_entry_requests_total",
 	    "Requests of callers." },
+	[ENTRY_CROWDED] = { "trefoilhill_entry_crowded_total",
+	    "Connections closed after an answer to make room." },
 	[ENTRY_ANSWERED] = { "trefoilhill_entry_ended_total{how=\"answered\"}",
 	    "Requests ended, by how." },
 	[ENTRY_NOT_RUN] = { "trefoilhill_entry_ended_total{how=\"not_run\"}",
@@ -91,6 +95,43 @@
 	return GUINT_TO_POINTER(atomic_fetch_add(&entry->next_worker, 1) + 1);
 }
 
+static int
+handle_connection_begin(const struct mg_connection *conn, void **conn_data)
+{
+	struct caller_entry *entry = mg_get_user_data(mg_get_context(conn));
+
+	atomic_fetch_add(&entry->connections, 1);
+	return 0;
+}
+
+static void
+handle_connection_end(const struct mg_connection *conn)
+{
+	struct caller_entry *entry = mg_get_user_data(mg_get_context(conn));
+
+	atomic_fetch_sub(&entry->connections, 1);
+}
+
+/*
+ * Each kept connection takes up a worker while it is idle. When few workers
+ * are left, connections end with their answer, so that those which wait for a
+ * worker come in.
+ */
+static bool
+must_close(struct caller_entry *entry, struct mg_connection *conn)
+{
+	const char *wish = mg_get_header(conn, "Connection");
+
+	if (wish != NULL && g_ascii_strcasecmp(wish, "close") == 0)
+		return true;
+	if (atomic_load(&entry->connections) * KEPT_OF <
+	    entry->workers * KEPT_SHARE)
+		return false;
+	counter_add(&entry->counters, ENTRY_CROWDED, 1);
+	mg_disable_connection_keep_alive(conn);
+	return true;
+}
+
 static void
 serve(struct caller_entry *entry, uint32_t worker, struct mg_connection *conn,
     struct entry_request *request, struct entry_answer *answer)
@@ -127,7 +168,7 @@
 	g_assert(worker < entry->workers);
 	atomic_fetch_add(&entry->running, 1);
 	counter_add(&entry->counters, ENTRY_REQUESTS, 1);
-	entry_answer_init(&answer, &request);
+	entry_answer_init(&answer, &request, must_close(entry, conn));
 	serve(entry, worker, conn, &request, &answer);
 	if (!request.body_ended && request.length != 0)
 		mg_disable_connection_keep_alive(conn);
@@ -175,6 +216,8 @@
 		.begin_request = handle_request,
 		.init_thread = handle_thread_start,
 		.http_error = handle_http_error,
+		.init_connection = handle_connection_begin,
+		.connection_closed = handle_connection_end,
 	};
 	char *threads = g_strdup_printf("%u", entry->workers);
 	const char *options[] = {
--- a/trefoilhilld/data_path/entry_answer.c
+++ b/trefoilhilld/data_path/entry_answer.c
@@ -10,11 +10,16 @@
 	RETRY_SPREAD = 2, /* come back within 1 to 1 + this many times */
 };
 
+/*
+ * Prepare an answer. close: the connection is to end with it.
+ */
 void
-entry_answer_init(struct entry_answer *answer, struct entry_request *request)
+entry_answer_init(
+    struct entry_answer *answer, struct entry_request *request, bool close)
 {
 	memset(answer, 0, sizeof(*answer));
 	answer->request = request;
+	answer->close = close;
 	answer->length = CALL_LENGTH_UNKNOWN;
 }
 
@@ -38,14 +43,6 @@
 	    answer->status == STATUS_NOT_MODIFIED;
 }
 
-static bool
-caller_keeps_alive(const struct entry_answer *answer)
-{
-	const char *value = mg_get_header(answer->request->conn, "Connection");
-
-	return value == NULL || g_ascii_strcasecmp(value, "close") != 0;
-}
-
 static void
 append_head(const struct entry_answer *answer, GString *out,
     const struct call_headers *headers)
@@ -60,7 +57,7 @@
 		    STR_ARG(headers->list[i].value));
 	g_string_append_printf(
 	    out, "Trefoilhill-Request: %s\r\n", answer->request->id);
-	if (!caller_keeps_alive(answer))
+	if (answer->close)
 		g_string_append(out, "Connection: close\r\n");
 }
 
@@ -188,18 +185,15 @@
 	GString *out = g_string_new(NULL);
 	char *body = g_strdup_printf("{\"error\":\"%s\",\"detail\":\"%s\"}\n",
 	    answer_error_name(error), answer_error_detail(error));
-	bool close =
-	    !answer->request->body_ended || !caller_keeps_alive(answer);
 	struct call_headers none = { .count = 0 };
 
 	answer->begun = true;
 	answer->ended = true;
 	answer->status = answer_error_status(error);
-	if (close)
+	answer->close = answer->close || !answer->request->body_ended;
+	if (answer->close)
 		mg_disable_connection_keep_alive(answer->request->conn);
 	append_head(answer, out, &none);
-	if (close && caller_keeps_alive(answer))
-		g_string_append(out, "Connection: close\r\n");
 	g_string_append_printf(out, "Trefoilhill-Outcome: %s\r\n",
 	    error->not_run ? "not-run" : "unknown");
 	if (error->retry_after_ms > 0)
