tests: run the call matrix on warm upstreams with long calls too

Mutating the sources on a scratch copy showed the matrix blind in places: every upstream was cold from the start, so not chilling after failures went unseen, and no call was long enough for a second copy to meet the guard after its zone was taken out. A fourth kind of cell has warm upstreams and a subject that works for 2.5 s; a restarted upstream refuses connections for 100 ms; an overload after three failures in a row is a fault.

The tick bound of guard_admit alone can be left out unseen here, as guard_confirm looks at the age once more; the unit test catches it.

--- a/tests/route/call_guard.c
+++ b/tests/route/call_guard.c
@@ -4,6 +4,8 @@
 
 enum {
 	WORK_MS = 20,
+	LONG_WORK_MS = 2500,
+	EVIDENCE = 3, /* failures that must show an upstream to be cold */
 	WORK_US = 20000,
 	PART_GAP_MS = 5,
 	TICK_MS = 100,
@@ -160,10 +162,13 @@
 take_outcome(struct world *world, int index, struct event_item *call,
     enum guard_outcome outcome)
 {
+	struct world_upstream *upstream = &world->upstreams[index];
 	struct event_item next =
 	    to_self(world, index, HAPPEN_NEXT_PART, call->ticket);
 
 	guard_complete(world->guards[index], call->ticket, outcome, WORK_US);
+	upstream->failures_seen =
+	    outcome == OUTCOME_OK ? 0 : upstream->failures_seen + 1;
 	if (outcome == OUTCOME_OK) {
 		int subject = call->call;
 
@@ -299,13 +304,17 @@
 	g_hash_table_insert(upstream->working, &held->key, held);
 	if (g_hash_table_size(upstream->working) > bears) {
 		upstream->overloads++;
+		if (upstream->failures_seen >= EVIDENCE)
+			world_break(world, CHECK_COLD);
 		upstream->failing_until_ms = world_now(world) + FALLEN_MS;
 		upstream_break(world, index);
 		return;
 	}
 	work.what = HAPPEN_WORK_DONE;
 	work.generation = world->processes[work.to].generation;
-	world_push(world, work, WORK_MS);
+	world_push(world, work,
+	    world->plan.long_work && work.call == WORLD_SUBJECT ? LONG_WORK_MS
+								: WORK_MS);
 	world_step(world, work.call, STEP_RUNNING);
 }
 
--- a/tests/route/call_run.c
+++ b/tests/route/call_run.c
@@ -5,8 +5,11 @@
 enum {
 	TIMEOUT_MS = 4000,
 	SUBJECT_AT_MS = 1000,
-	BURST = 6,
-	BURST_GAP_MS = 30,
+	BURST = 5, /* calls at once with the subject; the rest later */
+	WARM_CALLS = 240,
+	WARM_WIDTH = 12,
+	WARM_US = 20000,
+	BURST_GAP_MS = 130,
 	LATER_AT_MS = 3500,
 	PROBE_AT_MS = 80000,
 	ENTRY_FAULT_SLACK_MS = 30000,
@@ -29,7 +32,7 @@
 		int64_t at_ms = SUBJECT_AT_MS;
 
 		if (i > BURST)
-			at_ms += (int64_t)(i - BURST) * BURST_GAP_MS;
+			at_ms += BURST_GAP_MS;
 		if (i == WORLD_PROBE - 1)
 			at_ms = LATER_AT_MS;
 		if (i == WORLD_PROBE)
@@ -43,6 +46,34 @@
 	world->calls[WORLD_PROBE].idempotent = true;
 }
 
+/*
+ * Let a guard see enough good work to take its upstream to be warm.
+ */
+static void
+warm_up(struct world *world, int index)
+{
+	struct guard *guard = world->guards[index];
+	struct guard_call call = { .idempotent = true };
+	uint64_t tickets[WARM_WIDTH];
+	enum refusal_reason reason;
+
+	call.deadline = timespec_plus_ms(world->clock.now, TIMEOUT_MS);
+	for (int done = 0; done < WARM_CALLS;) {
+		uint32_t width = guard_hint(guard).limit;
+
+		call.incarnation = guard_hint(guard).incarnation;
+		call.tick = guard_hint(guard).tick;
+		for (uint32_t i = 0; i < width; i++) {
+			guard_admit(guard, &call, &tickets[i], &reason);
+			guard_confirm(guard, tickets[i], &reason);
+		}
+		for (uint32_t i = 0; i < width; i++)
+			guard_complete(guard, tickets[i], OUTCOME_OK, WARM_US);
+		done += (int)width;
+	}
+	world->upstreams[index].completed = WARM_CALLS;
+}
+
 static void
 world_init(struct world *world, const struct world_plan *plan,
     struct world_verdict *verdict)
@@ -66,6 +97,8 @@
 		    g_int64_hash, g_int64_equal, NULL, g_free);
 		world->processes[PROCESS_UPSTREAM + i].alive = true;
 		world_start_guard(world, i);
+		if (plan->warm)
+			warm_up(world, i);
 	}
 	start_calls(world);
 }
@@ -94,7 +127,9 @@
 	struct world_upstream *upstream = &world->upstreams[0];
 
 	upstream->completed = 0;
-	upstream->turns++;
+	if (!world->guard_told)
+		upstream->turns++;
+	upstream->failures_seen = 0;
 	world->out_since_ms = 0;
 }
 
--- a/tests/route/call_world.c
+++ b/tests/route/call_world.c
@@ -3,6 +3,7 @@
 enum {
 	LINK_MS = 1,
 	DOWN_MS = 5000,
+	RESTART_MS = 100, /* of an upstream */
 	FROZEN_MS = 10000,
 	CUT_MS = 3000,
 	HUNG_MS = 5000,
@@ -199,6 +200,7 @@
 {
 	upstream_break(world, index);
 	world->upstreams[index].turns++;
+	world->upstreams[index].failures_seen = 0;
 	world->upstreams[index].hung_until_ms = 0;
 	world->processes[PROCESS_UPSTREAM + index].alive = false;
 	world->processes[PROCESS_UPSTREAM + index].frozen_until_ms = 0;
@@ -219,11 +221,11 @@
 }
 
 static void
-revive_later(struct world *world, enum process_id id)
+revive_later(struct world *world, enum process_id id, int64_t delay_ms)
 {
 	struct event_item item = { .what = HAPPEN_REVIVE, .to = id };
 
-	world_push(world, item, DOWN_MS);
+	world_push(world, item, delay_ms);
 }
 
 static void
@@ -248,6 +250,7 @@
 	}
 	if (tell_guard) {
 		world->guard_in_service = false;
+		world->guard_told = true;
 		set_service(world, PROCESS_GUARD, false, NEWS_MS);
 		set_service(world, PROCESS_GUARD, true, OUT_MS);
 	}
@@ -274,7 +277,7 @@
 	case FAULT_ENTRY_RESTARTED:
 		kill_entry(world);
 		if (fault == FAULT_ENTRY_KILLED)
-			revive_later(world, PROCESS_ENTRY);
+			revive_later(world, PROCESS_ENTRY, DOWN_MS);
 		else
 			world_revive(world, PROCESS_ENTRY);
 		break;
@@ -282,21 +285,20 @@
 	case FAULT_GUARD_RESTARTED:
 		kill_guard(world, 0);
 		if (fault == FAULT_GUARD_KILLED)
-			revive_later(world, PROCESS_GUARD);
+			revive_later(world, PROCESS_GUARD, DOWN_MS);
 		else
 			world_revive(world, PROCESS_GUARD);
 		break;
 	case FAULT_UPSTREAM_KILLED:
 	case FAULT_UPSTREAM_RESTARTED:
 		kill_upstream(world, 0);
-		if (fault == FAULT_UPSTREAM_KILLED)
-			revive_later(world, PROCESS_UPSTREAM);
-		else
-			world_revive(world, PROCESS_UPSTREAM);
+		revive_later(world, PROCESS_UPSTREAM,
+		    fault == FAULT_UPSTREAM_KILLED ? DOWN_MS : RESTART_MS);
 		break;
 	case FAULT_UPSTREAM_COLD:
 		world->upstreams[0].completed = 0;
 		world->upstreams[0].turns++;
+		world->upstreams[0].failures_seen = 0;
 		break;
 	default:
 		break;
--- a/tests/route/call_world.h
+++ b/tests/route/call_world.h
@@ -104,6 +104,8 @@
 	enum variant variant;
 	bool idempotent;
 	bool first_contact; /* the subject knows no hint */
+	bool warm;          /* guards and upstreams are warm at first */
+	bool long_work;     /* the subject works for seconds */
 	struct planned_fault faults[WORLD_FAULTS];
 	uint64_t seed;
 };
@@ -195,6 +197,7 @@
 	GHashTable *working; /* key to struct event_item */
 	uint32_t turns;      /* to cold, unannounced or by restart */
 	uint32_t overloads;
+	uint32_t failures_seen; /* by the guard, in a row since a turn */
 	int64_t failing_until_ms;
 	int64_t hung_until_ms;
 };
@@ -219,6 +222,7 @@
 	int64_t cut_until_ms[2]; /* to the guard, to the entry */
 	enum fault next_message; /* what happens to the next frame */
 	int64_t armed_until_ms;
+	bool guard_told;       /* that its zone is out */
 	int64_t out_since_ms;  /* of guard 0's zone; 0: in service */
 	bool guard_in_service; /* what the configuration tells guard 0 */
 };
--- a/tests/route/test_call_matrix.c
+++ b/tests/route/test_call_matrix.c
@@ -8,6 +8,7 @@
 	SEED_BASE = 20261203,
 	QUICK_STRIDE = 31, /* without "all": single faults, each 31st pair */
 	REPEAT_STRIDE = 211,
+	KINDS = 4, /* of subject calls */
 };
 
 static const char *const step_names[STEP_COUNT] = {
@@ -85,12 +86,12 @@
 		if (tally->broken[i]++ > 2)
 			continue;
 		printf("\n  broken: %s: %s at \"%s\", then %s at \"%s\"; "
-		       "idempotent %d, first contact %d, seed %lu",
+		       "idempotent %d, first contact %d, warm %d, seed %lu",
 		    check_names[i], fault_names[plan->faults[0].fault],
 		    step_names[plan->faults[0].step],
 		    fault_names[plan->faults[1].fault],
 		    step_names[plan->faults[1].step], plan->idempotent,
-		    plan->first_contact, (unsigned long)plan->seed);
+		    plan->first_contact, plan->warm, (unsigned long)plan->seed);
 	}
 	tally->broken_cells += broken ? 1 : 0;
 }
@@ -131,9 +132,11 @@
 {
 	struct world_plan plan = { .variant = variant };
 
-	for (int kind = 0; kind < 3; kind++) {
+	for (int kind = 0; kind < KINDS; kind++) {
 		plan.idempotent = kind == 1;
 		plan.first_contact = kind == 2;
+		plan.warm = kind == 3;
+		plan.long_work = kind == 3;
 		run_pairs(tally, &plan, from, stride);
 	}
 }
