--- /dev/null
+++ b/include/platform/answer_reader.h
@@ -0,0 +1,33 @@
+#ifndef TREFOILHILL_PLATFORM_ANSWER_READER_H
+#define TREFOILHILL_PLATFORM_ANSWER_READER_H
+
+#include "platform/config_source.h"
+
+enum {
+	RECORDS_MAX = 1000 * 1000,
+	HOSTS_MAX = 100 * 1000,
+};
+
+/* The pages of one read of all records, joined at one revision. */
+struct record_pages {
+	GArray *records; /* struct raw_record */
+	uint64_t revision;
+	char *next; /* key of the last record; NULL: no page is missing */
+};
+
+struct record_pages *record_pages_new(void);
+void record_pages_free(struct record_pages *pages);
+bool record_pages_read(
+    struct record_pages *pages, struct str body, GError **error);
+
+struct config_answer *config_answer_new(enum platform_request request);
+struct config_answer *config_answer_failed(
+    enum platform_request request, GError *error);
+struct config_answer *config_answer_changes(
+    enum platform_request request, struct str body);
+struct config_answer *config_answer_records(struct record_pages *pages);
+struct config_answer *config_answer_hosts(struct str body);
+struct config_answer *config_answer_compacted(
+    enum platform_request request, struct str body);
+
+#endif
--- /dev/null
+++ b/include/platform/error.h
@@ -0,0 +1,19 @@
+#ifndef TREFOILHILL_PLATFORM_ERROR_H
+#define TREFOILHILL_PLATFORM_ERROR_H
+
+#include <glib.h>
+
+#define PLATFORM_ERROR (platform_error_quark())
+
+enum platform_error {
+	PLATFORM_ERROR_URL,
+	PLATFORM_ERROR_UNREACHABLE,
+	PLATFORM_ERROR_TIMEOUT,
+	PLATFORM_ERROR_STATUS,
+	PLATFORM_ERROR_TOO_LARGE,
+	PLATFORM_ERROR_ANSWER,
+};
+
+GQuark platform_error_quark(void);
+
+#endif
