--- a/tests/daemon/test_data_path.c
+++ b/tests/daemon/test_data_path.c
@@ -10,6 +10,7 @@
 	REMOTE = 2,
 	BOTH = 3,
 	FIVE_MIB = 5 * 1024 * 1024,
+	PAUSE_US = 600 * 1000, /* a guard lets nothing through after failures */
 	SIXTEEN_MIB = 16 * 1024 * 1024,
 };
 
@@ -158,6 +159,36 @@
 	fixture_close(fixture);
 }
 
+/*
+ * libcurl sends again by itself when a kept connection breaks before the
+ * first byte of the answer. What isn't idempotent must not run twice.
+ */
+static void
+test_broken_kept_connection_runs_once(void)
+{
+	struct fixture *fixture;
+	struct ask good = { .method = "POST", .path = "/size/1" };
+	struct ask breaks = { .method = "POST", .path = "/break/1" };
+	struct reply reply;
+
+	fixture = fixture_open(REMOTE);
+	good.upload = breaks.upload = 3;
+	reply = ask_with(fixture, &good);
+	CU_ASSERT_EQUAL(reply.status, 200);
+	reply = ask_with(fixture, &breaks);
+	CU_ASSERT_EQUAL(reply.status, 502);
+	CU_ASSERT_STRING_EQUAL(reply.outcome, "unknown");
+	CU_ASSERT_EQUAL(atomic_load(&fixture->upstreams[1].runs), 2);
+	breaks.upload = 0;
+	usleep(PAUSE_US);
+	reply = ask_with(fixture, &good);
+	CU_ASSERT_EQUAL(reply.status, 200);
+	reply = ask_with(fixture, &breaks);
+	CU_ASSERT_STRING_EQUAL(reply.outcome, "unknown");
+	CU_ASSERT_EQUAL(atomic_load(&fixture->upstreams[1].runs), 4);
+	fixture_close(fixture);
+}
+
 static void
 test_deadline_is_answered_at_once(void)
 {
@@ -360,6 +391,8 @@
 		    test_cut_answer_is_seen_by_caller },
 		{ "broken connection is unknown",
 		    test_broken_connection_is_unknown },
+		{ "broken kept connection runs once",
+		    test_broken_kept_connection_runs_once },
 		{ "deadline is answered at once",
 		    test_deadline_is_answered_at_once },
 		{ "deadline is passed on to upstream",
