--- a/include/mesh/mesh_private.h
+++ b/include/mesh/mesh_private.h
@@ -120,6 +120,7 @@
 	int64_t ask_wait_ms;
 	bool first_asked;
 	struct timespec last_ready_answer;
+	bool peer_answered;
 	bool ready_peer; /* a ready peer answered */
 	bool given;      /* the state held came from a peer */
 	uint64_t floor;  /* no lower version may be served */
--- a/tests/mesh/test_mesh.c
+++ b/tests/mesh/test_mesh.c
@@ -82,12 +82,42 @@
 	spread(SPREAD_POLL, 3000);
 }
 
+/* Cut off from all peers, before a platform that is stale: wait. */
+static void
+test_unanswered_joiner_waits(void)
+{
+	struct net_settings settings = {
+		.nodes = 12, .seed = 4, .policy = SPREAD_TREE, .seeds = 3
+	};
+	struct net *net = g_new(struct net, 1);
+
+	net_init(net, &settings);
+	net_publish_fleet(net, 0);
+	net_start_all(net);
+	CU_ASSERT(net_run_settled(net, 5000) >= 0);
+	net_publish_change(net);
+	CU_ASSERT(net_run_settled(net, 5000) >= 0);
+	net->source.stale_at = 1;
+	net_kill(net, 7);
+	net_cut_node(net, 7, true, true);
+	net_start(net, 7);
+	net_run(net, 60000);
+	CU_ASSERT_EQUAL(mesh_state(net->nodes[7].mesh), MESH_JOINING);
+	net_heal_links(net);
+	CU_ASSERT(net_run_settled(net, 5000) >= 0);
+	assert_sound(net);
+	net_release(net);
+	g_free(net);
+}
+
 int
 main(void)
 {
 	static const struct test_case cases[] = {
 		{ "a cold fleet comes up", test_cold_start },
 		{ "a change is in force everywhere", test_spread },
+		{ "a joiner that no peer answers waits",
+		    test_unanswered_joiner_waits },
 		{ NULL, NULL },
 	};
 
