--- a/include/mesh/mesh_private.h
+++ b/include/mesh/mesh_private.h
@@ -208,6 +208,7 @@
 
 /* reading.c */
 void mesh_reading_tick(struct mesh *mesh);
+void mesh_reading_restart(struct mesh *mesh);
 bool mesh_reading_beats(const struct mesh *mesh);
 
 #endif
--- a/mesh/answer.c
+++ b/mesh/answer.c
@@ -113,7 +113,7 @@
 
 /*
  * Send one part of a whole accepted state. A joiner has none to give, and
- * few transfers begin in a second; who has to wait gets other peers instead.
+ * the bytes of a second are bounded; who has to wait gets other peers instead.
  */
 void
 mesh_answer_state_pull(struct mesh *mesh, const struct mesh_message *message)
@@ -124,7 +124,7 @@
 
 	if (mesh->state != MESH_READY ||
 	    (pull->offset == 0 &&
-		!handover_begin(&mesh->handover, mesh->now))) {
+		!handover_may_begin(&mesh->handover, mesh->now))) {
 		counter_add(&mesh->counters, MESH_COUNTER_HANDOVER_BUSY, 1);
 		send_welcome(mesh, message, pull->request);
 		return;
--- a/mesh/reading.c
+++ b/mesh/reading.c
@@ -155,6 +155,16 @@
 	return is_wanted_reader(mesh) && mesh->settings.policy != SPREAD_POLL;
 }
 
+/*
+ * Forget what was drawn while joining: a ready node reads by other rules.
+ */
+void
+mesh_reading_restart(struct mesh *mesh)
+{
+	set_mode(mesh, READ_NONE);
+	mesh->reading.scheduled = false;
+}
+
 /* Milliseconds until the next single read of this node. */
 static int64_t
 draw_wait_ms(struct mesh *mesh)
