--- a/mesh/handover.c
+++ b/mesh/handover.c
@@ -17,18 +17,20 @@
 }
 
 /*
- * Tell whether one more transfer may begin now. The bytes are bounded for
- * each second, so that a herd of joiners spreads over the nodes that have a
- * state already.
+ * Tell whether one more transfer may begin now. Few begin in each second, so
+ * that a herd of joiners spreads over the nodes that have a state already.
  */
 bool
-handover_may_begin(struct handover *handover, struct timespec now)
+handover_begin(struct handover *handover, struct timespec now)
 {
 	if (timespec_ms_between(handover->window, now) >= MS_PER_S) {
 		handover->window = now;
-		handover->window_bytes = 0;
+		handover->starts = 0;
 	}
-	return handover->window_bytes < HANDOVER_BYTES_PER_S;
+	if (handover->starts >= HANDOVER_STARTS_PER_S)
+		return false;
+	handover->starts++;
+	return true;
 }
 
 static bool
@@ -63,19 +65,16 @@
 
 /*
  * Fill in the part at an offset; its bytes are a reference that the caller
- * drops. False when the offset is beyond the state's end. The first part
- * counts for the whole transfer.
+ * drops. False when the offset is beyond the state's end.
  */
 bool
-handover_part(
-    struct handover *handover, uint64_t offset, struct mesh_state_part *part)
+handover_part(const struct handover *handover, uint64_t offset,
+    struct mesh_state_part *part)
 {
 	size_t total = g_bytes_get_size(handover->bytes);
 
 	if (offset > total)
 		return false;
-	if (offset == 0)
-		handover->window_bytes += total;
 	part->id = handover->id;
 	part->total = total;
 	part->offset = offset;
--- a/route/choice.c
+++ b/route/choice.c
@@ -80,7 +80,7 @@
 		counter_add(&chooser->counters, CHOICE_REFUSED_NO_SERVICE, 1);
 		return false;
 	}
-	peer_table_enter(chooser->peers);
+	rcu_read_lock();
 	if (chooser_pick_index(chooser, request, service, rng, &index)) {
 		found = true;
 		choice->upstream = service->upstreams[index];
@@ -89,7 +89,7 @@
 		if (peer != NULL)
 			choice->known = hint_cell_read(&peer->hint).hint;
 	}
-	peer_table_leave(chooser->peers);
+	rcu_read_unlock();
 	return found;
 }
 
@@ -99,9 +99,9 @@
 void
 chooser_begin(struct chooser *chooser, struct str upstream)
 {
-	peer_table_enter(chooser->peers);
+	rcu_read_lock();
 	atomic_fetch_add(&peer_table_get(chooser->peers, upstream)->own, 1);
-	peer_table_leave(chooser->peers);
+	rcu_read_unlock();
 }
 
 /*
@@ -115,14 +115,14 @@
 	struct peer *peer;
 	uint_fast32_t own = 0;
 
-	peer_table_enter(chooser->peers);
+	rcu_read_lock();
 	peer = peer_table_find(chooser->peers, upstream);
 	if (peer != NULL)
 		own = atomic_load(&peer->own);
 	while (
 	    own > 0 && !atomic_compare_exchange_weak(&peer->own, &own, own - 1))
 		;
-	peer_table_leave(chooser->peers);
+	rcu_read_unlock();
 }
 
 /*
@@ -139,13 +139,13 @@
 
 	if (hint->incarnation == 0)
 		return;
-	peer_table_enter(chooser->peers);
+	rcu_read_lock();
 	peer = peer_table_get(chooser->peers, upstream);
 	view.own = (uint32_t)atomic_load(&peer->own);
 	newer = hint_cell_write(&peer->hint, &view);
 	atomic_store(&peer->lost, 0);
 	atomic_store(&peer->until_ms, 0);
-	peer_table_leave(chooser->peers);
+	rcu_read_unlock();
 	counter_add(&chooser->counters,
 	    newer ? CHOICE_HINT_LEARNED : CHOICE_HINT_OLD, 1);
 }
@@ -162,14 +162,14 @@
 	uint_fast32_t times;
 	int64_t avoid_ms;
 
-	peer_table_enter(chooser->peers);
+	rcu_read_lock();
 	peer = peer_table_get(chooser->peers, upstream);
 	times = atomic_fetch_add(&peer->lost, 1);
 	avoid_ms = (int64_t)LOST_FIRST_MS << MIN(times, LOST_SHIFT_MAX);
 	atomic_store(&peer->until_ms,
 	    chooser_now_ms(chooser) + MIN(avoid_ms, LOST_MAX_MS));
 	hint_cell_clear(&peer->hint);
-	peer_table_leave(chooser->peers);
+	rcu_read_unlock();
 	counter_add(&chooser->counters, CHOICE_PEER_LOST, 1);
 }
 
