--- a/include/mesh/handover.h
+++ b/include/mesh/handover.h
@@ -10,7 +10,8 @@
 #include "mesh/message.h"
 
 enum {
-	HANDOVER_STARTS_PER_S = 4,
+	/* Of whole states that begin to be given; the last may go beyond. */
+	HANDOVER_BYTES_PER_S = 16 * 1024 * 1024,
 	HANDOVER_KEEP_MS = 2000, /* after the last part was asked for */
 	HANDOVER_AGE_MAX_MS = 20000,
 };
@@ -21,8 +22,8 @@
 	struct state_id id;
 	struct timespec made;
 	struct timespec used;
-	struct timespec window; /* in which starts are counted */
-	unsigned int starts;
+	struct timespec window; /* of the bytes that began to be given */
+	size_t window_bytes;
 };
 
 /* Taking side: one whole state arriving in parts. */
@@ -40,11 +41,11 @@
 };
 
 void handover_release(struct handover *handover);
-bool handover_begin(struct handover *handover, struct timespec now);
+bool handover_may_begin(struct handover *handover, struct timespec now);
 void handover_prepare(struct handover *handover, struct snapshot *snapshot,
     struct state_id want, bool exact, struct timespec now);
-bool handover_part(const struct handover *handover, uint64_t offset,
-    struct mesh_state_part *part);
+bool handover_part(
+    struct handover *handover, uint64_t offset, struct mesh_state_part *part);
 void handover_expire(struct handover *handover, struct timespec now);
 
 void intake_reset(struct intake *intake);
--- a/include/mesh/members.h
+++ b/include/mesh/members.h
@@ -10,7 +10,7 @@
 #include "config/snapshot.h"
 
 enum {
-	MEMBERS_KEEPERS = 3, /* hosts that remember what another announced */
+	MEMBERS_KEEPERS = 4, /* hosts that remember what another announced */
 	MEMBERS_ZONES_MAX = 256,
 };
 
--- a/include/mesh/mesh_private.h
+++ b/include/mesh/mesh_private.h
@@ -20,6 +20,7 @@
 	MESH_PULL_TIMEOUT_MS = 300,
 	MESH_PULL_GAPS_MAX = 2,
 	MESH_PULL_GRACE_MS = 30, /* a push may be under way */
+	MESH_PULL_BACK_OFF_MS = 100,
 	MESH_LATE_TICK_MS = 1000,
 	MESH_NEWS_TIMEOUT_MS = 5000,
 };
@@ -119,6 +120,7 @@
 	int64_t ask_wait_ms;
 	bool first_asked;
 	struct timespec last_ready_answer;
+	bool peer_answered;
 	bool ready_peer; /* a ready peer answered */
 	bool given;      /* the state held came from a peer */
 	uint64_t floor;  /* no lower version may be served */
@@ -206,6 +208,7 @@
 
 /* reading.c */
 void mesh_reading_tick(struct mesh *mesh);
+void mesh_reading_restart(struct mesh *mesh);
 bool mesh_reading_beats(const struct mesh *mesh);
 
 #endif
--- a/include/mesh/message.h
+++ b/include/mesh/message.h
@@ -76,7 +76,8 @@
 };
 
 struct mesh_welcome {
-	uint64_t floor; /* highest version that the joiner's host announced */
+	uint64_t request; /* of the state pull put off; 0: answers a join */
+	uint64_t floor;   /* highest version that the joiner's host announced */
 	struct mesh_node *peers;
 	size_t peer_count;
 };
--- a/include/mesh/read_budget.h
+++ b/include/mesh/read_budget.h
@@ -7,8 +7,11 @@
 #include "common/rng.h"
 
 enum {
-	/* All draws of a fleet together; the platform bears 2,000. */
-	READ_BUDGET_PER_S = 1000,
+	/*
+	 * Draws of a whole fleet; the platform bears 2,000 reads. Raw reads
+	 * are drawn beside the others, so both together take twice this.
+	 */
+	READ_BUDGET_PER_S = 700,
 	/* Taken as the fleet's size while a node does not know it. */
 	READ_BUDGET_FLEET_UNKNOWN = 16384,
 	READ_BUDGET_WINDOW_MIN_MS = 200,
@@ -17,6 +20,9 @@
 };
 
 int64_t read_budget_window_ms(size_t fleet_size, size_t reads);
-int64_t read_budget_draw_ms(struct rng *rng, size_t fleet_size, size_t reads);
+/* Wait before the first read, uniform over the window. */
+int64_t read_budget_first_ms(struct rng *rng, size_t fleet_size, size_t reads);
+/* Wait before each later one, about a window. */
+int64_t read_budget_next_ms(struct rng *rng, size_t fleet_size, size_t reads);
 
 #endif
--- a/include/route/chooser_state.h
+++ b/include/route/chooser_state.h
@@ -16,7 +16,7 @@
 };
 
 int64_t chooser_now_ms(const struct chooser *chooser);
-/* Apply the chooser's policy; under rcu_read_lock. */
+/* Apply the chooser's policy; between peer_table_enter and peer_table_leave. */
 bool chooser_pick_index(struct chooser *chooser,
     const struct choice_request *request, const struct service_view *service,
     struct rng *rng, size_t *index);
--- /dev/null
+++ b/include/trefoilhilld/call_table.h
@@ -0,0 +1,72 @@
+#ifndef TREFOILHILL_TREFOILHILLD_CALL_TABLE_H
+#define TREFOILHILL_TREFOILHILLD_CALL_TABLE_H
+
+#include <glib.h>
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/clock.h"
+#include "common/counter.h"
+#include "common/str.h"
+#include "wire/call.h"
+
+/* What an entry waits for: one slot for each worker that may call. */
+
+/* A frame that came for a call. */
+struct call_event {
+	struct call_frame *frame;
+	GBytes *body; /* may be NULL */
+};
+
+enum call_loss {
+	CALL_LOSS_NONE,
+	CALL_LOSS_NOT_SENT, /* the guard has certainly not seen it */
+	CALL_LOSS_PEER,     /* no word from the guard's node */
+	CALL_LOSS_GONE,     /* the guard's node doesn't know the call */
+	CALL_LOSS_PROTOCOL, /* more came than was granted */
+	CALL_LOSS_STOPPED,  /* this node stops */
+};
+
+struct call_slot {
+	pthread_mutex_t lock;
+	pthread_cond_t changed;
+	uint64_t index;
+	uint64_t generation;
+	uint64_t id;  /* 0: free */
+	char *peer;   /* node address; NULL: this host */
+	GQueue inbox; /* struct call_event * */
+	size_t inbox_bytes;
+	enum call_loss loss;
+	struct timespec begun;
+	struct timespec heard;
+};
+
+struct call_table;
+
+struct call_table *call_table_new(struct clock *clock, size_t slots);
+void call_table_free(struct call_table *table);
+struct call_slot *call_table_slot(struct call_table *table, size_t index);
+/* Frame and body are taken over; false: no call waits for it. */
+bool call_table_deliver(
+    struct call_table *table, struct call_frame *frame, GBytes *body);
+void call_table_fail(
+    struct call_table *table, uint64_t id, enum call_loss loss);
+void call_table_fail_all(struct call_table *table, enum call_loss loss);
+void call_table_mark_heard(struct call_table *table, uint64_t id);
+/*
+ * Fail calls without a word for lost_ms and return the others to peers that
+ * are older than min_age_ms: node address to GArray of uint64_t.
+ */
+GHashTable *call_table_sweep(
+    struct call_table *table, int64_t min_age_ms, int64_t lost_ms);
+
+uint64_t call_slot_begin(
+    struct call_slot *slot, struct clock *clock, struct str peer);
+/* Next frame; NULL with a loss, or with CALL_LOSS_NONE at the deadline. */
+struct call_event *call_slot_wait(
+    struct call_slot *slot, struct timespec deadline, enum call_loss *loss);
+void call_slot_end(struct call_slot *slot);
+void call_event_free(struct call_event *event);
+
+#endif
--- /dev/null
+++ b/include/trefoilhilld/caller_entry.h
@@ -0,0 +1,98 @@
+#ifndef TREFOILHILL_TREFOILHILLD_CALLER_ENTRY_H
+#define TREFOILHILL_TREFOILHILLD_CALLER_ENTRY_H
+
+#include <glib.h>
+#include <stdatomic.h>
+#include <stdbool.h>
+
+#include "trefoilhilld/answer_error.h"
+#include "trefoilhilld/call_link.h"
+#include "trefoilhilld/call_table.h"
+#include "trefoilhilld/data_path.h"
+#include "trefoilhilld/entry_answer.h"
+#include "trefoilhilld/entry_request.h"
+
+/* Where callers come in. */
+
+enum entry_counter {
+	ENTRY_REQUESTS,
+	ENTRY_CROWDED,
+	ENTRY_ANSWERED,
+	ENTRY_NOT_RUN,
+	ENTRY_UNKNOWN,
+	ENTRY_CUT,
+	ENTRY_CALLER_GONE,
+	ENTRY_RETRIES,
+	ENTRY_FENCED,
+	ENTRY_LOCAL_CALLS,
+	ENTRY_REMOTE_CALLS,
+	ENTRY_LATE_FRAMES,
+	ENTRY_REJECTED_FRAMES,
+	ENTRY_PEERS_LOST,
+	ENTRY_COUNTER_COUNT,
+};
+
+/* Shared by all workers; fixed once the entry has started. */
+struct caller_entry {
+	struct data_path_env env;
+	char *host;
+	char *listen;
+	uint32_t workers;
+	uint32_t default_timeout_ms;
+	uint64_t incarnation;
+	struct frame_sink local; /* this host's call service */
+	bool has_local;
+	struct call_table *table;
+	struct rng **rngs; /* one a worker */
+	atomic_uint next_worker;
+	atomic_uint running;
+	atomic_uint connections;
+	atomic_bool ready;
+	atomic_bool draining;
+	struct counter_set counters;
+	struct mg_context *server;
+};
+
+struct caller_entry *caller_entry_new(
+    const struct data_path_settings *settings, const struct data_path_env *env);
+void caller_entry_free(struct caller_entry *entry);
+int caller_entry_start(struct caller_entry *entry, GError **error);
+void caller_entry_stop(struct caller_entry *entry);
+
+/* One request from its route to the end of its answer; entry_call.c. */
+struct entry_call {
+	struct caller_entry *entry;
+	struct entry_request *request;
+	struct entry_answer *answer;
+	struct call_slot *slot;
+	struct rng *rng;
+	struct snapshot *snapshot;
+	struct choice_request choice_request;
+	struct timespec deadline;
+	bool may_have_run; /* by an earlier try */
+	uint32_t fenced;   /* OPENs that the guard's fence refused */
+	uint32_t opens;    /* OPEN frames sent so far */
+	uint32_t attempt;  /* upstreams tried so far */
+	uint32_t attempts_max;
+};
+
+void entry_call_run(struct entry_call *call);
+
+/* One OPEN and what comes of it; entry_exchange.c. */
+enum exchange_end {
+	EXCHANGE_DONE,  /* answered, whole or cut */
+	EXCHANGE_ERROR, /* no answer begun */
+};
+
+/* Of EXCHANGE_ERROR. */
+struct exchange_result {
+	struct answer_error error;
+	enum attempt_end end;
+	bool has_hint;
+	struct guard_hint hint; /* the guard's last word */
+};
+
+enum exchange_end entry_exchange_run(struct entry_call *call,
+    const struct choice *choice, struct exchange_result *result);
+
+#endif
--- a/include/trefoilhilld/guard_gate.h
+++ b/include/trefoilhilld/guard_gate.h
@@ -35,7 +35,7 @@
     enum refusal_reason *reason);
 bool guard_gate_confirm(
     struct guard_gate *gate, uint64_t ticket, enum refusal_reason *reason);
-void guard_gate_cancel(struct guard_gate *gate, uint64_t ticket);
+bool guard_gate_cancel(struct guard_gate *gate, uint64_t ticket);
 void guard_gate_complete(struct guard_gate *gate, uint64_t ticket,
     enum guard_outcome outcome, uint32_t latency_us);
 bool guard_gate_is_idle(struct guard_gate *gate);
--- /dev/null
+++ b/include/trefoilhilld/header_filter.h
@@ -0,0 +1,13 @@
+#ifndef TREFOILHILL_TREFOILHILLD_HEADER_FILTER_H
+#define TREFOILHILL_TREFOILHILLD_HEADER_FILTER_H
+
+#include <stdbool.h>
+
+#include "wire/call.h"
+
+bool header_name_equal(struct str a, struct str b);
+bool header_is_dropped(struct str name);
+bool header_list_has(struct str list, struct str token);
+void header_filter_hop(struct call_headers *headers);
+
+#endif
--- a/include/wire/call.h
+++ b/include/wire/call.h
@@ -65,7 +65,8 @@
 	struct str target;
 	struct call_headers headers;
 	uint32_t timeout_ms;
-	uint32_t attempt;
+	uint32_t attempt; /* number of this OPEN of the request */
+	uint32_t retry;   /* try of the request, the callers' included */
 	bool idempotent;
 	uint64_t guard_incarnation;
 	uint64_t guard_tick;
--- a/include/wire/outgoing.h
+++ b/include/wire/outgoing.h
@@ -2,6 +2,7 @@
 #define TREFOILHILL_WIRE_OUTGOING_H
 
 #include <glib.h>
+#include <stdatomic.h>
 #include <stdbool.h>
 #include <stdint.h>
 #include <urcu/wfcqueue.h>
@@ -11,7 +12,8 @@
 /* One frame on its way to the transport's thread. */
 struct outgoing {
 	struct cds_wfcq_node node;
-	char *address; /* NULL: an answer along origin */
+	atomic_bool published; /* set before it can be taken off the queue */
+	char *address;         /* NULL: an answer along origin */
 	struct frame_origin origin;
 	enum frame_class class;
 	GBytes *head;
--- a/mesh/answer.c
+++ b/mesh/answer.c
@@ -85,15 +85,14 @@
 	return count;
 }
 
-/*
- * Answer a joiner: the floor that its host has here, and peers to ask.
- */
-void
-mesh_answer_join(struct mesh *mesh, const struct mesh_message *message)
+static void
+send_welcome(
+    struct mesh *mesh, const struct mesh_message *message, uint64_t request)
 {
 	struct mesh_node peers[MESH_WELCOME_PEERS_MAX];
 	struct mesh_message answer = mesh_message_begin(mesh, MESH_WELCOME);
 
+	answer.welcome.request = request;
 	answer.welcome.floor =
 	    peer_table_floor(&mesh->peers, message->sender.host);
 	answer.welcome.peers = peers;
@@ -103,9 +102,18 @@
 	mesh_send(mesh, message->sender.address, &answer);
 }
 
+/*
+ * Answer a joiner: the floor that its host has here, and peers to ask.
+ */
+void
+mesh_answer_join(struct mesh *mesh, const struct mesh_message *message)
+{
+	send_welcome(mesh, message, 0);
+}
+
 /*
  * Send one part of a whole accepted state. A joiner has none to give, and
- * few transfers begin in a second; who has to wait gets other peers instead.
+ * the bytes of a second are bounded; who has to wait gets other peers instead.
  */
 void
 mesh_answer_state_pull(struct mesh *mesh, const struct mesh_message *message)
@@ -116,9 +124,9 @@
 
 	if (mesh->state != MESH_READY ||
 	    (pull->offset == 0 &&
-		!handover_begin(&mesh->handover, mesh->now))) {
+		!handover_may_begin(&mesh->handover, mesh->now))) {
 		counter_add(&mesh->counters, MESH_COUNTER_HANDOVER_BUSY, 1);
-		mesh_answer_join(mesh, message);
+		send_welcome(mesh, message, pull->request);
 		return;
 	}
 	handover_prepare(&mesh->handover, mesh->snapshot, pull->want,
--- a/mesh/handover.c
+++ b/mesh/handover.c
@@ -17,20 +17,18 @@
 }
 
 /*
- * Tell whether one more transfer may begin now. Few begin in each second, so
- * that a herd of joiners spreads over the nodes that have a state already.
+ * Tell whether one more transfer may begin now. The bytes are bounded for
+ * each second, so that a herd of joiners spreads over the nodes that have a
+ * state already.
  */
 bool
-handover_begin(struct handover *handover, struct timespec now)
+handover_may_begin(struct handover *handover, struct timespec now)
 {
 	if (timespec_ms_between(handover->window, now) >= MS_PER_S) {
 		handover->window = now;
-		handover->starts = 0;
+		handover->window_bytes = 0;
 	}
-	if (handover->starts >= HANDOVER_STARTS_PER_S)
-		return false;
-	handover->starts++;
-	return true;
+	return handover->window_bytes < HANDOVER_BYTES_PER_S;
 }
 
 static bool
@@ -65,16 +63,19 @@
 
 /*
  * Fill in the part at an offset; its bytes are a reference that the caller
- * drops. False when the offset is beyond the state's end.
+ * drops. False when the offset is beyond the state's end. The first part
+ * counts for the whole transfer.
  */
 bool
-handover_part(const struct handover *handover, uint64_t offset,
-    struct mesh_state_part *part)
+handover_part(
+    struct handover *handover, uint64_t offset, struct mesh_state_part *part)
 {
 	size_t total = g_bytes_get_size(handover->bytes);
 
 	if (offset > total)
 		return false;
+	if (offset == 0)
+		handover->window_bytes += total;
 	part->id = handover->id;
 	part->total = total;
 	part->offset = offset;
--- a/mesh/join.c
+++ b/mesh/join.c
@@ -62,15 +62,29 @@
 		    mesh->env.rng, (uint64_t)joining->ask_wait_ms));
 }
 
-/* A state that came from a peer, or the platform's up to its head. */
+/* No other node is known, so that none can know a floor. */
+static bool
+is_alone(const struct mesh *mesh)
+{
+	return mesh_fleet_size(mesh) <= 1 && mesh->listed_hosts <= 1 &&
+	    mesh->contacts.count == 0;
+}
+
+/*
+ * A state that came from a peer, or the platform's up to its head. The
+ * platform may be stale, so that its word alone does not do while there are
+ * peers and none of them answers.
+ */
 static bool
 has_whole_state(const struct mesh *mesh)
 {
 	const struct reading *reading = &mesh->reading;
 
-	return mesh->joining.given ||
-	    (reading->answered && !reading->compacted &&
-		snapshot_id(mesh->snapshot).version >= reading->head);
+	if (mesh->joining.given)
+		return true;
+	return (mesh->joining.peer_answered || is_alone(mesh)) &&
+	    reading->answered && !reading->compacted &&
+	    snapshot_id(mesh->snapshot).version >= reading->head;
 }
 
 static void
@@ -155,6 +169,7 @@
 	if (mesh->state != MESH_JOINING)
 		return;
 	joining->floor = MAX(joining->floor, welcome->floor);
+	joining->peer_answered = true;
 	note_keeper(mesh, message->sender.host);
 	if (!message->ready)
 		return;
--- a/mesh/members.c
+++ b/mesh/members.c
@@ -53,42 +53,80 @@
 	}
 }
 
-/*
- * The keepers of a host are the first hosts of its zone in an order salted
- * by its own name, so that both it and its successor find them.
- */
-static void
-members_refresh_keepers(struct members *members)
+/* The first of some hosts in an order salted by this host's name. */
+static size_t
+first_hosts(const struct members *members, struct record *const *hosts,
+    size_t count, const struct record **out, size_t out_max)
 {
 	struct rendezvous_score best[MEMBERS_KEEPERS];
+	size_t found = 0;
 
-	members->keeper_count = 0;
-	for (size_t i = 0; i < members->host_count; i++) {
-		const struct record *host = members->hosts[i];
+	for (size_t i = 0; i < count; i++) {
 		struct rendezvous_score score =
-		    rendezvous_score(members->host, 0, host->name);
-		size_t at = members->keeper_count;
+		    rendezvous_score(members->host, 0, hosts[i]->name);
+		size_t at = found;
 
-		if (str_equal(host->name, members->host))
+		if (str_equal(hosts[i]->name, members->host))
 			continue;
 		while (at > 0 && rendezvous_before(score, best[at - 1]))
 			at--;
-		if (at == MEMBERS_KEEPERS)
+		if (at == out_max)
 			continue;
-		if (members->keeper_count < MEMBERS_KEEPERS)
-			members->keeper_count++;
-		for (size_t j = members->keeper_count - 1; j > at; j--) {
+		found = found < out_max ? found + 1 : out_max;
+		for (size_t j = found - 1; j > at; j--) {
 			best[j] = best[j - 1];
-			members->keepers[j] = members->keepers[j - 1];
+			out[j] = out[j - 1];
 		}
 		best[at] = score;
-		members->keepers[at] = host;
+		out[at] = hosts[i];
+	}
+	return found;
+}
+
+static struct record *const *
+first_other_zone(const struct members *members, size_t *count)
+{
+	struct rendezvous_score best = { 0 };
+	struct record *const *first = NULL;
+
+	*count = 0;
+	for (size_t i = 0; i < members->other_zone_count; i++) {
+		struct rendezvous_score score =
+		    rendezvous_score(members->host, 0, members->other_zones[i]);
+		size_t host_count;
+		struct record *const *hosts = snapshot_zone_hosts(
+		    members->snapshot, members->other_zones[i], &host_count);
+
+		if (host_count == 0 ||
+		    (first != NULL && !rendezvous_before(score, best)))
+			continue;
+		best = score;
+		first = hosts;
+		*count = host_count;
 	}
+	return first;
+}
+
+/*
+ * The keepers of a host come from an order salted by its own name, so that
+ * both it and its successor find them: some of its zone, and one of another,
+ * which still remembers when the whole zone is restarted.
+ */
+static void
+members_refresh_keepers(struct members *members)
+{
+	size_t count;
+	struct record *const *elsewhere = first_other_zone(members, &count);
+
+	members->keeper_count = first_hosts(members, members->hosts,
+	    members->host_count, members->keepers, MEMBERS_KEEPERS - 1);
+	members->keeper_count += first_hosts(members, elsewhere, count,
+	    members->keepers + members->keeper_count, 1);
 }
 
 /*
  * Work out the view anew for a snapshot; takes time proportional to the
- * zone's hosts. The snapshot must outlive its use here.
+ * hosts of two zones. The snapshot must outlive its use here.
  */
 void
 members_refresh(struct members *members, const struct snapshot *snapshot)
--- a/mesh/mesh.c
+++ b/mesh/mesh.c
@@ -82,6 +82,7 @@
 void
 mesh_become_ready(struct mesh *mesh)
 {
+	mesh_reading_restart(mesh);
 	mesh->state = MESH_READY;
 	mesh->last_news = mesh->now;
 	mesh->heartbeat_next = mesh->now;
--- a/mesh/platform_answer.c
+++ b/mesh/platform_answer.c
@@ -1,6 +1,7 @@
 #include "mesh/mesh_private.h"
 
 enum {
+	MS_PER_S = 1000,
 	EMPTY_ANSWER_MS = 100,
 	STALE_ANSWER_MS = 1000,
 };
@@ -25,6 +26,20 @@
 	reading->scheduled = false;
 }
 
+/*
+ * Least time between two watches of one reader, so that all readers together
+ * keep to the budget when changes come fast. The next answer then holds
+ * several of them.
+ */
+static int64_t
+watch_spacing_ms(const struct mesh *mesh)
+{
+	size_t zones = mesh->members.other_zone_count + 1;
+	size_t readers = zones * mesh->settings.readers_per_zone;
+
+	return (int64_t)(readers * MS_PER_S / READ_BUDGET_PER_S);
+}
+
 /*
  * Take an answer to a read or a watch: publications in rising order, and the
  * platform's head. A head below the version held is a stale answer and
@@ -52,10 +67,13 @@
 		reading->next = timespec_plus_ms(mesh->now,
 		    STALE_ANSWER_MS / 2 +
 			(int64_t)rng_below(mesh->env.rng, STALE_ANSWER_MS));
-	else if (version == before)
-		reading->next = timespec_plus_ms(mesh->now, EMPTY_ANSWER_MS);
+	else if (kind == PLATFORM_WATCH_CHANGES)
+		reading->next = timespec_plus_ms(reading->opened[kind],
+		    version == before ? EMPTY_ANSWER_MS
+				      : watch_spacing_ms(mesh));
 	/* The answer was cut: go on at once. */
-	if (version < head && version > before) {
+	if (version < head && version > before &&
+	    kind != PLATFORM_WATCH_CHANGES) {
 		reading->next = mesh->now;
 		reading->scheduled = true;
 	}
--- a/mesh/pull.c
+++ b/mesh/pull.c
@@ -112,7 +112,8 @@
 	const struct ahead *best = NULL;
 
 	ahead_prune(mesh);
-	if (pulling->open || pulling->ahead_count == 0)
+	if (pulling->open || pulling->ahead_count == 0 ||
+	    timespec_before(mesh->now, pulling->due))
 		return;
 	for (size_t i = 0; i < pulling->ahead_count; i++)
 		if (best == NULL ||
@@ -129,6 +130,16 @@
 		send_pull(mesh);
 }
 
+/* Peers that put this node off are not asked again at once. */
+static void
+pull_back_off(struct mesh *mesh)
+{
+	int64_t wait = MESH_PULL_BACK_OFF_MS / 2 +
+	    (int64_t)rng_below(mesh->env.rng, MESH_PULL_BACK_OFF_MS);
+
+	mesh->pulling.due = timespec_plus_ms(mesh->now, wait);
+}
+
 /* The peer asked was of no help: go on with another one. */
 static void
 pull_fail(struct mesh *mesh)
@@ -143,6 +154,7 @@
 pull_end(struct mesh *mesh, struct state_id before)
 {
 	if (state_id_compare(snapshot_id(mesh->snapshot), before) == 0) {
+		pull_back_off(mesh);
 		pull_fail(mesh);
 		return;
 	}
@@ -187,8 +199,7 @@
 		pull_fail(mesh);
 		return;
 	}
-	if (!timespec_before(mesh->now, pulling->due))
-		pull_start(mesh);
+	pull_start(mesh);
 }
 
 /*
@@ -297,7 +308,9 @@
 {
 	struct pulling *pulling = &mesh->pulling;
 
-	if (pulling->open && pulling->whole &&
-	    str_equal(pulling->address, message->sender.address))
-		pull_fail(mesh);
+	if (!pulling->open || !pulling->whole ||
+	    message->welcome.request != pulling->request)
+		return;
+	pull_back_off(mesh);
+	pull_fail(mesh);
 }
--- a/mesh/read_budget.c
+++ b/mesh/read_budget.c
@@ -4,6 +4,8 @@
 
 enum {
 	MS_PER_S = 1000,
+	/* Part of the window by which later reads move either way. */
+	JITTER_SHARE = 8,
 };
 
 /*
@@ -22,12 +24,27 @@
 }
 
 /*
- * Draw the time to wait before one node's read: uniform over the window.
+ * Draw the time in milliseconds until one node's first read: uniform over
+ * the window, so that nodes that begin together spread over it.
  */
 int64_t
-read_budget_draw_ms(struct rng *rng, size_t fleet_size, size_t reads)
+read_budget_first_ms(struct rng *rng, size_t fleet_size, size_t reads)
 {
 	int64_t window = read_budget_window_ms(fleet_size, reads);
 
 	return (int64_t)rng_below(rng, (uint64_t)window);
 }
+
+/*
+ * Draw the time in milliseconds until one node's next read, after it has
+ * read: a window, give or take an eighth. The first reads are spread evenly,
+ * and so are the later ones.
+ */
+int64_t
+read_budget_next_ms(struct rng *rng, size_t fleet_size, size_t reads)
+{
+	int64_t window = read_budget_window_ms(fleet_size, reads);
+
+	return window - window / JITTER_SHARE +
+	    (int64_t)rng_below(rng, (uint64_t)(2 * window / JITTER_SHARE));
+}
--- a/mesh/reading.c
+++ b/mesh/reading.c
@@ -139,29 +139,50 @@
 	    mesh->settings.zone);
 }
 
+static int64_t
+urgent_wait_ms(struct mesh *mesh)
+{
+	int64_t pause = mesh->reading.failures > 0 ? WANTED_RETRY_MS : 0;
+
+	return pause + (int64_t)rng_below(mesh->env.rng, URGENT_WINDOW_MS);
+}
+
+static bool
+is_urgent(const struct mesh *mesh)
+{
+	if (mesh->state == MESH_JOINING)
+		return is_urgent_joiner(mesh);
+	return is_wanted_reader(mesh) && mesh->settings.policy != SPREAD_POLL;
+}
+
+/*
+ * Forget what was drawn while joining: a ready node reads by other rules.
+ */
+void
+mesh_reading_restart(struct mesh *mesh)
+{
+	set_mode(mesh, READ_NONE);
+	mesh->reading.scheduled = false;
+}
+
 /* Milliseconds until the next single read of this node. */
 static int64_t
 draw_wait_ms(struct mesh *mesh)
 {
 	const struct reading *reading = &mesh->reading;
+	size_t reads = mesh->state == MESH_JOINING ? JOIN_READS : 1;
+	size_t fleet = mesh_fleet_size(mesh);
 	struct rng *rng = mesh->env.rng;
-	int64_t wait;
 
-	if (mesh->state == MESH_JOINING && is_urgent_joiner(mesh))
-		return (reading->failures > 0 ? WANTED_RETRY_MS : 0) +
-		    (int64_t)rng_below(rng, URGENT_WINDOW_MS);
-	if (mesh->state == MESH_JOINING)
-		return read_budget_draw_ms(
-		    rng, mesh_fleet_size(mesh), JOIN_READS);
-	if (is_wanted_reader(mesh) && mesh->settings.policy != SPREAD_POLL)
-		return (reading->failures > 0 ? WANTED_RETRY_MS : 0) +
-		    (int64_t)rng_below(rng, URGENT_WINDOW_MS);
-	wait = MAX(
-	    read_budget_window_ms(mesh_fleet_size(mesh), 1), POLL_PERIOD_MS);
-	/* The first of a herd may come at once, the next after a window. */
+	if (is_urgent(mesh))
+		return urgent_wait_ms(mesh);
 	if (reading->failures == 0 && !reading->answered)
-		return (int64_t)rng_below(rng, (uint64_t)wait);
-	return wait / 2 + (int64_t)rng_below(rng, (uint64_t)wait);
+		return read_budget_first_ms(rng, fleet, reads);
+	if (mesh->state == MESH_READY &&
+	    read_budget_window_ms(fleet, reads) < POLL_PERIOD_MS)
+		return POLL_PERIOD_MS / 2 +
+		    (int64_t)rng_below(rng, POLL_PERIOD_MS);
+	return read_budget_next_ms(rng, fleet, reads);
 }
 
 static void
@@ -222,7 +243,7 @@
 	if (!reading->raw_scheduled) {
 		wait = hurry
 		    ? (int64_t)rng_below(mesh->env.rng, URGENT_WINDOW_MS)
-		    : read_budget_draw_ms(mesh->env.rng, mesh_fleet_size(mesh),
+		    : read_budget_first_ms(mesh->env.rng, mesh_fleet_size(mesh),
 			  READ_BUDGET_RAW_READS);
 		reading->raw_scheduled = true;
 		reading->raw_next = timespec_plus_ms(mesh->now, wait);
--- a/route/choice.c
+++ b/route/choice.c
@@ -80,7 +80,7 @@
 		counter_add(&chooser->counters, CHOICE_REFUSED_NO_SERVICE, 1);
 		return false;
 	}
-	rcu_read_lock();
+	peer_table_enter(chooser->peers);
 	if (chooser_pick_index(chooser, request, service, rng, &index)) {
 		found = true;
 		choice->upstream = service->upstreams[index];
@@ -89,7 +89,7 @@
 		if (peer != NULL)
 			choice->known = hint_cell_read(&peer->hint).hint;
 	}
-	rcu_read_unlock();
+	peer_table_leave(chooser->peers);
 	return found;
 }
 
@@ -99,9 +99,9 @@
 void
 chooser_begin(struct chooser *chooser, struct str upstream)
 {
-	rcu_read_lock();
+	peer_table_enter(chooser->peers);
 	atomic_fetch_add(&peer_table_get(chooser->peers, upstream)->own, 1);
-	rcu_read_unlock();
+	peer_table_leave(chooser->peers);
 }
 
 /*
@@ -115,14 +115,14 @@
 	struct peer *peer;
 	uint_fast32_t own = 0;
 
-	rcu_read_lock();
+	peer_table_enter(chooser->peers);
 	peer = peer_table_find(chooser->peers, upstream);
 	if (peer != NULL)
 		own = atomic_load(&peer->own);
 	while (
 	    own > 0 && !atomic_compare_exchange_weak(&peer->own, &own, own - 1))
 		;
-	rcu_read_unlock();
+	peer_table_leave(chooser->peers);
 }
 
 /*
@@ -139,13 +139,13 @@
 
 	if (hint->incarnation == 0)
 		return;
-	rcu_read_lock();
+	peer_table_enter(chooser->peers);
 	peer = peer_table_get(chooser->peers, upstream);
 	view.own = (uint32_t)atomic_load(&peer->own);
 	newer = hint_cell_write(&peer->hint, &view);
 	atomic_store(&peer->lost, 0);
 	atomic_store(&peer->until_ms, 0);
-	rcu_read_unlock();
+	peer_table_leave(chooser->peers);
 	counter_add(&chooser->counters,
 	    newer ? CHOICE_HINT_LEARNED : CHOICE_HINT_OLD, 1);
 }
@@ -162,14 +162,14 @@
 	uint_fast32_t times;
 	int64_t avoid_ms;
 
-	rcu_read_lock();
+	peer_table_enter(chooser->peers);
 	peer = peer_table_get(chooser->peers, upstream);
 	times = atomic_fetch_add(&peer->lost, 1);
 	avoid_ms = (int64_t)LOST_FIRST_MS << MIN(times, LOST_SHIFT_MAX);
 	atomic_store(&peer->until_ms,
 	    chooser_now_ms(chooser) + MIN(avoid_ms, LOST_MAX_MS));
 	hint_cell_clear(&peer->hint);
-	rcu_read_unlock();
+	peer_table_leave(chooser->peers);
 	counter_add(&chooser->counters, CHOICE_PEER_LOST, 1);
 }
 
--- a/route/peer_table.c
+++ b/route/peer_table.c
@@ -6,13 +6,43 @@
 #include "route/peer_table.h"
 
 enum {
-	BUCKETS = 4096, /* of a fixed number, a power of two */
+	BUCKETS = 256, /* of a fixed number, a power of two */
 };
 
 struct peer_table {
 	struct cds_lfht *hash;
 };
 
+/*
+ * The thread sanitizer does not see the barriers of a library that was built
+ * without it. Say where they are; empty in every other build.
+ */
+#ifdef __SANITIZE_THREAD__
+#include <sanitizer/tsan_interface.h>
+
+static void
+annotate_leave(struct peer_table *table)
+{
+	__tsan_release(table);
+}
+
+static void
+annotate_all_left(struct peer_table *table)
+{
+	__tsan_acquire(table);
+}
+#else
+static void
+annotate_leave(struct peer_table *table)
+{
+}
+
+static void
+annotate_all_left(struct peer_table *table)
+{
+}
+#endif
+
 static unsigned long
 hash_name(struct str name)
 {
@@ -22,8 +52,10 @@
 static int
 peer_matches(struct cds_lfht_node *node, const void *key)
 {
-	const struct peer *peer = caa_container_of(node, struct peer, node);
+	struct peer *peer = caa_container_of(node, struct peer, node);
 
+	if (!atomic_load_explicit(&peer->published, memory_order_acquire))
+		return 0;
 	return str_equal(peer->name, *(const struct str *)key);
 }
 
@@ -38,6 +70,8 @@
 	atomic_init(&peer->own, 0);
 	atomic_init(&peer->lost, 0);
 	atomic_init(&peer->until_ms, 0);
+	atomic_init(&peer->published, false);
+	atomic_store_explicit(&peer->published, true, memory_order_release);
 	return peer;
 }
 
@@ -89,6 +123,7 @@
 	if (removed == NULL)
 		return 0;
 	synchronize_rcu();
+	annotate_all_left(table);
 	while (removed != NULL) {
 		peer = removed;
 		removed = peer->next_removed;
@@ -111,7 +146,26 @@
 }
 
 /*
- * Return the peer of that name, or NULL; valid until rcu_read_unlock.
+ * Begin to use peers: none that can be found now is freed until leave.
+ */
+void
+peer_table_enter(struct peer_table *table)
+{
+	rcu_read_lock();
+}
+
+/*
+ * Stop using peers.
+ */
+void
+peer_table_leave(struct peer_table *table)
+{
+	annotate_leave(table);
+	rcu_read_unlock();
+}
+
+/*
+ * Return the peer of that name, or NULL; valid until peer_table_leave.
  */
 struct peer *
 peer_table_find(struct peer_table *table, struct str name)
@@ -126,7 +180,7 @@
 }
 
 /*
- * Return the peer of that name, new if need be; valid until rcu_read_unlock.
+ * Return the peer of that name, new if need be; valid until peer_table_leave.
  */
 struct peer *
 peer_table_get(struct peer_table *table, struct str name)
--- a/route/pick.c
+++ b/route/pick.c
@@ -172,7 +172,7 @@
 
 /*
  * Find the place of an upstream for the request by the policy in use; false
- * when there is none. The caller holds the read lock of the peers.
+ * when there is none. The caller has entered the table of peers.
  */
 bool
 chooser_pick_index(struct chooser *chooser,
--- a/scripts/lib/mesh_bed.py
+++ b/scripts/lib/mesh_bed.py
@@ -91,7 +91,7 @@
     """Use it as a context manager: on exit it stops all that it started."""
 
     def __init__(self, deployment="reelkade", build_dir="build", overrides=None,
-                 upstream_args=(), copies=1, node_command=()):
+                 upstream_args=(), copies=1, with_upstreams=True):
         self.deployment = dep.DEPLOYMENTS[deployment]
         self.build = pathlib.Path(build_dir).resolve()
         self.prefix = _free_ip_prefix()
@@ -104,9 +104,10 @@
             "platform",
             [self._binary("standin-platform", "trefoilhill-standin-platform"),
              "--listen", self.platform_address, "--name", "platform"])
-        self.upstreams = [self._upstream(h, upstream_args) for h in self.hosts]
+        self.upstreams = [self._upstream(h, upstream_args)
+                          for h in self.hosts if with_upstreams]
         seeds = [host.mesh for host in self.hosts[:SEEDS]]
-        self.nodes = [self._node(h, seeds, overrides or {}, node_command)
+        self.nodes = [self._node(h, seeds, overrides or {})
                       for h in self.hosts]
 
     def _binary(self, directory, name):
@@ -125,13 +126,13 @@
             "--connections", str(self.deployment.connections), *args]
         return Upstream(host, self._process(host.upstream, command))
 
-    def _node(self, host, seeds, overrides, command):
+    def _node(self, host, seeds, overrides):
         config = self.directory / f"{host.name}.ini"
         config.write_text(dep.node_settings(
             host, seeds, self.platform_address, self.deployment, overrides))
         return Node(host, self._process(
             host.name,
-            [*command, self._binary("trefoilhilld", "trefoilhilld"),
+            [self._binary("trefoilhilld", "trefoilhilld"),
              "--config", str(config)]))
 
     def __enter__(self):
@@ -156,7 +157,7 @@
         self.wait_for("stand-ins", 10, lambda: all(
             http_call(address, "GET", "/standin/counts").status == 200
             for address in [self.platform_address]
-            + [host.address for host in self.hosts]))
+            + [u.host.address for u in self.upstreams]))
 
     def start_nodes(self):
         for node in self.nodes:
--- a/standin-platform/http.c
+++ b/standin-platform/http.c
@@ -13,7 +13,6 @@
 #include "standin-platform/http.h"
 
 enum {
-	STACK_BYTES = 512 * 1024,
 	NS_PER_US = 1000,
 	US_PER_S = 1000000,
 	QUERY_VALUE_MAX = 128,
@@ -99,20 +98,10 @@
 	setrlimit(RLIMIT_NOFILE, &limit);
 }
 
-static void
-use_small_stacks(void)
-{
-	pthread_attr_t attr;
-
-	pthread_attr_init(&attr);
-	pthread_attr_setstacksize(&attr, STACK_BYTES);
-	pthread_setattr_default_np(&attr);
-	pthread_attr_destroy(&attr);
-}
-
 /*
  * Serve on settings->listen; every request goes to the one handler. The
- * settings must outlive the server. Ends with mg_stop.
+ * settings must outlive the server. Ends with mg_stop. CivetWeb's threads
+ * have a stack of 100 KiB: a handler keeps large buffers on the heap.
  */
 struct mg_context *
 standin_http_start(const struct standin_http_settings *settings, GError **error)
@@ -148,7 +137,6 @@
 	};
 
 	raise_socket_limit();
-	use_small_stacks();
 	mg_init_library(0);
 	context = mg_start(&callbacks, (void *)settings, options);
 	if (context == NULL) {
--- a/standin-upstream/work.c
+++ b/standin-upstream/work.c
@@ -8,6 +8,7 @@
 
 enum {
 	CHUNK_BYTES = 64 * 1024,
+	DISCARD_BYTES = 4096,
 	HEADERS_MAX = 256,
 	REQUEST_ID_MAX = 128,
 	WAIT_SLICE_MS = 100,
@@ -61,7 +62,7 @@
 static void
 discard_body(struct mg_connection *conn)
 {
-	char buffer[CHUNK_BYTES];
+	char buffer[DISCARD_BYTES];
 
 	while (mg_read(conn, buffer, sizeof(buffer)) > 0)
 		continue;
@@ -122,7 +123,8 @@
     const struct work *work, const struct body_pattern *pattern)
 {
 	char headers[HEADERS_MAX];
-	char chunk[CHUNK_BYTES];
+	char *chunk = g_malloc(CHUNK_BYTES);
+	enum work_end end = WORK_CANCELLED;
 
 	write_headers(upstream, work, headers);
 	mg_printf(conn,
@@ -133,15 +135,20 @@
 
 		if (at > 0 && work->chunk_ms > 0 &&
 		    standin_http_peer_gone(conn, (int)work->chunk_ms))
-			return WORK_CANCELLED;
-		if (upstream_lost(upstream, work->generation))
-			return WORK_LOST;
+			goto out;
+		if (upstream_lost(upstream, work->generation)) {
+			end = WORK_LOST;
+			goto out;
+		}
 		body_pattern_fill(pattern, at, chunk, len);
 		if (mg_write(conn, chunk, len) != (int)len ||
 		    atomic_load(&upstream->stopping))
-			return WORK_CANCELLED;
+			goto out;
 	}
-	return WORK_DONE;
+	end = WORK_DONE;
+out:
+	g_free(chunk);
+	return end;
 }
 
 /* Send the answer. Once the head is out, a failure ends the connection. */
@@ -153,8 +160,9 @@
 	    strcmp(mg_get_request_info(conn)->request_method, "HEAD") == 0;
 	struct body_pattern pattern;
 	char headers[HEADERS_MAX];
-	char body[CHUNK_BYTES];
+	char *body;
 	enum work_end end;
+	int status;
 
 	body_pattern_init(&pattern, str_from(work->request), work->size);
 	if (work->size > CHUNK_BYTES && !head) {
@@ -172,8 +180,11 @@
 	write_headers(upstream, work, headers);
 	if (head)
 		return standin_http_reply(conn, 200, headers, NULL, 0);
+	body = g_malloc(work->size);
 	body_pattern_fill(&pattern, 0, body, work->size);
-	return standin_http_reply(conn, 200, headers, body, work->size);
+	status = standin_http_reply(conn, 200, headers, body, work->size);
+	g_free(body);
+	return status;
 }
 
 static int
@@ -212,9 +223,11 @@
 	discard_body(conn);
 	result =
 	    upstream_begin(upstream, conn, work.deadline, &work.generation);
+	/* A 500 promises nothing, so it counts as a run. */
+	if (result == BEGIN_OK || result == BEGIN_FALLEN)
+		run_log_add(upstream->runs, str_from(work.request));
 	if (result != BEGIN_OK)
 		return refuse(conn, upstream, result);
-	run_log_add(upstream->runs, str_from(work.request));
 	switch (spend_work(conn, upstream, &work)) {
 	case WORK_DONE:
 		return send_answer(conn, upstream, &work);
--- /dev/null
+++ b/tests/daemon/fixture.h
@@ -0,0 +1,73 @@
+#ifndef TREFOILHILL_TESTS_DAEMON_FIXTURE_H
+#define TREFOILHILL_TESTS_DAEMON_FIXTURE_H
+
+#include <civetweb.h>
+#include <curl/curl.h>
+#include <stdatomic.h>
+
+#include "trefoilhilld/data_path.h"
+
+enum {
+	FIXTURE_NODES = 2,
+};
+
+/* A pretended upstream; each behaviour has its own path. */
+struct fake_upstream {
+	struct mg_context *server;
+	int port;
+	atomic_uint runs;
+	atomic_uint left_early; /* answers that lost their reader */
+	atomic_size_t body_bytes;
+	atomic_uint fault; /* wrong bytes of a request's body */
+};
+
+/* One node without its control thread. */
+struct node {
+	char name[16];
+	char node_address[32];
+	char caller_address[32];
+	struct transport *transport;
+	struct live_config *live;
+	struct guard *guard;
+	struct chooser *chooser;
+	struct retry_budget *retries;
+	struct data_path *path;
+};
+
+/* Two nodes in two zones, each with an upstream of the service "svc". */
+struct fixture {
+	struct fake_upstream upstreams[FIXTURE_NODES];
+	struct node nodes[FIXTURE_NODES];
+};
+
+/* services: whose upstream the service has, by bits: 1, 2 or both. */
+struct fixture *fixture_open(unsigned int services);
+/* In the background: CivetWeb takes two seconds to stop. */
+void fixture_close(struct fixture *fixture);
+void fixtures_join(void);
+void node_stop(struct node *node);
+
+struct reply {
+	CURLcode code;
+	long status;
+	char outcome[32];
+	char retry_after[16];
+	char error[512]; /* start of the body */
+	size_t bytes;
+	bool wrong; /* a byte that isn't of the pattern */
+	double seconds;
+};
+
+struct ask {
+	const char *method;
+	const char *path;
+	size_t upload; /* bytes of the request's body */
+	bool chunked;  /* send it without a length */
+	const char *headers[4];
+};
+
+void node_ask(
+    const struct node *node, const struct ask *ask, struct reply *reply);
+unsigned char pattern_byte(size_t offset);
+
+#endif
--- /dev/null
+++ b/tests/daemon/raw_caller.h
@@ -0,0 +1,12 @@
+#ifndef TREFOILHILL_TESTS_DAEMON_RAW_CALLER_H
+#define TREFOILHILL_TESTS_DAEMON_RAW_CALLER_H
+
+#include <stddef.h>
+
+/* A caller that writes bytes as they are. Returns the socket, or -1. */
+int raw_connect(const char *address);
+void raw_send(int fd, const char *text);
+/* Reads until wanted turns up or ms have passed; what came is in out. */
+int raw_expect(int fd, const char *wanted, int ms, char *out, size_t out_max);
+
+#endif
--- /dev/null
+++ b/tests/daemon/test_data_path.c
@@ -0,0 +1,419 @@
+#include <pthread.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "fixture.h"
+#include "harness.h"
+
+enum {
+	LOCAL = 1, /* the upstream on the entry's own host */
+	REMOTE = 2,
+	BOTH = 3,
+	FIVE_MIB = 5 * 1024 * 1024,
+	PAUSE_US = 600 * 1000, /* a guard lets nothing through after failures */
+	SIXTEEN_MIB = 16 * 1024 * 1024,
+};
+
+static struct reply
+ask_with(struct fixture *fixture, const struct ask *ask)
+{
+	struct reply reply;
+
+	node_ask(&fixture->nodes[0], ask, &reply);
+	return reply;
+}
+
+static struct reply
+get(struct fixture *fixture, const char *path)
+{
+	struct ask ask = { .path = path };
+
+	return ask_with(fixture, &ask);
+}
+
+/* After a failure the guard lets nothing through for a while. */
+static struct reply
+get_until_taken(struct fixture *fixture, const char *path)
+{
+	struct reply reply = get(fixture, path);
+
+	for (int i = 0; i < 100 && reply.status == 503; i++) {
+		usleep(50000);
+		reply = get(fixture, path);
+	}
+	return reply;
+}
+
+static void
+check_whole_answers(unsigned int services)
+{
+	static const struct {
+		const char *path;
+		size_t bytes;
+	} cases[] = {
+		{ "/size/0", 0 },
+		{ "/size/1", 1 },
+		{ "/size/65536", 65536 },
+		{ "/size/65537", 65537 },
+		{ "/size/3000000", 3000000 },
+		{ "/chunked/0", 0 },
+		{ "/chunked/100", 100 },
+		{ "/chunked/1000000", 1000000 },
+	};
+	struct fixture *fixture;
+
+	fixture = fixture_open(services);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct reply reply = get(fixture, cases[i].path);
+
+		CU_ASSERT_EQUAL(reply.code, CURLE_OK);
+		CU_ASSERT_EQUAL(reply.status, 200);
+		CU_ASSERT_EQUAL(reply.bytes, cases[i].bytes);
+		CU_ASSERT_FALSE(reply.wrong);
+	}
+	fixture_close(fixture);
+}
+
+static void
+test_whole_answers_from_own_host(void)
+{
+	check_whole_answers(LOCAL);
+}
+
+static void
+test_whole_answers_from_other_host(void)
+{
+	check_whole_answers(REMOTE);
+}
+
+static void
+test_request_bodies_arrive(void)
+{
+	static const struct {
+		size_t upload;
+		bool chunked;
+	} cases[] = {
+		{ 10, false },
+		{ 10, true },
+		{ 65536, false },
+		{ 65536, true },
+		{ 65537, false },
+		{ SIXTEEN_MIB, false },
+		{ FIVE_MIB, true },
+	};
+	struct fixture *fixture;
+
+	fixture = fixture_open(REMOTE);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fake_upstream *upstream = &fixture->upstreams[1];
+		struct ask ask = { .method = "POST",
+			.path = "/size/5",
+			.upload = cases[i].upload,
+			.chunked = cases[i].chunked };
+		struct reply reply;
+
+		atomic_store(&upstream->body_bytes, 0);
+		reply = ask_with(fixture, &ask);
+		CU_ASSERT_EQUAL(reply.status, 200);
+		CU_ASSERT_EQUAL(
+		    atomic_load(&upstream->body_bytes), cases[i].upload);
+		CU_ASSERT_EQUAL(atomic_load(&upstream->fault), 0);
+	}
+	CU_ASSERT_EQUAL(
+	    atomic_load(&fixture->upstreams[1].runs), G_N_ELEMENTS(cases));
+	fixture_close(fixture);
+}
+
+/* An answer that breaks off must not look whole to the caller. */
+static void
+test_cut_answer_is_seen_by_caller(void)
+{
+	struct fixture *fixture;
+	struct reply reply;
+
+	fixture = fixture_open(REMOTE);
+	reply = get(fixture, "/cut/1000000");
+	CU_ASSERT_NOT_EQUAL(reply.code, CURLE_OK);
+	CU_ASSERT_TRUE(reply.bytes < 1000000);
+	reply = get_until_taken(fixture, "/cut-chunked/1000000");
+	CU_ASSERT_NOT_EQUAL(reply.code, CURLE_OK);
+	CU_ASSERT_TRUE(reply.bytes < 1000000);
+	reply = get_until_taken(fixture, "/size/10");
+	CU_ASSERT_EQUAL(reply.status, 200);
+	fixture_close(fixture);
+}
+
+/* The upstream saw the request and hung up: it may have run. */
+static void
+test_broken_connection_is_unknown(void)
+{
+	struct fixture *fixture;
+	struct ask ask = { .method = "POST", .path = "/break/1", .upload = 3 };
+	struct reply reply;
+
+	fixture = fixture_open(REMOTE);
+	reply = ask_with(fixture, &ask);
+	CU_ASSERT_EQUAL(reply.status, 502);
+	CU_ASSERT_STRING_EQUAL(reply.outcome, "unknown");
+	CU_ASSERT_EQUAL(atomic_load(&fixture->upstreams[1].runs), 1);
+	fixture_close(fixture);
+}
+
+/*
+ * libcurl sends again by itself when a kept connection breaks before the
+ * first byte of the answer. What isn't idempotent must not run twice.
+ */
+static void
+test_broken_kept_connection_runs_once(void)
+{
+	struct fixture *fixture;
+	struct ask good = { .method = "POST", .path = "/size/1" };
+	struct ask breaks = { .method = "POST", .path = "/break/1" };
+	struct reply reply;
+
+	fixture = fixture_open(REMOTE);
+	good.upload = breaks.upload = 3;
+	reply = ask_with(fixture, &good);
+	CU_ASSERT_EQUAL(reply.status, 200);
+	reply = ask_with(fixture, &breaks);
+	CU_ASSERT_EQUAL(reply.status, 502);
+	CU_ASSERT_STRING_EQUAL(reply.outcome, "unknown");
+	CU_ASSERT_EQUAL(atomic_load(&fixture->upstreams[1].runs), 2);
+	breaks.upload = 0;
+	usleep(PAUSE_US);
+	reply = ask_with(fixture, &good);
+	CU_ASSERT_EQUAL(reply.status, 200);
+	reply = ask_with(fixture, &breaks);
+	CU_ASSERT_STRING_EQUAL(reply.outcome, "unknown");
+	CU_ASSERT_EQUAL(atomic_load(&fixture->upstreams[1].runs), 4);
+	fixture_close(fixture);
+}
+
+static void
+test_deadline_is_answered_at_once(void)
+{
+	struct fixture *fixture;
+	struct ask ask = { .path = "/wait/3000",
+		.headers = { "Trefoilhill-Timeout-Ms: 300" } };
+	struct reply reply;
+
+	fixture = fixture_open(REMOTE);
+	reply = ask_with(fixture, &ask);
+	CU_ASSERT_EQUAL(reply.status, 504);
+	CU_ASSERT_STRING_EQUAL(reply.outcome, "unknown");
+	CU_ASSERT_TRUE(reply.seconds < 0.8);
+	fixture_close(fixture);
+}
+
+/* What the caller no longer waits for, the upstream is told. */
+static void
+test_deadline_is_passed_on_to_upstream(void)
+{
+	struct fixture *fixture;
+	struct ask ask = { .path = "/slow/1",
+		.headers = { "Trefoilhill-Timeout-Ms: 300" } };
+	struct reply reply;
+	unsigned int left = 0;
+
+	fixture = fixture_open(REMOTE);
+	reply = ask_with(fixture, &ask);
+	CU_ASSERT_NOT_EQUAL(reply.code, CURLE_OK);
+	for (int i = 0; i < 100 && left == 0; i++) {
+		usleep(10000);
+		left = atomic_load(&fixture->upstreams[1].left_early);
+	}
+	CU_ASSERT_EQUAL(left, 1);
+	fixture_close(fixture);
+}
+
+static void
+test_shed_is_refused_as_not_run(void)
+{
+	struct fixture *fixture;
+	struct reply reply;
+
+	fixture = fixture_open(REMOTE);
+	reply = get(fixture, "/shed/1");
+	CU_ASSERT_EQUAL(reply.status, 503);
+	CU_ASSERT_STRING_EQUAL(reply.outcome, "not-run");
+	CU_ASSERT_TRUE(atoi(reply.retry_after) >= 3);
+	CU_ASSERT_PTR_NOT_NULL(strstr(reply.error, "\"error\":\"shed\""));
+	fixture_close(fixture);
+}
+
+static void
+test_dead_upstream_is_refused_as_not_run(void)
+{
+	struct fixture *fixture;
+	struct ask ask = { .method = "POST", .path = "/size/1", .upload = 3 };
+	struct reply reply;
+
+	fixture = fixture_open(REMOTE);
+	mg_stop(fixture->upstreams[1].server);
+	fixture->upstreams[1].server = NULL;
+	reply = ask_with(fixture, &ask);
+	CU_ASSERT_EQUAL(reply.status, 503);
+	CU_ASSERT_STRING_EQUAL(reply.outcome, "not-run");
+	fixture_close(fixture);
+}
+
+/* No byte can have reached a node that nobody listens at. */
+static void
+test_dead_node_is_refused_as_not_run(void)
+{
+	struct fixture *fixture;
+	struct ask ask = { .method = "POST", .path = "/size/7", .upload = 3 };
+	struct reply reply;
+
+	fixture = fixture_open(REMOTE);
+	node_stop(&fixture->nodes[1]);
+	reply = ask_with(fixture, &ask);
+	CU_ASSERT_EQUAL(reply.status, 503);
+	CU_ASSERT_STRING_EQUAL(reply.outcome, "not-run");
+	CU_ASSERT_TRUE(reply.seconds < 1.0);
+	fixture_close(fixture);
+}
+
+struct stopper {
+	pthread_t thread;
+	struct node *node;
+};
+
+static void *
+run_stopper(void *arg)
+{
+	struct stopper *stopper = arg;
+
+	usleep(300 * 1000);
+	node_stop(stopper->node);
+	return NULL;
+}
+
+/* The node dies with the call in it: it may have run. */
+static void
+test_lost_node_ends_calls_as_unknown(void)
+{
+	struct fixture *fixture = fixture_open(REMOTE);
+	struct stopper stopper = { .node = &fixture->nodes[1] };
+	struct ask ask = {
+		.method = "POST", .path = "/wait/6000", .upload = 3
+	};
+	struct reply reply;
+
+	pthread_create(&stopper.thread, NULL, run_stopper, &stopper);
+	reply = ask_with(fixture, &ask);
+	pthread_join(stopper.thread, NULL);
+	CU_ASSERT_TRUE(reply.status >= 500);
+	CU_ASSERT_STRING_EQUAL(reply.outcome, "unknown");
+	CU_ASSERT_TRUE(reply.seconds < 4.0);
+	CU_ASSERT_EQUAL(atomic_load(&fixture->upstreams[1].runs), 1);
+	fixture_close(fixture);
+}
+
+static void
+test_bad_requests_are_typed(void)
+{
+	static const struct {
+		struct ask ask;
+		long status;
+		const char *error;
+	} cases[] = {
+		{ { .path = "/x", .headers = { "Host: nowhere" } }, 404,
+		    "no_route" },
+		{ { .path = "/x", .method = "TRACE" }, 400, "bad_request" },
+		{ { .path = "/x",
+		      .headers = { "Trefoilhill-Timeout-Ms: soon" } },
+		    400, "bad_request" },
+		{ { .path = "/x", .headers = { "Trefoilhill-Request: a b" } },
+		    400, "bad_request" },
+	};
+	struct fixture *fixture;
+
+	fixture = fixture_open(LOCAL);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct reply reply = ask_with(fixture, &cases[i].ask);
+
+		CU_ASSERT_EQUAL(reply.status, cases[i].status);
+		CU_ASSERT_PTR_NOT_NULL(strstr(reply.error, cases[i].error));
+		CU_ASSERT_STRING_EQUAL(reply.outcome, "not-run");
+	}
+	CU_ASSERT_EQUAL(atomic_load(&fixture->upstreams[0].runs), 0);
+	fixture_close(fixture);
+}
+
+/* Draining refuses new work and lets the running end. */
+static void *
+run_slow_get(void *arg)
+{
+	struct fixture *fixture = arg;
+	struct reply *reply = g_new0(struct reply, 1);
+
+	*reply = get(fixture, "/wait/700");
+	return reply;
+}
+
+static void
+test_drain_cuts_off_nothing(void)
+{
+	struct fixture *fixture;
+	struct reply *running;
+	struct reply late;
+	pthread_t thread;
+	int waited = 0;
+
+	fixture = fixture_open(LOCAL);
+	pthread_create(&thread, NULL, run_slow_get, fixture);
+	usleep(200 * 1000);
+	data_path_drain(fixture->nodes[0].path);
+	CU_ASSERT_FALSE(data_path_is_idle(fixture->nodes[0].path));
+	late = get(fixture, "/size/1");
+	CU_ASSERT_EQUAL(late.status, 503);
+	CU_ASSERT_STRING_EQUAL(late.outcome, "not-run");
+	pthread_join(thread, (void **)&running);
+	CU_ASSERT_EQUAL(running->status, 200);
+	while (!data_path_is_idle(fixture->nodes[0].path) && waited++ < 200)
+		usleep(10000);
+	CU_ASSERT_TRUE(waited < 200);
+	g_free(running);
+	fixture_close(fixture);
+}
+
+int
+main(void)
+{
+	static const struct test_case cases[] = {
+		{ "whole answers from own host",
+		    test_whole_answers_from_own_host },
+		{ "whole answers from other host",
+		    test_whole_answers_from_other_host },
+		{ "request bodies arrive", test_request_bodies_arrive },
+		{ "cut answer is seen by caller",
+		    test_cut_answer_is_seen_by_caller },
+		{ "broken connection is unknown",
+		    test_broken_connection_is_unknown },
+		{ "broken kept connection runs once",
+		    test_broken_kept_connection_runs_once },
+		{ "deadline is answered at once",
+		    test_deadline_is_answered_at_once },
+		{ "deadline is passed on to upstream",
+		    test_deadline_is_passed_on_to_upstream },
+		{ "shed is refused as not run",
+		    test_shed_is_refused_as_not_run },
+		{ "dead upstream is refused as not run",
+		    test_dead_upstream_is_refused_as_not_run },
+		{ "dead node is refused as not run",
+		    test_dead_node_is_refused_as_not_run },
+		{ "lost node ends calls as unknown",
+		    test_lost_node_ends_calls_as_unknown },
+		{ "bad requests are typed", test_bad_requests_are_typed },
+		{ "drain cuts off nothing", test_drain_cuts_off_nothing },
+		{ NULL, NULL },
+	};
+
+	int status;
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	status = harness_run("data path", cases);
+	fixtures_join();
+	return status;
+}
--- a/tests/guard/test_guard.c
+++ b/tests/guard/test_guard.c
@@ -345,6 +345,16 @@
 	CU_ASSERT_EQUAL(reason, REFUSAL_FENCED);
 	call.attempt = 1;
 	CU_ASSERT_EQUAL(admit(&f, call, &ticket, &reason), GUARD_RUN);
+	guard_confirm(f.guard, ticket, &reason);
+	for (uint32_t i = 0; i < settings.queue_limit; i++)
+		admit(&f, fixture_call(&f, "get", true), &first, &reason);
+	call = fixture_call(&f, "y", false);
+	CU_ASSERT_EQUAL(admit(&f, call, &first, &reason), GUARD_REFUSE);
+	CU_ASSERT_EQUAL(reason, REFUSAL_LIMIT);
+	guard_complete(f.guard, ticket, OUTCOME_OK, 100);
+	fake_clock_advance_ms(&f.clock, 600);
+	CU_ASSERT_EQUAL(admit(&f, call, &first, &reason), GUARD_REFUSE);
+	CU_ASSERT_EQUAL(reason, REFUSAL_FENCED);
 	guard_fixture_clear(&f);
 }
 
--- a/tests/mesh/net.c
+++ b/tests/mesh/net.c
@@ -134,6 +134,7 @@
 	GBytes *head = mesh_message_encode(message);
 	size_t copies = net->disorder == NET_DOUBLED ? 2 : 1;
 
+	net->messages++;
 	net->sent[message->kind]++;
 	net->bytes[message->kind] += g_bytes_get_size(head);
 	from->messages_out++;
@@ -186,13 +187,17 @@
 	struct net *net = node->net;
 	struct state_id id = snapshot_id(snapshot);
 
-	if (id.version < node->published.version)
+	bool same_process = node->published_by == node->incarnation;
+
+	if (id.version < node->published.version ||
+	    (same_process && state_id_compare(id, node->published) <= 0))
 		net->steps_back++;
 	if (net->settings.nodes <= NET_NODES_MAX && !is_whole(snapshot))
 		net->broken_states++;
 	if (has_bad_content(snapshot))
 		net->bad_content++;
 	node->published = id;
+	node->published_by = node->incarnation;
 	if (net->handle_publish != NULL)
 		net->handle_publish(net, node);
 }
@@ -208,6 +213,7 @@
 	memset(net, 0, sizeof(*net));
 	net->settings = *settings;
 	net->link_us = 500;
+	net->messages_max = UINT64_MAX;
 	fake_clock_init(&net->clock);
 	net->rng = rng_seeded_new(settings->seed);
 	net->queue = g_sequence_new(delivery_free);
@@ -343,7 +349,8 @@
 		if (g_sequence_iter_is_end(first))
 			return;
 		delivery = g_sequence_get(first);
-		if (timespec_before(net->clock.now, delivery->due))
+		if (timespec_before(net->clock.now, delivery->due) ||
+		    net->messages > net->messages_max)
 			return;
 		node = delivery->node;
 		if (node->frozen && node->held->length < HELD_MAX) {
@@ -365,6 +372,9 @@
 	for (int64_t t = 0; t < ms; t += STEP_MS) {
 		int64_t now;
 
+		if (net->messages > net->messages_max)
+			return;
+
 		fake_clock_advance_ms(&net->clock, STEP_MS);
 		now =
 		    timespec_ms_between((struct timespec){ 0 }, net->clock.now);
--- a/tests/mesh/net.h
+++ b/tests/mesh/net.h
@@ -44,6 +44,7 @@
 	bool frozen;
 	GQueue *held;              /* what arrived while frozen */
 	struct state_id published; /* over all processes of this host */
+	uint64_t published_by;     /* incarnation */
 	uint64_t bytes_out;
 	uint64_t messages_out;
 	uint64_t busy_ns;
@@ -75,6 +76,8 @@
 	size_t steps_back;
 	size_t broken_states;
 	size_t bad_content;
+	uint64_t messages;
+	uint64_t messages_max; /* beyond this many the net stands still */
 	void (*handle_publish)(struct net *, struct net_node *);
 	void *arg;
 };
--- /dev/null
+++ b/tests/mesh/test_matrix.c
@@ -0,0 +1,208 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "harness.h"
+#include "matrix.h"
+
+/*
+ * Every fault at every step, alone and two at once. Usage:
+ * test_mesh_matrix [single|pairs [SEED]]. One cell is one small net.
+ */
+enum {
+	MATRIX_NODES = 12,
+	MATRIX_SEED = 20,
+	START_MS = 5000,
+	REST_MS = 1500,
+	FAULT_MS = 6000,
+	GAP_MS = 200,
+	HEALED_MS = 10000,
+	MESSAGES_MAX = 5000,
+};
+
+static uint64_t matrix_seed = MATRIX_SEED;
+static size_t cells;
+static int64_t worst_ms;
+static uint64_t most_messages;
+
+/* Good and bad versions, a zone taken out and back, while faults last. */
+static void
+publish_under_fault(struct cell *cell)
+{
+	struct net *net = cell->net;
+
+	net_run(net, GAP_MS);
+	net_publish_change(net);
+	net_run(net, GAP_MS);
+	net_publish_bad(net);
+	net_run(net, GAP_MS);
+	net_publish_zone_mark(net, 1, true);
+	net_run(net, GAP_MS);
+	net_publish_bad(net);
+	net_publish_zone_mark(net, 1, false);
+	net_run(net, FAULT_MS - 4 * GAP_MS);
+}
+
+/* While one fault lasts, those it does not hit have every version. */
+static bool
+is_current(const struct cell *cell, const struct matrix_fault *fault)
+{
+	const struct net *net = cell->net;
+	uint64_t head = net_platform_head(&net->source);
+
+	if (fault->current == CURRENT_NONE)
+		return true;
+	for (size_t i = 0; i < net->settings.nodes; i++) {
+		if (fault->current == CURRENT_OTHERS && i == cell->victims[0])
+			continue;
+		if (net->nodes[i].published.version != head)
+			return false;
+	}
+	return true;
+}
+
+static void
+cell_report(const struct cell *cell, const char *what, const char *step,
+    const char *first, const char *second)
+{
+	g_print("FAIL %s: step \"%s\", fault \"%s\"%s%s%s, victims %s %s, "
+		"seed %" G_GUINT64_FORMAT "\n",
+	    what, step, first, second != NULL ? " and \"" : "",
+	    second != NULL ? second : "", second != NULL ? "\"" : "",
+	    cell->net->nodes[cell->victims[0]].host,
+	    cell->net->nodes[cell->victims[1]].host, matrix_seed);
+}
+
+static const char *
+cell_fault(const struct net *net, int64_t settled_ms, bool current)
+{
+	if (net->messages > net->messages_max)
+		return "a storm of messages";
+	if (net->steps_back > 0)
+		return "a host stepped back";
+	if (net->broken_states > 0)
+		return "a state with a dangling reference";
+	if (net->bad_content > 0)
+		return "a bad version in part";
+	if (!current)
+		return "not current while the fault lasts";
+	if (settled_ms < 0)
+		return "not equal and at the head in time";
+	return NULL;
+}
+
+/* Returns the trace of all that happened, the same for the same seed. */
+static uint64_t
+run_cell(const struct matrix_step *step, const struct matrix_fault *first,
+    const struct matrix_fault *second)
+{
+	struct net_settings settings = {
+		.nodes = MATRIX_NODES,
+		.seed = matrix_seed,
+		.policy = SPREAD_TREE,
+		.seeds = NET_SEEDS,
+	};
+	struct cell cell = { .net = g_new(struct net, 1) };
+	bool current = true;
+	const char *fault = "step not reached";
+	int64_t ms = -1;
+	uint64_t trace;
+
+	net_init(cell.net, &settings);
+	cell.net->messages_max = MESSAGES_MAX;
+	net_publish_fleet(cell.net, 0);
+	net_publish_change(cell.net);
+	net_publish_change(cell.net);
+	net_start_all(cell.net);
+	if (net_run_settled(cell.net, START_MS) < 0)
+		goto out;
+	net_run(cell.net, REST_MS);
+	if (!step->reach(&cell))
+		goto out;
+	cell.victims[1] = (cell.victims[0] + NET_ZONES) % MATRIX_NODES;
+	if (first != NULL)
+		first->strike(&cell, cell.victims[0]);
+	if (second != NULL)
+		second->strike(&cell, cell.victims[1]);
+	publish_under_fault(&cell);
+	if (second == NULL && first != NULL)
+		current = is_current(&cell, first);
+	cell_heal(&cell);
+	ms = net_run_settled(cell.net, HEALED_MS);
+	worst_ms = MAX(worst_ms, ms);
+	most_messages = MAX(most_messages, cell.net->messages);
+	fault = cell_fault(cell.net, ms, current);
+out:
+	if (fault != NULL)
+		cell_report(&cell, fault, step->name,
+		    first != NULL ? first->name : "none",
+		    second != NULL ? second->name : NULL);
+	CU_ASSERT_PTR_NULL(fault);
+	cells++;
+	trace = cell.net->trace;
+	net_release(cell.net);
+	g_free(cell.net);
+	return trace;
+}
+
+static void
+print_summary(void)
+{
+	g_print(
+	    "%zu cells, seed %" G_GUINT64_FORMAT
+	    ": equal again at most %d ms after the faults, at most %" G_GUINT64_FORMAT
+	    " messages in a cell\n",
+	    cells, matrix_seed, (int)worst_ms, most_messages);
+}
+
+static void
+test_single(void)
+{
+	for (size_t s = 0; s < matrix_step_count; s++) {
+		run_cell(&matrix_steps[s], NULL, NULL);
+		for (size_t f = 0; f < matrix_fault_count; f++)
+			run_cell(&matrix_steps[s], &matrix_faults[f], NULL);
+	}
+	print_summary();
+}
+
+static void
+test_pairs(void)
+{
+	for (size_t s = 0; s < matrix_step_count; s++)
+		for (size_t f = 0; f < matrix_fault_count; f++)
+			for (size_t g = f; g < matrix_fault_count; g++)
+				run_cell(&matrix_steps[s], &matrix_faults[f],
+				    &matrix_faults[g]);
+	print_summary();
+}
+
+/* The same seed gives the same run, message by message. */
+static void
+test_repeats(void)
+{
+	const struct matrix_step *step = &matrix_steps[3];
+	const struct matrix_fault *fault = &matrix_faults[11];
+
+	CU_ASSERT_EQUAL(
+	    run_cell(step, fault, NULL), run_cell(step, fault, NULL));
+}
+
+int
+main(int argc, char **argv)
+{
+	static const struct test_case single[] = {
+		{ "every fault at every step", test_single },
+		{ "a seed gives one verdict", test_repeats },
+		{ NULL, NULL },
+	};
+	static const struct test_case pairs[] = {
+		{ "two faults at once at every step", test_pairs },
+		{ NULL, NULL },
+	};
+
+	if (argc > 2)
+		matrix_seed = strtoull(argv[2], NULL, 10);
+	return harness_run("mesh-matrix",
+	    argc > 1 && strcmp(argv[1], "pairs") == 0 ? pairs : single);
+}
--- a/tests/mesh/test_mesh.c
+++ b/tests/mesh/test_mesh.c
@@ -82,12 +82,112 @@
 	spread(SPREAD_POLL, 3000);
 }
 
+/* Cut off from all peers, before a platform that is stale: wait. */
+static void
+test_unanswered_joiner_waits(void)
+{
+	struct net_settings settings = {
+		.nodes = 12, .seed = 4, .policy = SPREAD_TREE, .seeds = 3
+	};
+	struct net *net = g_new(struct net, 1);
+
+	net_init(net, &settings);
+	net_publish_fleet(net, 0);
+	net_start_all(net);
+	CU_ASSERT(net_run_settled(net, 5000) >= 0);
+	net_publish_change(net);
+	CU_ASSERT(net_run_settled(net, 5000) >= 0);
+	net->source.stale_at = 1;
+	net_kill(net, 7);
+	net_cut_node(net, 7, true, true);
+	net_start(net, 7);
+	net_run(net, 60000);
+	CU_ASSERT_EQUAL(mesh_state(net->nodes[7].mesh), MESH_JOINING);
+	net_heal_links(net);
+	CU_ASSERT(net_run_settled(net, 5000) >= 0);
+	assert_sound(net);
+	net_release(net);
+	g_free(net);
+}
+
+/*
+ * A cold fleet before a log that no longer reaches back: several read the
+ * raw records, at different revisions, and end with one state all the same.
+ */
+static void
+test_cold_start_compacted(void)
+{
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		struct net_settings settings = {
+			.nodes = 12, .seed = seed, .seeds = 3
+		};
+		struct net *net = g_new(struct net, 1);
+
+		net_init(net, &settings);
+		net->source.log_limit = 1;
+		net_publish_fleet(net, 0);
+		net_publish_bad(net);
+		net_publish_change(net);
+		net_start_all(net);
+		for (size_t i = 0; i < 100; i++) {
+			net_run(net, 30);
+			if (i % 10 == 9)
+				net_publish_bad(net);
+			else
+				net_publish_change(net);
+		}
+		CU_ASSERT(net_run_settled(net, 5000) >= 0);
+		assert_sound(net);
+		net_release(net);
+		g_free(net);
+	}
+}
+
+/* The whole fleet dies at once; the platform is read no more for its size. */
+static void
+test_herd_restart(void)
+{
+	for (size_t nodes = 15; nodes <= 60; nodes += 15) {
+		struct net_settings settings = {
+			.nodes = nodes, .seed = 6, .seeds = 3
+		};
+		struct net *net = g_new(struct net, 1);
+		uint64_t reads;
+		int64_t ms;
+
+		net_init(net, &settings);
+		net_publish_fleet(net, 0);
+		net_start_all(net);
+		CU_ASSERT(net_run_settled(net, 5000) >= 0);
+		for (size_t i = 0; i < nodes; i++) {
+			net_kill(net, i);
+			net_start(net, i);
+		}
+		reads = net->source.reads;
+		ms = net_run_settled(net, 6000);
+		reads = net->source.reads - reads;
+		g_print("herd of %zu: ready after %d ms, %d reads\n", nodes,
+		    (int)ms, (int)reads);
+		CU_ASSERT(ms >= 0);
+		CU_ASSERT(reads <= 40);
+		assert_sound(net);
+		net_release(net);
+		g_free(net);
+	}
+}
+
 int
 main(void)
 {
 	static const struct test_case cases[] = {
 		{ "a cold fleet comes up", test_cold_start },
 		{ "a change is in force everywhere", test_spread },
+		{ "a joiner that no peer answers waits",
+		    test_unanswered_joiner_waits },
+		{ "a cold fleet ends with one raw state",
+		    test_cold_start_compacted },
+		{ "a herd that restarts spares the platform",
+		    test_herd_restart },
 		{ NULL, NULL },
 	};
 
--- /dev/null
+++ b/tests/process/test_node_killed.py
@@ -0,0 +1,39 @@
+"""A node dies mid-load: each request ends with a whole answer or an error
+that says what is known."""
+
+import time
+import unittest
+
+from bed_case import BedCase
+
+KINDS = [
+    ("GET", "schedule-desk", "size=2048&work_ms=10", 50),
+    ("POST", "booking-ledger", "size=128&work_ms=10", 40),
+    ("GET", "reel-vault", "size=2000000&chunk_ms=5", 10, 8000),
+]
+
+
+class NodeKilled(BedCase):
+    def test_kill_loses_no_answer_silently(self):
+        bed = self.bed
+        victim = next(
+            n for n in bed.nodes if n.host.service == "booking-ledger")
+        others = [n for n in bed.nodes if n is not victim]
+        before = victim.version()
+        load = self.start_load(150, 10, KINDS, nodes=others)
+        time.sleep(3)
+        victim.process.kill()
+        time.sleep(2)
+        victim.process.start()
+        bed.wait_version(before, [victim])
+        report = self.end_load(load)
+        total = report["total"]
+        self.assertEqual(total["no_answer"], 0)
+        self.assertEqual(total["error"], 0)
+        self.assertGreater(total["ok"], 0.9 * 1500)
+        tail = report["per_second"][-2:]
+        self.assertEqual([row["ok"] for row in tail], [150, 150])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/route/fake_snapshot.h
+++ b/tests/route/fake_snapshot.h
@@ -14,7 +14,7 @@
 	struct record hosts[FAKE_UPSTREAMS_MAX];
 	struct record *upstream_list[FAKE_UPSTREAMS_MAX];
 	struct record *host_list[FAKE_UPSTREAMS_MAX];
-	char names[FAKE_UPSTREAMS_MAX][8];
+	char names[FAKE_UPSTREAMS_MAX][24];
 	bool removed[FAKE_UPSTREAMS_MAX];
 };
 
--- /dev/null
+++ b/trefoilhilld/data_path/call_link.c
@@ -0,0 +1,136 @@
+#include "trefoilhilld/call_link.h"
+
+struct peer_link {
+	struct call_link base;
+	struct transport *transport;
+	struct str address;
+};
+
+struct answer_link {
+	struct call_link base;
+	struct transport *transport;
+	struct frame_origin origin;
+};
+
+struct local_link {
+	struct call_link base;
+	struct frame_sink sink;
+};
+
+static void
+peer_link_send(struct call_link *link, GBytes *head, GBytes *body)
+{
+	struct peer_link *peer = (struct peer_link *)link;
+
+	transport_send(peer->transport, peer->address, FRAME_CALL, head, body);
+}
+
+static void
+peer_link_free(struct call_link *link)
+{
+	str_release(&((struct peer_link *)link)->address);
+	g_free(link);
+}
+
+static void
+answer_link_send(struct call_link *link, GBytes *head, GBytes *body)
+{
+	struct answer_link *answer = (struct answer_link *)link;
+
+	transport_reply(
+	    answer->transport, &answer->origin, FRAME_CALL, head, body);
+}
+
+static void
+plain_link_free(struct call_link *link)
+{
+	g_free(link);
+}
+
+static void
+local_link_send(struct call_link *link, GBytes *head, GBytes *body)
+{
+	struct local_link *local = (struct local_link *)link;
+	gsize len;
+	const void *bytes = g_bytes_get_data(head, &len);
+
+	local->sink.handle_frame(local->sink.arg, str_make(bytes, len), body);
+	g_bytes_unref(head);
+}
+
+static const struct call_link_ops peer_link_ops = {
+	.send = peer_link_send,
+	.free = peer_link_free,
+};
+
+static const struct call_link_ops answer_link_ops = {
+	.send = answer_link_send,
+	.free = plain_link_free,
+};
+
+static const struct call_link_ops local_link_ops = {
+	.send = local_link_send,
+	.free = plain_link_free,
+};
+
+/*
+ * A link to the node at an address, for an entry's calls.
+ */
+struct call_link *
+call_link_to_peer(struct transport *transport, struct str address)
+{
+	struct peer_link *link = g_new0(struct peer_link, 1);
+
+	link->base.ops = &peer_link_ops;
+	link->transport = transport;
+	link->address = str_dup(address);
+	return &link->base;
+}
+
+/*
+ * A link back along the path that a call came by.
+ */
+struct call_link *
+call_link_answer(struct transport *transport, const struct frame_origin *origin)
+{
+	struct answer_link *link = g_new0(struct answer_link, 1);
+
+	link->base.ops = &answer_link_ops;
+	link->transport = transport;
+	link->origin = *origin;
+	return &link->base;
+}
+
+/*
+ * A link within the process: frames are encoded as for the network, so both
+ * ends see the same checks, but take no hop.
+ */
+struct call_link *
+call_link_local(struct frame_sink sink)
+{
+	struct local_link *link = g_new0(struct local_link, 1);
+
+	link->base.ops = &local_link_ops;
+	link->sink = sink;
+	return &link->base;
+}
+
+/*
+ * Send one frame; the body is taken over.
+ */
+void
+call_link_send(
+    struct call_link *link, const struct call_frame *frame, GBytes *body)
+{
+	link->ops->send(link, call_frame_encode(frame), body);
+}
+
+/*
+ * Free a link. NULL is allowed.
+ */
+void
+call_link_free(struct call_link *link)
+{
+	if (link != NULL)
+		link->ops->free(link);
+}
--- /dev/null
+++ b/trefoilhilld/data_path/call_service.c
@@ -0,0 +1,476 @@
+#include <stdatomic.h>
+#include <string.h>
+
+#include "trefoilhilld/call_service.h"
+#include "trefoilhilld/service_call.h"
+#include "trefoilhilld/upstream_client.h"
+#include "trefoilhilld/worker_pool.h"
+
+struct call_service {
+	struct str upstream_name;
+	char *upstream_address;
+	struct clock *clock;
+	struct guard_gate *gate;
+	struct worker_pool *pool;
+	struct counter_set counters;
+	atomic_bool ready;
+	/* Covers the tables; the gate may be entered inside of it. */
+	pthread_mutex_t lock;
+	GHashTable *calls;   /* struct service_call_key to call, a reference */
+	GHashTable *tickets; /* ticket to call, borrowed */
+};
+
+static const struct counter_desc counter_descs[SERVICE_COUNTER_COUNT] = {
+	[SERVICE_OPENED] = { "trefoilhill_service_calls_total",
+	    "Calls that came to this host's guard." },
+	[SERVICE_DOUBLED] = { "trefoilhill_service_doubled_total",
+	    "Second copies of a running call, ignored." },
+	[SERVICE_STRAY] = { "trefoilhill_service_stray_frames_total",
+	    "Frames of calls that this node doesn't have." },
+	[SERVICE_ANSWERED] = { "trefoilhill_service_ended_total{how=\"answered\"}",
+	    "Calls ended, by how." },
+	[SERVICE_REFUSED] = { "trefoilhill_service_ended_total{how=\"refused\"}",
+	    "Calls ended, by how." },
+	[SERVICE_BROKEN] = { "trefoilhill_service_ended_total{how=\"broken\"}",
+	    "Calls ended, by how." },
+	[SERVICE_CANCELLED] = { "trefoilhill_service_cancelled_total",
+	    "Calls that their entry gave up." },
+	[SERVICE_ENTRY_LOST] = { "trefoilhill_service_entry_lost_total",
+	    "Calls cancelled because their entry fell silent." },
+};
+
+static void handle_turn(void *arg, uint64_t ticket,
+    enum guard_decision decision, enum refusal_reason reason);
+static void *open_worker(void *arg);
+static void run_call(void *arg, void *worker, void *job);
+static void close_worker(void *arg, void *worker);
+
+static const struct worker_pool_ops pool_ops = {
+	.open = open_worker,
+	.run = run_call,
+	.close = close_worker,
+};
+
+static void
+unref_call(void *call)
+{
+	service_call_unref(call);
+}
+
+/*
+ * Return a service in front of one upstream; it becomes the gate's handler.
+ */
+struct call_service *
+call_service_new(const struct call_service_settings *settings,
+    struct clock *clock, struct guard_gate *gate)
+{
+	struct call_service *service = g_new0(struct call_service, 1);
+	struct guard_gate_handler handler = { handle_turn, service };
+
+	service->upstream_name = str_dup(settings->upstream_name);
+	service->upstream_address = str_dup_cstr(settings->upstream_address);
+	service->clock = clock;
+	service->gate = gate;
+	service->pool =
+	    worker_pool_new(&pool_ops, service, settings->connections);
+	service->calls = g_hash_table_new_full(
+	    service_call_key_hash, service_call_key_equal, NULL, unref_call);
+	service->tickets = g_hash_table_new(g_int64_hash, g_int64_equal);
+	pthread_mutex_init(&service->lock, NULL);
+	atomic_init(&service->ready, false);
+	counter_set_init(
+	    &service->counters, counter_descs, SERVICE_COUNTER_COUNT);
+	guard_gate_set_handler(gate, handler);
+	return service;
+}
+
+/*
+ * Cancel what still runs and free the service. The gate must be stopped.
+ */
+void
+call_service_free(struct call_service *service)
+{
+	if (service == NULL)
+		return;
+	call_service_sweep(service, INT64_MIN);
+	worker_pool_free(service->pool);
+	g_hash_table_destroy(service->tickets);
+	g_hash_table_destroy(service->calls);
+	pthread_mutex_destroy(&service->lock);
+	str_release(&service->upstream_name);
+	g_free(service->upstream_address);
+	g_free(service);
+}
+
+void
+call_service_set_ready(struct call_service *service, bool ready)
+{
+	atomic_store(&service->ready, ready);
+}
+
+/*
+ * Take a call out of the tables, after its last frame was sent, so that a
+ * ping can't be told first that the call is gone. The caller's reference
+ * keeps it alive.
+ */
+static void
+forget_call(struct call_service *service, struct service_call *call)
+{
+	pthread_mutex_lock(&service->lock);
+	if (g_hash_table_lookup(service->calls, &call->key) == call) {
+		g_hash_table_remove(service->tickets, &call->ticket);
+		g_hash_table_remove(service->calls, &call->key);
+	}
+	pthread_mutex_unlock(&service->lock);
+}
+
+/*
+ * Tell the entry that no answer, or no more of it, will come.
+ */
+static void
+send_refused(struct call_service *service, struct service_call *call,
+    const struct call_refused *refused)
+{
+	struct call_frame frame;
+
+	memset(&frame, 0, sizeof(frame));
+	frame.has_hint = true;
+	frame.hint = guard_gate_hint(service->gate);
+	frame.refused = *refused;
+	if (refused->retry_after_ms == 0 && refused->not_run)
+		frame.refused.retry_after_ms =
+		    guard_gate_retry_after_ms(service->gate, refused->reason);
+	counter_add(&service->counters,
+	    refused->not_run ? SERVICE_REFUSED : SERVICE_BROKEN, 1);
+	service_call_send(call, CALL_REFUSED, &frame, NULL);
+}
+
+static void
+refuse_call(struct call_service *service, struct service_call *call,
+    enum refusal_reason reason)
+{
+	struct call_refused refused = {
+		.reason = reason,
+		.not_run = refusal_is_not_run(reason),
+	};
+
+	send_refused(service, call, &refused);
+	forget_call(service, call);
+}
+
+static void *
+open_worker(void *arg)
+{
+	struct call_service *service = arg;
+
+	return upstream_client_new(
+	    service->upstream_address, service->gate, service->clock);
+}
+
+static void
+close_worker(void *arg, void *worker)
+{
+	upstream_client_free(worker);
+}
+
+/*
+ * Send the end of a whole answer with the guard's newest word.
+ */
+static void
+send_answer_end(struct call_service *service, struct service_call *call,
+    struct upstream_result *result)
+{
+	struct call_frame *frame = &result->last_frame;
+
+	frame->has_hint = true;
+	frame->hint = guard_gate_hint(service->gate);
+	counter_add(&service->counters, SERVICE_ANSWERED, 1);
+	service_call_send(
+	    call, frame->kind, frame, g_steal_pointer(&result->last_body));
+}
+
+/*
+ * Run one call on a worker. The guard learns of the end before the entry
+ * does, so the hint that goes with the end counts it.
+ */
+static void
+run_call(void *arg, void *worker, void *job)
+{
+	struct call_service *service = arg;
+	struct service_call *call = job;
+	struct upstream_result result;
+	struct call_refused refused;
+
+	upstream_client_run(worker, call, &result);
+	guard_gate_complete(
+	    service->gate, call->ticket, result.outcome, result.latency_us);
+	if (result.answered) {
+		send_answer_end(service, call, &result);
+	} else {
+		refused = (struct call_refused){
+			.reason = result.reason,
+			.not_run = result.not_run,
+			.retry_after_ms = result.retry_after_ms,
+		};
+		send_refused(service, call, &refused);
+	}
+	forget_call(service, call);
+	if (result.last_body != NULL)
+		g_bytes_unref(result.last_body);
+	service_call_unref(call);
+}
+
+/*
+ * The turn of a queued call has come.
+ */
+static void
+handle_turn(void *arg, uint64_t ticket, enum guard_decision decision,
+    enum refusal_reason reason)
+{
+	struct call_service *service = arg;
+	struct service_call *call;
+
+	pthread_mutex_lock(&service->lock);
+	call = g_hash_table_lookup(service->tickets, &ticket);
+	if (call != NULL)
+		service_call_ref(call);
+	pthread_mutex_unlock(&service->lock);
+	if (call == NULL)
+		return;
+	if (decision == GUARD_RUN) {
+		worker_pool_submit(service->pool, call);
+		return;
+	}
+	refuse_call(service, call, reason);
+	service_call_unref(call);
+}
+
+static void
+fill_guard_call(const struct service_call *call, struct guard_call *to)
+{
+	const struct call_open *open = &call->open->open;
+
+	to->incarnation = open->guard_incarnation;
+	to->tick = open->guard_tick;
+	to->request = open->request;
+	to->key = open->key;
+	to->attempt = open->attempt;
+	to->idempotent = open->idempotent;
+	to->deadline = call->deadline;
+}
+
+/*
+ * Enter a new call in the tables and ask the guard, in one step, so that its
+ * turn can't come before it is known. A second copy of a call that is here
+ * already is no new call: *doubled is set.
+ */
+static enum guard_decision
+admit_call(struct call_service *service, struct service_call *call,
+    enum refusal_reason *reason, bool *doubled)
+{
+	enum guard_decision decision = GUARD_REFUSE;
+	struct guard_call question;
+
+	fill_guard_call(call, &question);
+	*reason = REFUSAL_NOT_READY;
+	pthread_mutex_lock(&service->lock);
+	*doubled = g_hash_table_contains(service->calls, &call->key);
+	if (*doubled)
+		goto out;
+	if (atomic_load(&service->ready))
+		decision = guard_gate_admit(
+		    service->gate, &question, &call->ticket, reason);
+	if (decision == GUARD_REFUSE)
+		goto out;
+	g_hash_table_insert(service->calls, &call->key, service_call_ref(call));
+	g_hash_table_insert(service->tickets, &call->ticket, call);
+out:
+	pthread_mutex_unlock(&service->lock);
+	return decision;
+}
+
+/*
+ * Begin a call. Takes over all three.
+ */
+static void
+open_call(struct call_service *service, struct call_frame *frame, GBytes *body,
+    struct call_link *link, bool remote)
+{
+	struct service_call *call =
+	    service_call_new(service->clock, frame, body, link, remote);
+	enum guard_decision decision = GUARD_REFUSE;
+	enum refusal_reason reason = REFUSAL_UNKNOWN_UPSTREAM;
+	bool doubled = false;
+
+	if (str_equal(frame->open.upstream, service->upstream_name))
+		decision = admit_call(service, call, &reason, &doubled);
+	if (doubled) {
+		counter_add(&service->counters, SERVICE_DOUBLED, 1);
+		service_call_unref(call);
+		return;
+	}
+	counter_add(&service->counters, SERVICE_OPENED, 1);
+	if (decision == GUARD_RUN) {
+		worker_pool_submit(service->pool, call);
+		return;
+	}
+	if (decision == GUARD_REFUSE)
+		refuse_call(service, call, reason);
+	service_call_unref(call);
+}
+
+static struct service_call *
+find_call(struct call_service *service, const struct call_frame *frame)
+{
+	struct service_call_key key = { frame->entry, frame->call };
+	struct service_call *call;
+
+	pthread_mutex_lock(&service->lock);
+	call = g_hash_table_lookup(service->calls, &key);
+	if (call != NULL)
+		service_call_ref(call);
+	pthread_mutex_unlock(&service->lock);
+	if (call == NULL)
+		counter_add(&service->counters, SERVICE_STRAY, 1);
+	return call;
+}
+
+/*
+ * Give a call up: a queued one ends here, a running one at its worker.
+ */
+static void
+cancel_call(struct call_service *service, struct service_call *call)
+{
+	counter_add(&service->counters, SERVICE_CANCELLED, 1);
+	service_call_cancel(call);
+	if (guard_gate_cancel(service->gate, call->ticket))
+		refuse_call(service, call, REFUSAL_CANCELLED);
+}
+
+/*
+ * A frame that belongs to a call. Takes body over.
+ */
+static void
+handle_call_frame(
+    struct call_service *service, struct call_frame *frame, GBytes *body)
+{
+	struct service_call *call = find_call(service, frame);
+
+	if (call == NULL)
+		goto out;
+	if (frame->kind == CALL_BODY)
+		service_call_add_body(
+		    call, &frame->body, g_steal_pointer(&body));
+	else if (frame->kind == CALL_CREDIT)
+		service_call_grant(call, frame->credit_upto);
+	else if (frame->kind == CALL_CANCEL)
+		cancel_call(service, call);
+	service_call_unref(call);
+out:
+	if (body != NULL)
+		g_bytes_unref(body);
+}
+
+/*
+ * Answer which of an entry's calls are here.
+ */
+static void
+answer_ping(struct call_service *service, const struct call_frame *ping,
+    struct call_link *link)
+{
+	GArray *running = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	GArray *gone = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	struct call_frame frame;
+
+	for (size_t i = 0; i < ping->ping.count; i++) {
+		struct service_call_key key = { ping->entry,
+			ping->ping.list[i] };
+		struct service_call *call;
+
+		pthread_mutex_lock(&service->lock);
+		call = g_hash_table_lookup(service->calls, &key);
+		if (call != NULL)
+			service_call_mark_heard(call);
+		pthread_mutex_unlock(&service->lock);
+		g_array_append_val(call == NULL ? gone : running, key.call);
+	}
+	memset(&frame, 0, sizeof(frame));
+	frame.kind = CALL_PONG;
+	frame.entry = ping->entry;
+	frame.has_hint = true;
+	frame.hint = guard_gate_hint(service->gate);
+	frame.pong.running.count = running->len;
+	frame.pong.running.list = (const uint64_t *)(void *)running->data;
+	frame.pong.gone.count = gone->len;
+	frame.pong.gone.list = (const uint64_t *)(void *)gone->data;
+	call_link_send(link, &frame, NULL);
+	g_array_unref(running);
+	g_array_unref(gone);
+}
+
+/*
+ * See include/trefoilhilld/call_service.h.
+ */
+void
+call_service_handle_frame(struct call_service *service,
+    struct call_frame *frame, GBytes *body, struct call_link *link, bool remote)
+{
+	if (frame->kind == CALL_OPEN) {
+		open_call(service, frame, body, link, remote);
+		return;
+	}
+	if (frame->kind == CALL_PING) {
+		answer_ping(service, frame, link);
+		if (body != NULL)
+			g_bytes_unref(body);
+	} else {
+		handle_call_frame(service, frame, body);
+	}
+	call_link_free(link);
+	call_frame_free(frame);
+}
+
+/*
+ * See include/trefoilhilld/call_service.h. A limit below zero takes all.
+ */
+void
+call_service_sweep(struct call_service *service, int64_t lost_ms)
+{
+	GPtrArray *lost = g_ptr_array_new();
+	GHashTableIter iter;
+	void *value;
+
+	pthread_mutex_lock(&service->lock);
+	g_hash_table_iter_init(&iter, service->calls);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (lost_ms < 0 || service_call_is_silent(value, lost_ms))
+			g_ptr_array_add(lost, service_call_ref(value));
+	pthread_mutex_unlock(&service->lock);
+	for (guint i = 0; i < lost->len; i++) {
+		struct service_call *call = g_ptr_array_index(lost, i);
+
+		if (!service_call_is_cancelled(call)) {
+			counter_add(&service->counters, SERVICE_ENTRY_LOST, 1);
+			cancel_call(service, call);
+		}
+		service_call_unref(call);
+	}
+	g_ptr_array_free(lost, TRUE);
+}
+
+bool
+call_service_is_idle(struct call_service *service)
+{
+	bool idle;
+
+	pthread_mutex_lock(&service->lock);
+	idle = g_hash_table_size(service->calls) == 0;
+	pthread_mutex_unlock(&service->lock);
+	return idle;
+}
+
+const struct counter_set *
+call_service_counters(const struct call_service *service)
+{
+	return &service->counters;
+}
--- /dev/null
+++ b/trefoilhilld/data_path/data_path.c
@@ -0,0 +1,403 @@
+#include <pthread.h>
+#include <string.h>
+#include <time.h>
+
+#include "trefoilhilld/call_service.h"
+#include "trefoilhilld/data_path.h"
+#include "trefoilhilld/caller_entry.h"
+
+enum {
+	SWEEP_MS = 200,       /* between looks at the calls in flight */
+	PING_AFTER_MS = 150,  /* age of a call that is asked for */
+	LOST_AFTER_MS = 1200, /* silence that means that the other is gone */
+	QUIET_BEFORE_IDLE_MS = 300,
+};
+
+struct data_path {
+	struct data_path_env env;
+	uint64_t incarnation;
+	struct caller_entry *entry;
+	struct guard_gate *gate;      /* NULL without an upstream */
+	struct call_service *service; /* NULL without an upstream */
+	struct counter_set no_service;
+	pthread_t sweeper;
+	bool started;
+	atomic_bool stopping;
+	struct timespec busy_at;
+};
+
+GQuark
+data_path_error_quark(void)
+{
+	return g_quark_from_static_string("data-path-error");
+}
+
+/*
+ * Decode a frame, or count it as rejected.
+ */
+static struct call_frame *
+decode(struct data_path *path, struct str head)
+{
+	GError *error = NULL;
+	struct call_frame *frame = call_frame_decode(head, &error);
+
+	if (frame == NULL) {
+		counter_add(&path->entry->counters, ENTRY_REJECTED_FRAMES, 1);
+		g_error_free(error);
+	}
+	return frame;
+}
+
+static void
+drop_body(GBytes *body)
+{
+	if (body != NULL)
+		g_bytes_unref(body);
+}
+
+/*
+ * A word of a guard's node on calls of this entry.
+ */
+static void
+handle_pong(struct data_path *path, struct call_frame *frame)
+{
+	for (size_t i = 0; i < frame->pong.running.count; i++)
+		call_table_mark_heard(
+		    path->entry->table, frame->pong.running.list[i]);
+	for (size_t i = 0; i < frame->pong.gone.count; i++)
+		call_table_fail(path->entry->table, frame->pong.gone.list[i],
+		    CALL_LOSS_GONE);
+	call_frame_free(frame);
+}
+
+/*
+ * A frame for a call of this entry. Takes both over.
+ */
+static void
+handle_answer(struct data_path *path, struct call_frame *frame, GBytes *body)
+{
+	struct caller_entry *entry = path->entry;
+
+	if (frame->kind == CALL_PONG) {
+		handle_pong(path, frame);
+		drop_body(body);
+	} else if (frame->entry != entry->incarnation) {
+		counter_add(&entry->counters, ENTRY_LATE_FRAMES, 1);
+		call_frame_free(frame);
+		drop_body(body);
+	} else if (!call_table_deliver(entry->table, frame, body)) {
+		counter_add(&entry->counters, ENTRY_LATE_FRAMES, 1);
+	}
+}
+
+/*
+ * A frame came from another node: along this node's own connections come
+ * answers, along those of others come their calls.
+ */
+static void
+handle_frame(void *arg, const struct frame_origin *origin, struct str head,
+    struct str body)
+{
+	struct data_path *path = arg;
+	struct call_frame *frame = decode(path, head);
+	GBytes *bytes;
+
+	if (frame == NULL)
+		return;
+	bytes = body.len == 0 ? NULL : g_bytes_new(body.ptr, body.len);
+	if (origin->len == 0) {
+		handle_answer(path, frame, bytes);
+	} else if (path->service != NULL) {
+		call_service_handle_frame(path->service, frame, bytes,
+		    call_link_answer(path->env.transport, origin), true);
+	} else {
+		call_frame_free(frame);
+		drop_body(bytes);
+	}
+}
+
+/*
+ * A frame was given up before a byte of it was sent. An OPEN has certainly
+ * not run then; of a call that goes on a part is missing.
+ */
+static void
+handle_drop(void *arg, struct str address, struct str head)
+{
+	struct data_path *path = arg;
+	struct call_frame *frame = decode(path, head);
+
+	if (frame == NULL)
+		return;
+	if (frame->entry == path->incarnation && frame->kind != CALL_PING)
+		call_table_fail(path->entry->table, frame->call,
+		    frame->kind == CALL_OPEN ? CALL_LOSS_NOT_SENT
+					     : CALL_LOSS_PEER);
+	call_frame_free(frame);
+}
+
+/*
+ * A frame from the call service to this host's own entry.
+ */
+static void
+handle_local_answer(void *arg, struct str head, GBytes *body)
+{
+	struct data_path *path = arg;
+	struct call_frame *frame = decode(path, head);
+
+	if (frame != NULL)
+		handle_answer(path, frame, body);
+	else
+		drop_body(body);
+}
+
+/*
+ * A frame from this host's own entry to the call service.
+ */
+static void
+handle_local_call(void *arg, struct str head, GBytes *body)
+{
+	struct data_path *path = arg;
+	struct frame_sink back = { handle_local_answer, path };
+	struct call_frame *frame = decode(path, head);
+
+	if (frame != NULL)
+		call_service_handle_frame(
+		    path->service, frame, body, call_link_local(back), false);
+	else
+		drop_body(body);
+}
+
+static void
+open_service(struct data_path *path, const struct data_path_settings *settings)
+{
+	struct call_service_settings service = {
+		.upstream_name = settings->upstream_name,
+		.upstream_address = settings->upstream_address,
+		.connections = settings->upstream_connections,
+	};
+	struct frame_sink sink = { handle_local_call, path };
+
+	path->gate = guard_gate_new(path->env.guard, settings->tick_ms);
+	path->service = call_service_new(&service, path->env.clock, path->gate);
+	path->entry->local = sink;
+	path->entry->has_local = true;
+}
+
+/*
+ * Check what the settings must have.
+ */
+static bool
+check_settings(const struct data_path_settings *settings,
+    const struct data_path_env *env, GError **error)
+{
+	const char *fault = NULL;
+
+	if (settings->incarnation == 0)
+		fault = "incarnation is 0";
+	else if (settings->entry_workers == 0)
+		fault = "no entry workers";
+	else if (settings->upstream_name.len > 0 &&
+	    (env->guard == NULL || settings->upstream_address.len == 0 ||
+		settings->upstream_connections == 0 || settings->tick_ms == 0))
+		fault = "upstream without guard, address, connections or tick";
+	if (fault == NULL)
+		return true;
+	g_set_error(
+	    error, DATA_PATH_ERROR, DATA_PATH_ERROR_SETTINGS, "%s", fault);
+	return false;
+}
+
+/*
+ * See include/trefoilhilld/data_path.h.
+ */
+struct data_path *
+data_path_new(const struct data_path_settings *settings,
+    const struct data_path_env *env, GError **error)
+{
+	struct data_path *path;
+	struct frame_handler frames = { .handle_frame = handle_frame };
+	struct drop_handler drops = { .handle_drop = handle_drop };
+
+	if (!check_settings(settings, env, error))
+		return NULL;
+	path = g_new0(struct data_path, 1);
+	path->env = *env;
+	path->incarnation = settings->incarnation;
+	path->busy_at = clock_now(env->clock);
+	path->entry = caller_entry_new(settings, env);
+	counter_set_init(&path->no_service, NULL, 0);
+	if (settings->upstream_name.len > 0)
+		open_service(path, settings);
+	frames.arg = path;
+	drops.arg = path;
+	transport_set_handler(env->transport, FRAME_CALL, frames);
+	transport_set_drop_handler(env->transport, FRAME_CALL, drops);
+	return path;
+}
+
+/*
+ * Ask each node that has calls of this entry whether it still has them.
+ */
+static void
+ping_peers(struct data_path *path)
+{
+	GHashTable *by_peer =
+	    call_table_sweep(path->entry->table, PING_AFTER_MS, LOST_AFTER_MS);
+	GHashTableIter iter;
+	void *peer;
+	void *value;
+
+	g_hash_table_iter_init(&iter, by_peer);
+	while (g_hash_table_iter_next(&iter, &peer, &value)) {
+		GArray *ids = value;
+		struct call_frame frame;
+
+		memset(&frame, 0, sizeof(frame));
+		frame.kind = CALL_PING;
+		frame.entry = path->incarnation;
+		frame.ping.count = ids->len;
+		frame.ping.list = (const uint64_t *)(void *)ids->data;
+		transport_send(path->env.transport, str_from(peer), FRAME_CALL,
+		    call_frame_encode(&frame), NULL);
+	}
+	g_hash_table_destroy(by_peer);
+}
+
+static void *
+run_sweeper(void *arg)
+{
+	struct data_path *path = arg;
+	struct timespec pause = timespec_from_ms(SWEEP_MS);
+
+	while (!atomic_load(&path->stopping)) {
+		ping_peers(path);
+		if (path->service != NULL)
+			call_service_sweep(path->service, LOST_AFTER_MS);
+		nanosleep(&pause, NULL);
+	}
+	return NULL;
+}
+
+static int
+start_sweeper(struct data_path *path, GError **error)
+{
+	int status = pthread_create(&path->sweeper, NULL, run_sweeper, path);
+
+	if (status != 0) {
+		g_set_error(error, DATA_PATH_ERROR, DATA_PATH_ERROR_THREAD,
+		    "sweeping thread: %s", g_strerror(status));
+		return -1;
+	}
+	path->started = true;
+	return 0;
+}
+
+/*
+ * Start all threads and listen. Returns 0, or -1 with error set.
+ */
+int
+data_path_start(struct data_path *path, GError **error)
+{
+	if (path->gate != NULL && guard_gate_start(path->gate, error) != 0)
+		return -1;
+	if (start_sweeper(path, error) != 0)
+		return -1;
+	return caller_entry_start(path->entry, error);
+}
+
+void
+data_path_set_ready(struct data_path *path, bool ready)
+{
+	atomic_store(&path->entry->ready, ready);
+	if (path->service != NULL)
+		call_service_set_ready(path->service, ready);
+}
+
+void
+data_path_set_in_service(struct data_path *path, bool in_service)
+{
+	if (path->gate != NULL)
+		guard_gate_set_in_service(path->gate, in_service);
+}
+
+void
+data_path_drain(struct data_path *path)
+{
+	atomic_store(&path->entry->draining, true);
+	if (path->gate != NULL)
+		guard_gate_drain(path->gate);
+}
+
+/*
+ * Tell whether nothing runs and nothing has run for a moment, in which the
+ * last frames of the last calls have left this host. One thread may ask.
+ */
+bool
+data_path_is_idle(struct data_path *path)
+{
+	struct timespec now = clock_now(path->env.clock);
+
+	if (atomic_load(&path->entry->running) > 0 ||
+	    (path->service != NULL && !call_service_is_idle(path->service)))
+		path->busy_at = now;
+	return timespec_ms_between(path->busy_at, now) >= QUIET_BEFORE_IDLE_MS;
+}
+
+/*
+ * Stop listening and all threads but the transport's. Calls that still run
+ * end as unknown.
+ */
+void
+data_path_stop(struct data_path *path)
+{
+	caller_entry_stop(path->entry);
+	if (path->started) {
+		atomic_store(&path->stopping, true);
+		pthread_join(path->sweeper, NULL);
+		path->started = false;
+	}
+	if (path->gate != NULL)
+		guard_gate_stop(path->gate);
+	if (path->service != NULL)
+		call_service_sweep(path->service, -1);
+}
+
+/*
+ * Free a stopped data path, after the transport was stopped. NULL is
+ * allowed.
+ */
+void
+data_path_free(struct data_path *path)
+{
+	if (path == NULL)
+		return;
+	call_service_free(path->service);
+	guard_gate_free(path->gate);
+	caller_entry_free(path->entry);
+	g_free(path);
+}
+
+bool
+data_path_hint(struct data_path *path, struct guard_hint *hint)
+{
+	if (path->gate == NULL)
+		return false;
+	*hint = guard_gate_hint(path->gate);
+	return true;
+}
+
+const struct counter_set *
+data_path_entry_counters(const struct data_path *path)
+{
+	return &path->entry->counters;
+}
+
+/*
+ * Empty on a host without an upstream.
+ */
+const struct counter_set *
+data_path_service_counters(const struct data_path *path)
+{
+	return path->service == NULL ? &path->no_service
+				     : call_service_counters(path->service);
+}
--- /dev/null
+++ b/trefoilhilld/data_path/entry_call.c
@@ -0,0 +1,210 @@
+#include <string.h>
+
+#include "trefoilhilld/caller_entry.h"
+
+enum {
+	RETRY_AFTER_MS = 1000,
+};
+
+static uint64_t
+version_of(const struct entry_call *call)
+{
+	return call->snapshot == NULL ? 0 : snapshot_id(call->snapshot).version;
+}
+
+static void
+record_event(struct entry_call *call, enum event_kind kind, const char *subject)
+{
+	event_record(call->entry->env.events, kind, version_of(call),
+	    request_id_number(call->request->id), call->attempt,
+	    str_from(subject));
+}
+
+/*
+ * Answer the caller with an error, and count it by what it promises.
+ */
+static void
+answer_error(struct entry_call *call, const struct answer_error *error)
+{
+	counter_add(&call->entry->counters,
+	    error->not_run ? ENTRY_NOT_RUN : ENTRY_UNKNOWN, 1);
+	record_event(call,
+	    error->not_run ? EVENT_CALL_REFUSED : EVENT_CALL_UNKNOWN,
+	    answer_error_name(error));
+	entry_answer_error(call->answer, error, call->rng);
+}
+
+static void
+answer_not_run(struct entry_call *call, enum answer_error_kind kind,
+    uint32_t retry_after_ms)
+{
+	struct answer_error error = {
+		.kind = kind,
+		.not_run = true,
+		.retry_after_ms = retry_after_ms,
+	};
+
+	answer_error(call, &error);
+}
+
+/*
+ * Has the body not been read beyond the part that is kept?
+ */
+static bool
+body_is_replayable(const struct entry_request *request)
+{
+	size_t kept =
+	    request->first == NULL ? 0 : g_bytes_get_size(request->first);
+
+	return request->body_read == kept;
+}
+
+static int64_t
+remaining_ms(const struct entry_call *call)
+{
+	return timespec_ms_between(
+	    clock_now(call->entry->env.clock), call->deadline);
+}
+
+static bool
+may_retry(struct entry_call *call, const struct exchange_result *result)
+{
+	struct retry_question question = {
+		.end = result->end,
+		.idempotent = call->request->idempotent,
+		.body_replayable = body_is_replayable(call->request),
+		.attempt = call->attempt,
+		.attempts_max = call->attempts_max,
+		.fenced = call->fenced,
+		.incoming_attempt = call->request->attempt,
+		.remaining_ms = remaining_ms(call),
+	};
+
+	if (call->choice_request.tried_count == CHOICE_TRIED_MAX)
+		return false;
+	return retry_allowed(&question, call->entry->env.retries);
+}
+
+/*
+ * Move on to another upstream for the next try.
+ */
+static bool
+pick_another(struct entry_call *call, struct choice *choice,
+    const struct answer_error *error)
+{
+	struct choice_request *request = &call->choice_request;
+	uint32_t retry_after_ms;
+
+	request->tried[request->tried_count++] = choice->upstream;
+	if (!chooser_pick(call->entry->env.chooser, request, call->rng, choice,
+		&retry_after_ms))
+		return false;
+	call->attempt++;
+	counter_add(&call->entry->counters, ENTRY_RETRIES, 1);
+	record_event(call, EVENT_CALL_RETRIED, answer_error_name(error));
+	return true;
+}
+
+/*
+ * Try one upstream after another, as long as the retry rules allow. A guard
+ * that refused only because the entry's word of it was too old is asked again
+ * at once with the word that came back.
+ */
+static void
+try_upstreams(struct entry_call *call)
+{
+	struct exchange_result result;
+	struct choice choice;
+	uint32_t retry_after_ms = RETRY_AFTER_MS;
+
+	if (!chooser_pick(call->entry->env.chooser, &call->choice_request,
+		call->rng, &choice, &retry_after_ms)) {
+		answer_not_run(call, ANSWER_ERROR_NO_UPSTREAM, retry_after_ms);
+		return;
+	}
+	while (entry_exchange_run(call, &choice, &result) == EXCHANGE_ERROR) {
+		if (result.end == ATTEMPT_UNKNOWN)
+			call->may_have_run = true;
+		if (!may_retry(call, &result))
+			goto refuse;
+		if (result.end == ATTEMPT_FENCED) {
+			choice.known = result.hint;
+			call->fenced++;
+			counter_add(&call->entry->counters, ENTRY_FENCED, 1);
+		} else if (!pick_another(call, &choice, &result.error)) {
+			goto refuse;
+		}
+	}
+	return;
+refuse:
+	result.error.not_run = !call->may_have_run;
+	answer_error(call, &result.error);
+}
+
+/*
+ * Set the deadline: the shorter of what the caller and the service allow.
+ */
+static void
+set_deadline(struct entry_call *call, const struct service_record *service)
+{
+	uint32_t ms = service->timeout_ms == 0 ? call->entry->default_timeout_ms
+					       : service->timeout_ms;
+
+	if (call->request->timeout_ms != 0)
+		ms = MIN(ms, call->request->timeout_ms);
+	call->deadline =
+	    timespec_plus_ms(clock_now(call->entry->env.clock), ms);
+}
+
+/*
+ * Find the service of the request's route.
+ */
+static const struct service_view *
+match_service(struct entry_call *call)
+{
+	struct entry_request *request = call->request;
+	const struct record *route = snapshot_match_route(
+	    call->snapshot, request->authority, request->path);
+
+	if (route == NULL)
+		return NULL;
+	return snapshot_service(call->snapshot, route->route.service);
+}
+
+/*
+ * Serve one request that was read without fault. The snapshot is pinned from
+ * the choice of the route to the last byte.
+ */
+void
+entry_call_run(struct entry_call *call)
+{
+	const struct service_view *service;
+	struct answer_error error;
+
+	if (atomic_load(&call->entry->draining)) {
+		answer_not_run(call, ANSWER_ERROR_STOPPING, RETRY_AFTER_MS);
+		return;
+	}
+	if (atomic_load(&call->entry->ready))
+		call->snapshot = live_config_get(call->entry->env.live);
+	if (call->snapshot == NULL) {
+		answer_not_run(call, ANSWER_ERROR_NOT_READY, RETRY_AFTER_MS);
+		return;
+	}
+	service = match_service(call);
+	if (service == NULL) {
+		answer_not_run(call, ANSWER_ERROR_NO_ROUTE, 0);
+		goto out;
+	}
+	set_deadline(call, &service->service->service);
+	call->attempts_max = service->service->service.idempotent_retries + 1;
+	call->choice_request.snapshot = call->snapshot;
+	call->choice_request.service = service->service->name;
+	retry_budget_deposit(call->entry->env.retries);
+	if (!entry_request_read_first(call->request, &error))
+		answer_error(call, &error);
+	else
+		try_upstreams(call);
+out:
+	snapshot_unref(call->snapshot);
+}
--- /dev/null
+++ b/trefoilhilld/data_path/entry_exchange.c
@@ -0,0 +1,368 @@
+#include <string.h>
+
+#include "trefoilhilld/caller_entry.h"
+
+enum {
+	RETRY_AFTER_UNREACHABLE_MS = 1000,
+};
+
+/* One OPEN and the frames that belong to it. */
+struct exchange {
+	struct entry_call *call;
+	const struct choice *choice;
+	struct exchange_result *result;
+	struct call_link *link;
+	uint64_t id;
+	uint64_t upload_credit; /* bytes of the request's body that may go */
+	uint64_t uploaded;
+	uint64_t received; /* bytes of the answer's body */
+	uint64_t granted;
+};
+
+enum step {
+	STEP_GO_ON,
+	STEP_DONE,
+	STEP_ERROR,
+};
+
+static void
+send_frame(struct exchange *exchange, struct call_frame *frame, GBytes *body)
+{
+	frame->entry = exchange->call->entry->incarnation;
+	frame->call = exchange->id;
+	call_link_send(exchange->link, frame, body);
+}
+
+static void
+send_cancel(struct exchange *exchange)
+{
+	struct call_frame frame;
+
+	memset(&frame, 0, sizeof(frame));
+	frame.kind = CALL_CANCEL;
+	send_frame(exchange, &frame, NULL);
+}
+
+/*
+ * Send OPEN with the first bytes of the body. The guard's word was taken
+ * before the remaining time is worked out here, so that an entry that stood
+ * still in between can't pass off old work as new.
+ */
+static void
+send_open(struct exchange *exchange)
+{
+	struct entry_call *call = exchange->call;
+	struct entry_request *request = call->request;
+	struct call_frame frame;
+	int64_t left_ms = timespec_ms_between(
+	    clock_now(call->entry->env.clock), call->deadline);
+
+	memset(&frame, 0, sizeof(frame));
+	frame.kind = CALL_OPEN;
+	frame.open.request = str_from(request->id);
+	frame.open.key = request->key;
+	frame.open.upstream = exchange->choice->upstream->name;
+	frame.open.method = request->method;
+	frame.open.target = str_from(request->target);
+	frame.open.headers = request->headers;
+	frame.open.timeout_ms = (uint32_t)MAX(left_ms, 0);
+	frame.open.attempt = call->opens++;
+	frame.open.retry = request->attempt + call->attempt;
+	frame.open.idempotent = request->idempotent;
+	frame.open.guard_incarnation = exchange->choice->known.incarnation;
+	frame.open.guard_tick = exchange->choice->known.tick;
+	frame.open.length = request->length;
+	frame.open.end =
+	    request->body_ended && request->body_read <= CALL_CHUNK_BYTES;
+	frame.open.credit = CALL_WINDOW_BYTES;
+	exchange->granted = CALL_WINDOW_BYTES;
+	if (request->first != NULL)
+		exchange->uploaded = g_bytes_get_size(request->first);
+	send_frame(exchange, &frame,
+	    request->first == NULL ? NULL : g_bytes_ref(request->first));
+}
+
+static enum step
+fail(struct exchange *exchange, enum answer_error_kind kind, bool not_run)
+{
+	if (exchange->call->answer->begun) {
+		entry_answer_cut(exchange->call->answer);
+		counter_add(&exchange->call->entry->counters, ENTRY_CUT, 1);
+		return STEP_DONE;
+	}
+	memset(&exchange->result->error, 0, sizeof(exchange->result->error));
+	exchange->result->error.kind = kind;
+	exchange->result->error.not_run = not_run;
+	exchange->result->end = not_run ? ATTEMPT_NOT_RUN : ATTEMPT_UNKNOWN;
+	return STEP_ERROR;
+}
+
+/*
+ * Send the next chunk of the request's body.
+ */
+static enum step
+upload_next(struct exchange *exchange)
+{
+	struct entry_request *request = exchange->call->request;
+	GBytes *chunk = entry_request_read_next(request);
+	struct call_frame frame;
+
+	if (chunk == NULL && !request->body_ended) {
+		send_cancel(exchange);
+		return fail(exchange, ANSWER_ERROR_BODY, false);
+	}
+	memset(&frame, 0, sizeof(frame));
+	frame.kind = CALL_BODY;
+	frame.body.offset = exchange->uploaded;
+	frame.body.end = request->body_ended;
+	if (chunk != NULL)
+		exchange->uploaded += g_bytes_get_size(chunk);
+	send_frame(exchange, &frame, chunk);
+	return STEP_GO_ON;
+}
+
+static bool
+may_upload(const struct exchange *exchange)
+{
+	return !exchange->call->request->body_ended &&
+	    exchange->uploaded + CALL_CHUNK_BYTES <= exchange->upload_credit;
+}
+
+/*
+ * The caller has left: nobody wants the rest.
+ */
+static enum step
+give_up(struct exchange *exchange)
+{
+	send_cancel(exchange);
+	entry_answer_cut(exchange->call->answer);
+	counter_add(&exchange->call->entry->counters, ENTRY_CALLER_GONE, 1);
+	return STEP_DONE;
+}
+
+/*
+ * Let the guard send on as the caller takes the answer.
+ */
+static void
+grant_more(struct exchange *exchange)
+{
+	uint64_t upto = exchange->received + CALL_WINDOW_BYTES;
+	struct call_frame frame;
+
+	if (upto - exchange->granted < CALL_WINDOW_BYTES / 2)
+		return;
+	memset(&frame, 0, sizeof(frame));
+	frame.kind = CALL_CREDIT;
+	frame.credit_upto = upto;
+	exchange->granted = upto;
+	send_frame(exchange, &frame, NULL);
+}
+
+/*
+ * Bytes of the answer were written, or could not be.
+ */
+static enum step
+after_write(struct exchange *exchange, bool written, size_t len, bool end)
+{
+	struct entry_call *call = exchange->call;
+
+	exchange->received += len;
+	if (!written)
+		return give_up(exchange);
+	if (!end) {
+		grant_more(exchange);
+		return STEP_GO_ON;
+	}
+	counter_add(&call->entry->counters,
+	    entry_answer_end(call->answer) ? ENTRY_ANSWERED : ENTRY_CUT, 1);
+	return STEP_DONE;
+}
+
+static enum step
+handle_head(
+    struct exchange *exchange, const struct call_head *head, struct str body)
+{
+	struct entry_answer *answer = exchange->call->answer;
+
+	if (answer->begun)
+		return STEP_GO_ON; /* doubled */
+	return after_write(exchange, entry_answer_begin(answer, head, body),
+	    body.len, head->end);
+}
+
+/*
+ * Body frames come in order or not at all: a gap means that one was lost.
+ */
+static enum step
+handle_body(
+    struct exchange *exchange, const struct call_body *body, struct str bytes)
+{
+	struct entry_answer *answer = exchange->call->answer;
+
+	if (body->offset + bytes.len <= exchange->received && !body->end)
+		return STEP_GO_ON; /* doubled */
+	if (!answer->begun || body->offset != exchange->received) {
+		send_cancel(exchange);
+		return fail(exchange, ANSWER_ERROR_BROKEN, false);
+	}
+	return after_write(
+	    exchange, entry_answer_write(answer, bytes), bytes.len, body->end);
+}
+
+/*
+ * The guard refused the call, or ends it in its middle. Whether "not run" may
+ * be promised depends on which incarnation of the guard says so.
+ */
+static enum step
+handle_refused(struct exchange *exchange, const struct call_refused *refused)
+{
+	struct exchange_result *result = exchange->result;
+	enum attempt_end end = ATTEMPT_UNKNOWN;
+	enum step step;
+
+	if (refused->not_run && result->has_hint)
+		end = attempt_classify(
+		    &exchange->choice->known, refused->reason, &result->hint);
+	step = fail(exchange,
+	    refused->reason == REFUSAL_NONE ? ANSWER_ERROR_BROKEN
+					    : ANSWER_ERROR_REFUSED,
+	    end != ATTEMPT_UNKNOWN);
+	if (step == STEP_DONE)
+		return step;
+	result->end = end;
+	result->error.reason = refused->reason;
+	result->error.retry_after_ms = refused->retry_after_ms;
+	return step;
+}
+
+static enum step
+handle_event(struct exchange *exchange, const struct call_event *event)
+{
+	const struct call_frame *frame = event->frame;
+	struct str bytes = { .len = 0 };
+
+	if (event->body != NULL)
+		bytes = str_make(g_bytes_get_data(event->body, NULL),
+		    g_bytes_get_size(event->body));
+	if (frame->has_hint) {
+		exchange->result->hint = frame->hint;
+		exchange->result->has_hint = true;
+		chooser_learn(exchange->call->entry->env.chooser,
+		    exchange->choice->upstream->name, &frame->hint);
+	}
+	switch (frame->kind) {
+	case CALL_HEAD:
+		return handle_head(exchange, &frame->head, bytes);
+	case CALL_BODY:
+		return handle_body(exchange, &frame->body, bytes);
+	case CALL_REFUSED:
+		return handle_refused(exchange, &frame->refused);
+	case CALL_CREDIT:
+		exchange->upload_credit =
+		    MAX(exchange->upload_credit, frame->credit_upto);
+		return STEP_GO_ON;
+	default:
+		return STEP_GO_ON;
+	}
+}
+
+/*
+ * No frame came: the call is lost or its time is up. The caller is answered
+ * at once, and the guard told in case that it still has the call.
+ */
+static enum step
+handle_silence(struct exchange *exchange, enum call_loss loss)
+{
+	struct entry_call *call = exchange->call;
+	enum step step;
+
+	if (loss == CALL_LOSS_NONE) {
+		send_cancel(exchange);
+		return fail(exchange, ANSWER_ERROR_DEADLINE, false);
+	}
+	if (loss == CALL_LOSS_NOT_SENT) {
+		chooser_lost(
+		    call->entry->env.chooser, exchange->choice->upstream->name);
+		step = fail(exchange, ANSWER_ERROR_UNREACHABLE, true);
+		exchange->result->error.retry_after_ms =
+		    RETRY_AFTER_UNREACHABLE_MS;
+		return step;
+	}
+	if (loss == CALL_LOSS_PEER) {
+		chooser_lost(
+		    call->entry->env.chooser, exchange->choice->upstream->name);
+		counter_add(&call->entry->counters, ENTRY_PEERS_LOST, 1);
+	}
+	send_cancel(exchange);
+	return fail(exchange, ANSWER_ERROR_LOST, false);
+}
+
+/*
+ * One step: a frame that waits, else a chunk of the body, else a wait.
+ */
+static enum step
+run_step(struct exchange *exchange)
+{
+	struct entry_call *call = exchange->call;
+	struct timespec at_once = { .tv_sec = 0 };
+	bool upload = may_upload(exchange);
+	enum call_loss loss;
+	struct call_event *event = call_slot_wait(
+	    call->slot, upload ? at_once : call->deadline, &loss);
+	enum step step;
+
+	if (event == NULL && loss == CALL_LOSS_NONE && upload)
+		return upload_next(exchange);
+	if (event == NULL)
+		return handle_silence(exchange, loss);
+	step = handle_event(exchange, event);
+	call_event_free(event);
+	return step;
+}
+
+/*
+ * Choose the way to the upstream's node and begin a call on it.
+ */
+static void
+open_link(struct exchange *exchange)
+{
+	struct entry_call *call = exchange->call;
+	struct caller_entry *entry = call->entry;
+	const struct record *host = exchange->choice->host;
+	bool local =
+	    entry->has_local && str_equal(host->name, str_from(entry->host));
+	struct str peer = local ? str_make(NULL, 0) : host->host.node;
+
+	counter_add(&entry->counters,
+	    local ? ENTRY_LOCAL_CALLS : ENTRY_REMOTE_CALLS, 1);
+	exchange->link = local ? call_link_local(entry->local)
+			       : call_link_to_peer(entry->env.transport, peer);
+	exchange->id = call_slot_begin(call->slot, entry->env.clock, peer);
+}
+
+/*
+ * Send one OPEN to the chosen upstream's guard and see it through.
+ */
+enum exchange_end
+entry_exchange_run(struct entry_call *call, const struct choice *choice,
+    struct exchange_result *result)
+{
+	struct exchange exchange = {
+		.call = call,
+		.choice = choice,
+		.result = result,
+	};
+	struct chooser *chooser = call->entry->env.chooser;
+	enum step step = STEP_GO_ON;
+
+	memset(result, 0, sizeof(*result));
+	open_link(&exchange);
+	chooser_begin(chooser, choice->upstream->name);
+	send_open(&exchange);
+	while (step == STEP_GO_ON)
+		step = run_step(&exchange);
+	chooser_end(chooser, choice->upstream->name);
+	call_slot_end(call->slot);
+	call_link_free(exchange.link);
+	return step == STEP_DONE ? EXCHANGE_DONE : EXCHANGE_ERROR;
+}
--- /dev/null
+++ b/trefoilhilld/data_path/entry_request.c
@@ -0,0 +1,313 @@
+#include <inttypes.h>
+#include <string.h>
+
+#include "trefoilhilld/entry_request.h"
+#include "trefoilhilld/header_filter.h"
+
+enum {
+	HEX_BASE = 16,
+	REQUEST_ID_DIGITS = 16,
+};
+
+static bool
+fail(struct answer_error *error, enum answer_error_kind kind)
+{
+	memset(error, 0, sizeof(*error));
+	error->kind = kind;
+	error->not_run = true;
+	return false;
+}
+
+static bool
+is_graphic(struct str s)
+{
+	for (size_t i = 0; i < s.len; i++)
+		if (!g_ascii_isgraph(s.ptr[i]))
+			return false;
+	return true;
+}
+
+static bool
+is_one_line(struct str s)
+{
+	return s.len == 0 ||
+	    (memchr(s.ptr, '\r', s.len) == NULL &&
+		memchr(s.ptr, '\n', s.len) == NULL);
+}
+
+static bool
+is_any(struct str s, const char *const *words)
+{
+	for (; *words != NULL; words++)
+		if (str_equal(s, str_from(*words)))
+			return true;
+	return false;
+}
+
+/*
+ * Methods that may be sent twice (RFC 9110, 9.2.2).
+ */
+static bool
+is_idempotent(struct str method)
+{
+	static const char *const words[] = { "GET", "HEAD", "OPTIONS", "PUT",
+		"DELETE", NULL };
+
+	return is_any(method, words);
+}
+
+/*
+ * Read a decimal header value within bounds; an absent one is 0.
+ */
+static bool
+read_number(struct entry_request *request, const char *name, uint64_t max,
+    uint32_t *out)
+{
+	const char *text = mg_get_header(request->conn, name);
+	char *end = NULL;
+	uint64_t value;
+
+	*out = 0;
+	if (text == NULL)
+		return true;
+	if (!g_ascii_isdigit(text[0]))
+		return false;
+	value = g_ascii_strtoull(text, &end, 10);
+	if (*end != '\0')
+		return false;
+	*out = (uint32_t)MIN(value, max);
+	return true;
+}
+
+/*
+ * Take the caller's request id, or make one.
+ */
+static bool
+read_id(struct entry_request *request, struct rng *rng)
+{
+	struct str id =
+	    str_from(mg_get_header(request->conn, "Trefoilhill-Request"));
+
+	if (id.len == 0) {
+		g_snprintf(request->id, sizeof(request->id), "%016" PRIx64,
+		    rng_next(rng));
+		return true;
+	}
+	if (id.len > CALL_REQUEST_MAX || !is_graphic(id))
+		return false;
+	memcpy(request->id, id.ptr, id.len);
+	return true;
+}
+
+/*
+ * Return the request id as a number for the time line: its value when it is
+ * hexadecimal as made here, else 0.
+ */
+uint64_t
+request_id_number(const char *id)
+{
+	char *end = NULL;
+	uint64_t value = g_ascii_strtoull(id, &end, HEX_BASE);
+
+	return *end == '\0' && strlen(id) <= REQUEST_ID_DIGITS ? value : 0;
+}
+
+/*
+ * There must be one Host header (RFC 9112, 3.2): two could mean one route
+ * here and another one further on.
+ */
+static bool
+has_one_host(const struct entry_request *request)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < request->headers.count; i++)
+		if (header_name_equal(
+			request->headers.list[i].name, str_from("host")))
+			count++;
+	return count == 1;
+}
+
+static bool
+read_headers(struct entry_request *request, struct answer_error *error)
+{
+	const struct mg_request_info *info = request->info;
+	size_t bytes = 0;
+
+	if (info->num_headers > CALL_HEADERS_MAX)
+		return fail(error, ANSWER_ERROR_TOO_LARGE);
+	for (int i = 0; i < info->num_headers; i++) {
+		struct call_header *header = &request->headers.list[i];
+
+		header->name = str_from(info->http_headers[i].name);
+		header->value = str_from(info->http_headers[i].value);
+		bytes += header->name.len + header->value.len;
+		if (header->name.len == 0 || !is_graphic(header->name) ||
+		    !is_one_line(header->value))
+			return fail(error, ANSWER_ERROR_BAD_REQUEST);
+	}
+	if (bytes > CALL_HEADER_BYTES_MAX)
+		return fail(error, ANSWER_ERROR_TOO_LARGE);
+	request->headers.count = (size_t)info->num_headers;
+	if (!has_one_host(request))
+		return fail(error, ANSWER_ERROR_BAD_REQUEST);
+	header_filter_hop(&request->headers);
+	return true;
+}
+
+/*
+ * Work out path and target from the request line.
+ */
+static bool
+read_target(struct entry_request *request, struct answer_error *error)
+{
+	const struct mg_request_info *info = request->info;
+	const char *query = info->query_string;
+
+	request->path = str_from(info->local_uri_raw);
+	if (request->path.len == 0 || request->path.ptr[0] != '/')
+		return fail(error, ANSWER_ERROR_BAD_REQUEST);
+	request->target = query == NULL
+	    ? g_strdup(info->local_uri_raw)
+	    : g_strconcat(info->local_uri_raw, "?", query, NULL);
+	if (strlen(request->target) > CALL_TARGET_MAX)
+		return fail(error, ANSWER_ERROR_TOO_LARGE);
+	if (!is_graphic(str_from(request->target)))
+		return fail(error, ANSWER_ERROR_BAD_REQUEST);
+	return true;
+}
+
+/*
+ * Work out whether there is a body and how long it is.
+ */
+static bool
+read_framing(struct entry_request *request, struct answer_error *error)
+{
+	const char *coding = mg_get_header(request->conn, "Transfer-Encoding");
+	const char *length = mg_get_header(request->conn, "Content-Length");
+
+	if (coding != NULL && length != NULL)
+		return fail(error, ANSWER_ERROR_BAD_REQUEST);
+	if (coding != NULL)
+		request->length = CALL_LENGTH_UNKNOWN;
+	else if (length != NULL && request->info->content_length > 0)
+		request->length = (uint64_t)request->info->content_length;
+	request->body_ended = request->length == 0;
+	if (request->is_head && !request->body_ended)
+		return fail(error, ANSWER_ERROR_BAD_REQUEST);
+	return true;
+}
+
+static bool
+read_method(struct entry_request *request, struct answer_error *error)
+{
+	static const char *const refused[] = { "CONNECT", "TRACE", NULL };
+
+	request->method = str_from(request->info->request_method);
+	if (request->method.len > CALL_METHOD_MAX ||
+	    is_any(request->method, refused))
+		return fail(error, ANSWER_ERROR_METHOD);
+	request->idempotent = is_idempotent(request->method);
+	request->is_head = str_equal(request->method, str_from("HEAD"));
+	if (g_strcmp0(request->info->http_version, "1.1") != 0)
+		return fail(error, ANSWER_ERROR_HTTP_VERSION);
+	return true;
+}
+
+/*
+ * Read and check what a caller sent, up to its body. Sizes are bounded here;
+ * CivetWeb bounds the whole head.
+ */
+bool
+entry_request_parse(struct entry_request *request, struct mg_connection *conn,
+    struct rng *rng, struct answer_error *error)
+{
+	memset(request, 0, sizeof(*request));
+	request->conn = conn;
+	request->info = mg_get_request_info(conn);
+	if (!read_id(request, rng)) {
+		g_snprintf(request->id, sizeof(request->id), "%016" PRIx64,
+		    rng_next(rng));
+		return fail(error, ANSWER_ERROR_BAD_REQUEST);
+	}
+	request->key = str_from(mg_get_header(conn, "Idempotency-Key"));
+	request->authority = str_from(mg_get_header(conn, "Host"));
+	if (request->key.len > CALL_KEY_MAX || !is_one_line(request->key))
+		return fail(error, ANSWER_ERROR_BAD_REQUEST);
+	if (!read_number(request, "Trefoilhill-Timeout-Ms", CALL_TIMEOUT_MAX_MS,
+		&request->timeout_ms) ||
+	    !read_number(
+		request, "Trefoilhill-Attempt", UINT16_MAX, &request->attempt))
+		return fail(error, ANSWER_ERROR_BAD_REQUEST);
+	return read_method(request, error) && read_target(request, error) &&
+	    read_headers(request, error) && read_framing(request, error);
+}
+
+void
+entry_request_clear(struct entry_request *request)
+{
+	g_free(request->target);
+	if (request->first != NULL)
+		g_bytes_unref(request->first);
+}
+
+/*
+ * Read up to a chunk of the body. Returns what came; less than a chunk means
+ * that the body has ended or was cut, and body_ended tells which.
+ */
+static GBytes *
+read_chunk(struct entry_request *request)
+{
+	char *chunk = g_malloc(CALL_CHUNK_BYTES);
+	size_t len = 0;
+	int got = 1;
+
+	while (len < CALL_CHUNK_BYTES && got > 0) {
+		got =
+		    mg_read(request->conn, chunk + len, CALL_CHUNK_BYTES - len);
+		len += (size_t)MAX(got, 0);
+		if (request->length != CALL_LENGTH_UNKNOWN &&
+		    request->body_read + len >= request->length)
+			break;
+	}
+	request->body_read += len;
+	if (request->length == CALL_LENGTH_UNKNOWN)
+		request->body_ended = got == 0;
+	else
+		request->body_ended = request->body_read >= request->length;
+	return g_bytes_new_take(chunk, len);
+}
+
+/*
+ * See include/trefoilhilld/entry_request.h. A small body comes whole, so it
+ * can be sent again after a refusal.
+ */
+bool
+entry_request_read_first(
+    struct entry_request *request, struct answer_error *error)
+{
+	if (request->body_ended)
+		return true;
+	request->first = read_chunk(request);
+	if (!request->body_ended &&
+	    g_bytes_get_size(request->first) < CALL_CHUNK_BYTES)
+		return fail(error, ANSWER_ERROR_BODY);
+	if (request->body_ended)
+		request->length = request->body_read;
+	return true;
+}
+
+/*
+ * See include/trefoilhilld/entry_request.h.
+ */
+GBytes *
+entry_request_read_next(struct entry_request *request)
+{
+	GBytes *chunk = read_chunk(request);
+	size_t len = g_bytes_get_size(chunk);
+
+	if (len == CALL_CHUNK_BYTES || (request->body_ended && len > 0))
+		return chunk;
+	g_bytes_unref(chunk);
+	return NULL;
+}
--- /dev/null
+++ b/trefoilhilld/data_path/header_filter.c
@@ -0,0 +1,99 @@
+#include <string.h>
+#include <strings.h>
+
+#include "trefoilhilld/header_filter.h"
+
+/* Headers of one hop (RFC 9110, 7.6.1), and those that each hop makes anew. */
+static const char *const dropped_names[] = {
+	"connection",
+	"content-length",
+	"expect",
+	"host",
+	"keep-alive",
+	"proxy-authenticate",
+	"proxy-authorization",
+	"proxy-connection",
+	"te",
+	"trailer",
+	"transfer-encoding",
+	"trefoilhill-attempt",
+	"trefoilhill-outcome",
+	"trefoilhill-request",
+	"trefoilhill-timeout-ms",
+	"upgrade",
+};
+
+/*
+ * Compare two strings without regard to the case of ASCII letters.
+ */
+bool
+header_name_equal(struct str a, struct str b)
+{
+	return a.len == b.len &&
+	    (a.len == 0 || strncasecmp(a.ptr, b.ptr, a.len) == 0);
+}
+
+/*
+ * Tell whether a header belongs to one hop only and is not passed on.
+ */
+bool
+header_is_dropped(struct str name)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(dropped_names); i++)
+		if (header_name_equal(name, str_from(dropped_names[i])))
+			return true;
+	return false;
+}
+
+static struct str
+trim(struct str s)
+{
+	while (s.len > 0 && g_ascii_isspace(s.ptr[0]))
+		s = str_make(s.ptr + 1, s.len - 1);
+	while (s.len > 0 && g_ascii_isspace(s.ptr[s.len - 1]))
+		s.len--;
+	return s;
+}
+
+/*
+ * Tell whether the comma-separated list, as in Connection, has this token.
+ */
+bool
+header_list_has(struct str list, struct str token)
+{
+	while (list.len > 0) {
+		const char *comma = memchr(list.ptr, ',', list.len);
+		size_t len =
+		    comma == NULL ? list.len : (size_t)(comma - list.ptr);
+
+		if (header_name_equal(trim(str_make(list.ptr, len)), token))
+			return true;
+		len = MIN(len + 1, list.len);
+		list = str_make(list.ptr + len, list.len - len);
+	}
+	return false;
+}
+
+/*
+ * Drop the headers that a Connection header among them names or that belong
+ * to one hop. The list keeps its order.
+ */
+void
+header_filter_hop(struct call_headers *headers)
+{
+	struct str named = { .len = 0 };
+	size_t kept = 0;
+
+	for (size_t i = 0; i < headers->count; i++)
+		if (header_name_equal(
+			headers->list[i].name, str_from("connection")))
+			named = headers->list[i].value;
+	for (size_t i = 0; i < headers->count; i++) {
+		struct call_header header = headers->list[i];
+
+		if (!header_is_dropped(header.name) &&
+		    !header_list_has(named, header.name))
+			headers->list[kept++] = header;
+	}
+	headers->count = kept;
+}
--- /dev/null
+++ b/trefoilhilld/data_path/service_call.c
@@ -0,0 +1,278 @@
+#include <string.h>
+
+#include "trefoilhilld/service_call.h"
+
+enum {
+	BODY_BYTES_MAX = CALL_WINDOW_BYTES + CALL_CHUNK_BYTES,
+};
+
+/*
+ * Begin a call from its OPEN frame. The result has one reference.
+ */
+struct service_call *
+service_call_new(struct clock *clock, struct call_frame *open,
+    GBytes *first_body, struct call_link *link, bool remote)
+{
+	struct service_call *call = g_new0(struct service_call, 1);
+	pthread_condattr_t attr;
+
+	call->refs = 1;
+	call->key.entry = open->entry;
+	call->key.call = open->call;
+	call->open = open;
+	call->link = link;
+	call->remote = remote;
+	call->clock = clock;
+	call->heard = clock_now(clock);
+	call->deadline = timespec_plus_ms(call->heard, open->open.timeout_ms);
+	call->credit = open->open.credit;
+	call->body_ended = open->open.end;
+	pthread_condattr_init(&attr);
+	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+	pthread_cond_init(&call->changed, &attr);
+	pthread_condattr_destroy(&attr);
+	pthread_mutex_init(&call->lock, NULL);
+	g_queue_init(&call->body);
+	if (first_body != NULL) {
+		call->body_received = g_bytes_get_size(first_body);
+		call->body_bytes = call->body_received;
+		g_queue_push_tail(&call->body, first_body);
+	}
+	return call;
+}
+
+struct service_call *
+service_call_ref(struct service_call *call)
+{
+	g_atomic_int_inc(&call->refs);
+	return call;
+}
+
+/*
+ * Drop a reference; the last one frees the call.
+ */
+void
+service_call_unref(struct service_call *call)
+{
+	GBytes *bytes;
+
+	if (!g_atomic_int_dec_and_test(&call->refs))
+		return;
+	while ((bytes = g_queue_pop_head(&call->body)) != NULL)
+		g_bytes_unref(bytes);
+	call_frame_free(call->open);
+	call_link_free(call->link);
+	pthread_mutex_destroy(&call->lock);
+	pthread_cond_destroy(&call->changed);
+	g_free(call);
+}
+
+/*
+ * Wake the worker, whether it waits for credit or for the upstream.
+ */
+static void
+wake_locked(struct service_call *call)
+{
+	pthread_cond_signal(&call->changed);
+	if (call->multi != NULL)
+		curl_multi_wakeup(call->multi);
+}
+
+/*
+ * Take the next bytes of the request's body. A gap means that a frame was
+ * lost, more than was granted that the entry is at fault: both end the call,
+ * since the upstream must not see a body that is not the caller's.
+ */
+void
+service_call_add_body(
+    struct service_call *call, const struct call_body *body, GBytes *bytes)
+{
+	size_t len = bytes == NULL ? 0 : g_bytes_get_size(bytes);
+
+	pthread_mutex_lock(&call->lock);
+	call->heard = clock_now(call->clock);
+	if (body->offset + len <= call->body_received && !body->end)
+		goto out; /* doubled */
+	if (call->body_ended || body->offset != call->body_received ||
+	    call->body_bytes + len > BODY_BYTES_MAX) {
+		call->broken = true;
+		goto wake;
+	}
+	call->body_received += len;
+	call->body_bytes += len;
+	call->body_ended = body->end;
+	if (len > 0)
+		g_queue_push_tail(&call->body, g_steal_pointer(&bytes));
+wake:
+	wake_locked(call);
+out:
+	pthread_mutex_unlock(&call->lock);
+	if (bytes != NULL)
+		g_bytes_unref(bytes);
+}
+
+/*
+ * Let the answer go on up to an offset. An older grant changes nothing.
+ */
+void
+service_call_grant(struct service_call *call, uint64_t upto)
+{
+	pthread_mutex_lock(&call->lock);
+	call->heard = clock_now(call->clock);
+	call->credit = MAX(call->credit, upto);
+	wake_locked(call);
+	pthread_mutex_unlock(&call->lock);
+}
+
+/*
+ * The answer is no longer wanted.
+ */
+void
+service_call_cancel(struct service_call *call)
+{
+	pthread_mutex_lock(&call->lock);
+	call->cancelled = true;
+	wake_locked(call);
+	pthread_mutex_unlock(&call->lock);
+}
+
+void
+service_call_mark_heard(struct service_call *call)
+{
+	pthread_mutex_lock(&call->lock);
+	call->heard = clock_now(call->clock);
+	pthread_mutex_unlock(&call->lock);
+}
+
+/*
+ * Tell whether the entry of a remote call has been silent for lost_ms.
+ */
+bool
+service_call_is_silent(struct service_call *call, int64_t lost_ms)
+{
+	struct timespec now = clock_now(call->clock);
+	bool silent;
+
+	pthread_mutex_lock(&call->lock);
+	silent =
+	    call->remote && timespec_ms_between(call->heard, now) >= lost_ms;
+	pthread_mutex_unlock(&call->lock);
+	return silent;
+}
+
+bool
+service_call_is_cancelled(struct service_call *call)
+{
+	bool cancelled;
+
+	pthread_mutex_lock(&call->lock);
+	cancelled = call->cancelled;
+	pthread_mutex_unlock(&call->lock);
+	return cancelled;
+}
+
+/*
+ * Name what has to be woken when something comes for the call; NULL: nothing.
+ */
+void
+service_call_set_multi(struct service_call *call, CURLM *multi)
+{
+	pthread_mutex_lock(&call->lock);
+	call->multi = multi;
+	pthread_mutex_unlock(&call->lock);
+}
+
+/*
+ * Copy from the first queued bytes and keep the rest of them.
+ */
+static size_t
+take_locked(struct service_call *call, char *out, size_t out_max)
+{
+	GBytes *first = g_queue_pop_head(&call->body);
+	gsize size;
+	const char *bytes = g_bytes_get_data(first, &size);
+	size_t len = MIN(size, out_max);
+
+	memcpy(out, bytes, len);
+	call->body_bytes -= len;
+	if (len < size)
+		g_queue_push_head(&call->body,
+		    g_bytes_new_from_bytes(first, len, size - len));
+	g_bytes_unref(first);
+	return len;
+}
+
+/*
+ * See include/trefoilhilld/service_call.h.
+ */
+enum body_take
+service_call_take_body(
+    struct service_call *call, char *out, size_t out_max, size_t *out_len)
+{
+	enum body_take result = BODY_TAKE_WAIT;
+
+	pthread_mutex_lock(&call->lock);
+	if (call->broken || call->cancelled) {
+		result = BODY_TAKE_BROKEN;
+	} else if (!g_queue_is_empty(&call->body)) {
+		*out_len = take_locked(call, out, out_max);
+		result = BODY_TAKE_BYTES;
+	} else if (call->body_ended) {
+		result = BODY_TAKE_END;
+	}
+	pthread_mutex_unlock(&call->lock);
+	return result;
+}
+
+/*
+ * See include/trefoilhilld/service_call.h. Ends at the call's deadline.
+ */
+bool
+service_call_wait_credit(struct service_call *call, uint64_t upto)
+{
+	bool granted;
+	int status = 0;
+
+	pthread_mutex_lock(&call->lock);
+	while (call->credit < upto && !call->cancelled && !call->broken &&
+	    status == 0)
+		status = pthread_cond_timedwait(
+		    &call->changed, &call->lock, &call->deadline);
+	granted = call->credit >= upto && !call->cancelled && !call->broken;
+	pthread_mutex_unlock(&call->lock);
+	return granted;
+}
+
+/*
+ * Send a frame of the call to its entry; fields are the frame's content, the
+ * call's identity is filled in. Takes body over.
+ */
+void
+service_call_send(struct service_call *call, enum call_kind kind,
+    const struct call_frame *fields, GBytes *body)
+{
+	struct call_frame frame = *fields;
+
+	frame.kind = kind;
+	frame.entry = call->key.entry;
+	frame.call = call->key.call;
+	call_link_send(call->link, &frame, body);
+}
+
+guint
+service_call_key_hash(gconstpointer key)
+{
+	const struct service_call_key *k = key;
+	guint64 mixed = k->entry ^ k->call;
+
+	return g_int64_hash(&mixed);
+}
+
+gboolean
+service_call_key_equal(gconstpointer a, gconstpointer b)
+{
+	const struct service_call_key *x = a;
+	const struct service_call_key *y = b;
+
+	return x->entry == y->entry && x->call == y->call;
+}
--- /dev/null
+++ b/trefoilhilld/data_path/upstream_client.c
@@ -0,0 +1,492 @@
+#include <curl/curl.h>
+#include <string.h>
+
+#include "trefoilhilld/answer_reader.h"
+#include "trefoilhilld/upstream_client.h"
+
+enum {
+	POLL_MAX_MS = 1000,
+	STATUS_SERVER_ERROR = 500,
+	US_PER_MS = 1000,
+};
+
+struct upstream_client {
+	struct guard_gate *gate;
+	struct clock *clock;
+	char *address;
+	CURLM *multi;
+	CURL *easy;
+	struct curl_slist *headers;
+	char *url;
+	char *target;
+	char *method;
+	struct answer_reader reader;
+	GByteArray *pending; /* bytes of the answer not yet sent on */
+
+	/* Of the call that runs. */
+	struct service_call *call;
+	struct upstream_result *result;
+	struct timespec begun;
+	bool asked;       /* libcurl has asked for leave to send */
+	bool read_paused; /* waits for more of the request's body */
+	bool head_sent;
+	uint64_t sent; /* bytes of the answer's body */
+	uint64_t body_taken;
+	uint64_t body_granted;
+};
+
+/*
+ * Return a client without a connection.
+ */
+struct upstream_client *
+upstream_client_new(
+    const char *address, struct guard_gate *gate, struct clock *clock)
+{
+	struct upstream_client *client = g_new0(struct upstream_client, 1);
+
+	client->gate = gate;
+	client->clock = clock;
+	client->address = g_strdup(address);
+	client->multi = curl_multi_init();
+	curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS, 1L);
+	client->easy = curl_easy_init();
+	client->pending = g_byte_array_sized_new(CALL_CHUNK_BYTES);
+	answer_reader_init(&client->reader);
+	return client;
+}
+
+/*
+ * Close the connection and free the client.
+ */
+void
+upstream_client_free(struct upstream_client *client)
+{
+	curl_easy_cleanup(client->easy);
+	curl_multi_cleanup(client->multi);
+	curl_slist_free_all(client->headers);
+	answer_reader_release(&client->reader);
+	g_byte_array_unref(client->pending);
+	g_free(client->url);
+	g_free(client->target);
+	g_free(client->method);
+	g_free(client->address);
+	g_free(client);
+}
+
+/*
+ * libcurl has a connection and is about to send the request. This is the
+ * last moment at which the guard can still refuse. libcurl asks a second time
+ * when a kept connection turned out to be dead and it would send again; the
+ * upstream may have seen the first sending, so only an idempotent request
+ * may go.
+ */
+static int
+handle_before_send(void *arg, char *primary_ip, char *local_ip,
+    int primary_port, int local_port)
+{
+	struct upstream_client *client = arg;
+	struct upstream_result *result = client->result;
+
+	if (client->asked)
+		return client->call->open->open.idempotent && result->confirmed
+		    ? CURL_PREREQFUNC_OK
+		    : CURL_PREREQFUNC_ABORT;
+	client->asked = true;
+	result->confirmed = guard_gate_confirm(
+	    client->gate, client->call->ticket, &result->reason);
+	client->begun = clock_now(client->clock);
+	return result->confirmed ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
+static size_t
+handle_header(char *line, size_t size, size_t count, void *arg)
+{
+	struct upstream_client *client = arg;
+	bool was_complete = client->reader.complete;
+
+	answer_reader_add_line(&client->reader, str_make(line, size * count));
+	if (client->reader.complete && !was_complete)
+		client->result->latency_us = (uint32_t)timespec_us_between(
+		    client->begun, clock_now(client->clock));
+	return client->reader.too_large ? 0 : size * count;
+}
+
+static void
+fill_head(struct upstream_client *client, struct call_frame *frame)
+{
+	memset(frame, 0, sizeof(*frame));
+	frame->kind = CALL_HEAD;
+	frame->head.status = client->reader.status;
+	frame->head.length = client->reader.length;
+	answer_reader_headers(&client->reader, &frame->head.headers);
+}
+
+/*
+ * Send the next len pending bytes on, with the head if it is still to go.
+ */
+static void
+send_pending(struct upstream_client *client, size_t len)
+{
+	GBytes *body =
+	    len == 0 ? NULL : g_bytes_new(client->pending->data, len);
+	struct call_frame frame;
+
+	if (!client->head_sent) {
+		fill_head(client, &frame);
+	} else {
+		memset(&frame, 0, sizeof(frame));
+		frame.kind = CALL_BODY;
+		frame.body.offset = client->sent;
+	}
+	service_call_send(client->call, frame.kind, &frame, body);
+	client->head_sent = true;
+	client->sent += len;
+	if (len > 0)
+		g_byte_array_remove_range(client->pending, 0, (guint)len);
+}
+
+/*
+ * Send pending bytes on until at most keep are left, as the entry grants
+ * them. False when the entry will take no more.
+ */
+static bool
+flush_pending(struct upstream_client *client, size_t keep)
+{
+	if (client->reader.shed)
+		return true;
+	while (client->pending->len > keep) {
+		size_t len = MIN(client->pending->len, CALL_CHUNK_BYTES);
+
+		if (!service_call_wait_credit(client->call, client->sent + len))
+			return false;
+		send_pending(client, len);
+	}
+	return true;
+}
+
+static size_t
+handle_answer_bytes(char *bytes, size_t size, size_t count, void *arg)
+{
+	struct upstream_client *client = arg;
+	size_t len = size * count;
+
+	if (client->reader.shed)
+		return len;
+	g_byte_array_append(client->pending, (const guint8 *)bytes, (guint)len);
+	return flush_pending(client, CALL_CHUNK_BYTES) ? len : 0;
+}
+
+/*
+ * Let the entry send more of the request's body.
+ */
+static void
+grant_body(struct upstream_client *client)
+{
+	struct call_frame frame = {
+		.credit_upto = client->body_taken + CALL_WINDOW_BYTES,
+	};
+
+	if (frame.credit_upto - client->body_granted < CALL_WINDOW_BYTES / 2)
+		return;
+	client->body_granted = frame.credit_upto;
+	service_call_send(client->call, CALL_CREDIT, &frame, NULL);
+}
+
+static size_t
+handle_request_bytes(char *out, size_t size, size_t count, void *arg)
+{
+	struct upstream_client *client = arg;
+	size_t len = 0;
+
+	switch (service_call_take_body(client->call, out, size * count, &len)) {
+	case BODY_TAKE_BYTES:
+		client->body_taken += len;
+		if (!client->call->open->open.end)
+			grant_body(client);
+		return len;
+	case BODY_TAKE_END:
+		return 0;
+	case BODY_TAKE_WAIT:
+		client->read_paused = true;
+		return CURL_READFUNC_PAUSE;
+	case BODY_TAKE_BROKEN:
+		break;
+	}
+	return CURL_READFUNC_ABORT;
+}
+
+static void add_header(struct upstream_client *client, const char *format, ...)
+    G_GNUC_PRINTF(2, 3);
+
+static void
+add_header(struct upstream_client *client, const char *format, ...)
+{
+	va_list args;
+	char *line;
+
+	va_start(args, format);
+	line = g_strdup_vprintf(format, args);
+	va_end(args);
+	client->headers = curl_slist_append(client->headers, line);
+	g_free(line);
+}
+
+/*
+ * Headers of the request to the upstream. An empty one is written with a
+ * semicolon, as libcurl wants it.
+ */
+static void
+set_headers(struct upstream_client *client, const struct call_open *open,
+    int64_t remaining_ms)
+{
+	curl_slist_free_all(client->headers);
+	client->headers = NULL;
+	for (size_t i = 0; i < open->headers.count; i++) {
+		struct str name = open->headers.list[i].name;
+		struct str value = open->headers.list[i].value;
+
+		if (value.len == 0)
+			add_header(client, "%.*s;", STR_ARG(name));
+		else
+			add_header(client, "%.*s: %.*s", STR_ARG(name),
+			    STR_ARG(value));
+	}
+	add_header(client, "Trefoilhill-Request: %.*s", STR_ARG(open->request));
+	add_header(client, "Trefoilhill-Attempt: %u", open->retry);
+	add_header(client, "Trefoilhill-Timeout-Ms: %" G_GINT64_FORMAT,
+	    MAX(remaining_ms, 1));
+	add_header(client, "Expect:");
+	if (!open->end || open->length != 0)
+		return;
+	if (!str_equal(open->method, str_from("GET")) &&
+	    !str_equal(open->method, str_from("HEAD")))
+		add_header(client, "Content-Length: 0");
+}
+
+static void
+set_body(struct upstream_client *client, const struct call_open *open)
+{
+	CURL *easy = client->easy;
+
+	if (open->end && open->length == 0) {
+		curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
+		if (str_equal(open->method, str_from("HEAD")))
+			curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+		return;
+	}
+	curl_easy_setopt(easy, CURLOPT_UPLOAD, 1L);
+	curl_easy_setopt(easy, CURLOPT_READFUNCTION, handle_request_bytes);
+	curl_easy_setopt(easy, CURLOPT_READDATA, client);
+	if (open->length != CALL_LENGTH_UNKNOWN)
+		curl_easy_setopt(
+		    easy, CURLOPT_INFILESIZE_LARGE, (curl_off_t)open->length);
+}
+
+/*
+ * Set libcurl up for one request.
+ */
+static void
+set_request(struct upstream_client *client, const struct call_open *open,
+    int64_t remaining_ms)
+{
+	CURL *easy = client->easy;
+
+	g_free(client->url);
+	g_free(client->target);
+	g_free(client->method);
+	client->url = g_strdup_printf("http://%s/", client->address);
+	client->target = str_dup_cstr(open->target);
+	client->method = str_dup_cstr(open->method);
+	curl_easy_reset(easy);
+	curl_easy_setopt(easy, CURLOPT_URL, client->url);
+	curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, client->target);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, (long)CALL_CHUNK_BYTES);
+	curl_easy_setopt(
+	    easy, CURLOPT_UPLOAD_BUFFERSIZE, (long)CALL_CHUNK_BYTES);
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, handle_before_send);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, client);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, handle_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, client);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, handle_answer_bytes);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, client);
+	set_body(client, open);
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, client->method);
+	set_headers(client, open, remaining_ms);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, client->headers);
+}
+
+/* Why a transfer was left. */
+enum transfer_end {
+	TRANSFER_WHOLE,
+	TRANSFER_FAILED,
+	TRANSFER_DEADLINE,
+	TRANSFER_CANCELLED,
+};
+
+static enum transfer_end
+read_end(struct upstream_client *client)
+{
+	int left = 0;
+	CURLMsg *message = curl_multi_info_read(client->multi, &left);
+
+	if (message != NULL && message->data.result == CURLE_OK)
+		return TRANSFER_WHOLE;
+	if (service_call_is_cancelled(client->call))
+		return TRANSFER_CANCELLED;
+	if (!timespec_before(clock_now(client->clock), client->call->deadline))
+		return TRANSFER_DEADLINE;
+	return TRANSFER_FAILED;
+}
+
+/*
+ * Send on what an upstream has answered so far, while it goes on.
+ */
+static bool
+pass_on(struct upstream_client *client)
+{
+	if (!client->reader.complete || client->reader.shed)
+		return true;
+	if (!client->head_sent && client->pending->len == 0)
+		send_pending(client, 0);
+	return flush_pending(client, 0);
+}
+
+/*
+ * Run the transfer until it ends, the deadline passes or the entry gives it
+ * up. Frames for the call wake the wait.
+ */
+static enum transfer_end
+run_transfer(struct upstream_client *client)
+{
+	struct service_call *call = client->call;
+	int running = 0;
+
+	for (;;) {
+		int64_t left_ms = timespec_ms_between(
+		    clock_now(client->clock), call->deadline);
+
+		if (service_call_is_cancelled(call))
+			return TRANSFER_CANCELLED;
+		if (left_ms <= 0)
+			return TRANSFER_DEADLINE;
+		if (client->read_paused) {
+			client->read_paused = false;
+			curl_easy_pause(client->easy, CURLPAUSE_CONT);
+		}
+		curl_multi_perform(client->multi, &running);
+		if (running == 0)
+			return read_end(client);
+		if (!pass_on(client))
+			return read_end(client);
+		curl_multi_poll(client->multi, NULL, 0,
+		    (int)MIN(left_ms, POLL_MAX_MS), NULL);
+	}
+}
+
+/*
+ * The answer came whole: prepare its last frame, or the refusal when the
+ * upstream said that it had not begun.
+ */
+static void
+finish_whole(struct upstream_client *client, struct upstream_result *result)
+{
+	const struct answer_reader *reader = &client->reader;
+	size_t left = client->pending->len;
+
+	if (reader->shed) {
+		result->outcome = OUTCOME_SHED;
+		result->not_run = true;
+		result->reason = REFUSAL_SHED;
+		result->retry_after_ms = reader->retry_after_ms;
+		return;
+	}
+	result->outcome = OUTCOME_FAILED;
+	if (!reader->framed &&
+	    !str_equal(client->call->open->open.method, str_from("HEAD")))
+		return; /* an end without a length may be a cut */
+	if (!service_call_wait_credit(client->call, client->sent + left))
+		return;
+	if (!client->head_sent) {
+		fill_head(client, &result->last_frame);
+		result->last_frame.head.end = true;
+	} else {
+		result->last_frame.kind = CALL_BODY;
+		result->last_frame.body.offset = client->sent;
+		result->last_frame.body.end = true;
+	}
+	if (left > 0)
+		result->last_body = g_bytes_new(client->pending->data, left);
+	result->answered = true;
+	if (reader->status < STATUS_SERVER_ERROR)
+		result->outcome = OUTCOME_OK;
+}
+
+/*
+ * The transfer ended early. Before the guard's leave nothing was sent.
+ */
+static void
+finish_early(struct upstream_client *client, struct upstream_result *result,
+    enum transfer_end end)
+{
+	bool refused = client->asked && !result->confirmed;
+
+	result->not_run = !result->confirmed;
+	switch (end) {
+	case TRANSFER_DEADLINE:
+		result->outcome = OUTCOME_TIMEOUT;
+		if (!refused)
+			result->reason = REFUSAL_DEADLINE;
+		break;
+	case TRANSFER_CANCELLED:
+		result->outcome = OUTCOME_CANCELLED;
+		if (!refused)
+			result->reason = REFUSAL_CANCELLED;
+		break;
+	default:
+		result->outcome =
+		    result->confirmed ? OUTCOME_FAILED : OUTCOME_REFUSED;
+		if (!client->asked)
+			result->reason = REFUSAL_UNREACHABLE;
+		break;
+	}
+}
+
+/*
+ * See include/trefoilhilld/upstream_client.h.
+ */
+void
+upstream_client_run(struct upstream_client *client, struct service_call *call,
+    struct upstream_result *result)
+{
+	enum transfer_end end;
+	int64_t remaining_ms =
+	    timespec_ms_between(clock_now(client->clock), call->deadline);
+
+	memset(result, 0, sizeof(*result));
+	client->call = call;
+	client->result = result;
+	client->asked = false;
+	client->read_paused = false;
+	client->head_sent = false;
+	client->sent = 0;
+	client->body_taken = 0;
+	client->body_granted = 0;
+	answer_reader_reset(&client->reader);
+	g_byte_array_set_size(client->pending, 0);
+	set_request(client, &call->open->open, remaining_ms);
+	service_call_set_multi(call, client->multi);
+	curl_multi_add_handle(client->multi, client->easy);
+	end = run_transfer(client);
+	curl_multi_remove_handle(client->multi, client->easy);
+	service_call_set_multi(call, NULL);
+	if (end == TRANSFER_WHOLE)
+		finish_whole(client, result);
+	else
+		finish_early(client, result, end);
+	client->call = NULL;
+	client->result = NULL;
+}
--- /dev/null
+++ b/trefoilhilld/operator/metrics.c
@@ -0,0 +1,13 @@
+#include "trefoilhilld/node.h"
+#include "trefoilhilld/operator.h"
+
+/*
+ * GET /v1/metrics: every counter in the Prometheus text format.
+ */
+void
+handle_metrics(
+    const struct operator_request *request, struct operator_answer *answer)
+{
+	answer->content_type = "text/plain; version=0.0.4";
+	node_render_metrics(request->node, answer->body);
+}
--- a/trefoilhilld/setting_desc.c
+++ b/trefoilhilld/setting_desc.c
@@ -32,55 +32,65 @@
 	NULL,
 };
 
-#define SETTING(section_, key_, type_, fallback_)                  \
-	.section = #section_, .key = #key_, .fallback = fallback_, \
-	.type = type_, .offset = offsetof(struct settings, section_.key_)
-#define TEXT(section, key, type, fallback)            \
-	{                                             \
-		SETTING(section, key, type, fallback) \
-	}
-#define NUMBER(section, key, fallback, low, high)                             \
-	{                                                                     \
-		SETTING(section, key, SETTING_NUMBER, fallback), .min = low,  \
-								 .max = high, \
-	}
-#define CHOICE(section, key, fallback, names)                    \
-	{                                                        \
-		SETTING(section, key, SETTING_CHOICE, fallback), \
-		    .choices = names,                            \
-	}
+#define AT(member) offsetof(struct settings, member)
 
 const struct setting_desc setting_descs[] = {
-	TEXT(node, host, SETTING_NAME, NULL),
-	TEXT(node, zone, SETTING_NAME, NULL),
-	TEXT(node, caller_listen, SETTING_ADDRESS, NULL),
-	TEXT(node, mesh_listen, SETTING_ADDRESS, NULL),
-	TEXT(node, operator_listen, SETTING_ADDRESS, NULL),
-	TEXT(node, seeds, SETTING_SEEDS, ""),
-	NUMBER(node, caller_threads, "32", 2, 1024),
-	TEXT(platform, url, SETTING_HTTP_URL, NULL),
-	NUMBER(platform, timeout_ms, "2000", 10, MINUTE_MS),
-	NUMBER(platform, watch_ms, "10000", 10, MINUTE_MS),
-	TEXT(upstream, name, SETTING_NAME, NULL),
-	TEXT(upstream, address, SETTING_ADDRESS, NULL),
-	CHOICE(mesh, policy, "tree", spread_names),
-	NUMBER(mesh, heartbeat_ms, "500", 50, MINUTE_MS),
-	NUMBER(mesh, readers_per_zone, "3", 1, 16),
-	NUMBER(mesh, fanout, "8", 1, 64),
-	NUMBER(guard, slots, "12", 1, 4096),
-	NUMBER(guard, connections, "100", 1, 4096),
-	NUMBER(guard, cold_limit, "1", 1, 4096),
-	NUMBER(guard, queue_limit, "24", 0, 65536),
-	NUMBER(guard, queue_wait_ms, "100", 0, MINUTE_MS),
-	NUMBER(guard, tick_ms, "100", 10, 1000),
-	NUMBER(guard, tick_bound, "20", 2, 1000),
-	NUMBER(guard, once_entries, "65536", 1024, 1048576),
-	CHOICE(route, policy, "hinted", choice_names),
-	NUMBER(route, hint_fresh_ms, "1000", 10, MINUTE_MS),
-	NUMBER(route, retry_percent, "20", 0, 100),
-	NUMBER(route, timeout_ms, "10000", 1, 60 * MINUTE_MS),
-	CHOICE(log, level, "info", level_names),
-	NUMBER(log, event_entries, "4096", 16, 65536),
+	{ "node", "host", NULL, SETTING_NAME, AT(node.host), 0, 0, NULL },
+	{ "node", "zone", NULL, SETTING_NAME, AT(node.zone), 0, 0, NULL },
+	{ "node", "caller_listen", NULL, SETTING_ADDRESS,
+	    AT(node.caller_listen), 0, 0, NULL },
+	{ "node", "mesh_listen", NULL, SETTING_ADDRESS, AT(node.mesh_listen), 0,
+	    0, NULL },
+	{ "node", "operator_listen", NULL, SETTING_ADDRESS,
+	    AT(node.operator_listen), 0, 0, NULL },
+	{ "node", "seeds", "", SETTING_SEEDS, AT(node.seeds), 0, 0, NULL },
+	{ "node", "caller_threads", "32", SETTING_NUMBER,
+	    AT(node.caller_threads), 2, 1024, NULL },
+	{ "platform", "url", NULL, SETTING_HTTP_URL, AT(platform.url), 0, 0,
+	    NULL },
+	{ "platform", "timeout_ms", "2000", SETTING_NUMBER,
+	    AT(platform.timeout_ms), 10, MINUTE_MS, NULL },
+	{ "platform", "watch_ms", "10000", SETTING_NUMBER,
+	    AT(platform.watch_ms), 10, MINUTE_MS, NULL },
+	{ "upstream", "name", NULL, SETTING_NAME, AT(upstream.name), 0, 0,
+	    NULL },
+	{ "upstream", "address", NULL, SETTING_ADDRESS, AT(upstream.address), 0,
+	    0, NULL },
+	{ "mesh", "policy", "tree", SETTING_CHOICE, AT(mesh.policy), 0, 0,
+	    spread_names },
+	{ "mesh", "heartbeat_ms", "500", SETTING_NUMBER, AT(mesh.heartbeat_ms),
+	    50, MINUTE_MS, NULL },
+	{ "mesh", "readers_per_zone", "3", SETTING_NUMBER,
+	    AT(mesh.readers_per_zone), 1, 16, NULL },
+	{ "mesh", "fanout", "8", SETTING_NUMBER, AT(mesh.fanout), 1, 64, NULL },
+	{ "guard", "slots", "12", SETTING_NUMBER, AT(guard.slots), 1, 4096,
+	    NULL },
+	{ "guard", "connections", "100", SETTING_NUMBER, AT(guard.connections),
+	    1, 4096, NULL },
+	{ "guard", "cold_limit", "1", SETTING_NUMBER, AT(guard.cold_limit), 1,
+	    4096, NULL },
+	{ "guard", "queue_limit", "24", SETTING_NUMBER, AT(guard.queue_limit),
+	    0, 65536, NULL },
+	{ "guard", "queue_wait_ms", "100", SETTING_NUMBER,
+	    AT(guard.queue_wait_ms), 0, MINUTE_MS, NULL },
+	{ "guard", "tick_ms", "100", SETTING_NUMBER, AT(guard.tick_ms), 10,
+	    1000, NULL },
+	{ "guard", "tick_bound", "20", SETTING_NUMBER, AT(guard.tick_bound), 2,
+	    1000, NULL },
+	{ "guard", "once_entries", "65536", SETTING_NUMBER,
+	    AT(guard.once_entries), 1024, 1048576, NULL },
+	{ "route", "policy", "hinted", SETTING_CHOICE, AT(route.policy), 0, 0,
+	    choice_names },
+	{ "route", "hint_fresh_ms", "1000", SETTING_NUMBER,
+	    AT(route.hint_fresh_ms), 10, MINUTE_MS, NULL },
+	{ "route", "retry_percent", "20", SETTING_NUMBER,
+	    AT(route.retry_percent), 0, 100, NULL },
+	{ "route", "timeout_ms", "10000", SETTING_NUMBER, AT(route.timeout_ms),
+	    1, 60 * MINUTE_MS, NULL },
+	{ "log", "level", "info", SETTING_CHOICE, AT(log.level), 0, 0,
+	    level_names },
+	{ "log", "event_entries", "4096", SETTING_NUMBER, AT(log.event_entries),
+	    16, 65536, NULL },
 };
 
 const size_t setting_desc_count = G_N_ELEMENTS(setting_descs);
--- a/wire/call_codec.c
+++ b/wire/call_codec.c
@@ -86,6 +86,7 @@
 	to->open.headers = to->header_list;
 	to->open.timeout_ms = open->timeout_ms;
 	to->open.attempt = open->attempt;
+	to->open.retry = open->retry;
 	to->open.idempotent = open->idempotent;
 	to->open.guard_incarnation = open->guard_incarnation;
 	to->open.guard_tick = open->guard_tick;
--- a/wire/call_decode.c
+++ b/wire/call_decode.c
@@ -113,6 +113,7 @@
 	open->target = str_of(from->target);
 	open->timeout_ms = from->timeout_ms;
 	open->attempt = from->attempt;
+	open->retry = from->retry;
 	open->idempotent = from->idempotent;
 	open->guard_incarnation = from->guard_incarnation;
 	open->guard_tick = from->guard_tick;
--- a/wire/gen/call.pb-c.c
+++ b/wire/gen/call.pb-c.c
@@ -669,7 +669,7 @@
   (ProtobufCMessageInit) trefoilhill__wire__call_hint__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor trefoilhill__wire__call_open__field_descriptors[14] =
+static const ProtobufCFieldDescriptor trefoilhill__wire__call_open__field_descriptors[15] =
 {
   {
     "request",
@@ -839,6 +839,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "retry",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Trefoilhill__Wire__CallOpen, retry),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned trefoilhill__wire__call_open__field_indices_by_name[] = {
   7,   /* field[7] = attempt */
@@ -852,6 +864,7 @@
   11,   /* field[11] = length_plus_1 */
   3,   /* field[3] = method */
   0,   /* field[0] = request */
+  14,   /* field[14] = retry */
   4,   /* field[4] = target */
   6,   /* field[6] = timeout_ms */
   2,   /* field[2] = upstream */
@@ -859,7 +872,7 @@
 static const ProtobufCIntRange trefoilhill__wire__call_open__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor trefoilhill__wire__call_open__descriptor =
 {
@@ -869,7 +882,7 @@
   "Trefoilhill__Wire__CallOpen",
   "trefoilhill.wire",
   sizeof(Trefoilhill__Wire__CallOpen),
-  14,
+  15,
   trefoilhill__wire__call_open__field_descriptors,
   trefoilhill__wire__call_open__field_indices_by_name,
   1,  trefoilhill__wire__call_open__number_ranges,
--- a/wire/gen/call.pb-c.h
+++ b/wire/gen/call.pb-c.h
@@ -90,10 +90,14 @@
    * Bytes of the answer that the entry takes before it grants more.
    */
   uint64_t credit;
+  /*
+   * Which try of the caller's request this is, those of callers included.
+   */
+  uint32_t retry;
 };
 #define TREFOILHILL__WIRE__CALL_OPEN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&trefoilhill__wire__call_open__descriptor) \
-    , {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/wire/gen/mesh.pb-c.c
+++ b/wire/gen/mesh.pb-c.c
@@ -1191,7 +1191,7 @@
   (ProtobufCMessageInit) trefoilhill__mesh__join__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor trefoilhill__mesh__welcome__field_descriptors[2] =
+static const ProtobufCFieldDescriptor trefoilhill__mesh__welcome__field_descriptors[3] =
 {
   {
     "floor",
@@ -1217,15 +1217,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "request",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Trefoilhill__Mesh__Welcome, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned trefoilhill__mesh__welcome__field_indices_by_name[] = {
   0,   /* field[0] = floor */
   1,   /* field[1] = peers */
+  2,   /* field[2] = request */
 };
 static const ProtobufCIntRange trefoilhill__mesh__welcome__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor trefoilhill__mesh__welcome__descriptor =
 {
@@ -1235,7 +1248,7 @@
   "Trefoilhill__Mesh__Welcome",
   "trefoilhill.mesh",
   sizeof(Trefoilhill__Mesh__Welcome),
-  2,
+  3,
   trefoilhill__mesh__welcome__field_descriptors,
   trefoilhill__mesh__welcome__field_indices_by_name,
   1,  trefoilhill__mesh__welcome__number_ranges,
--- a/wire/gen/mesh.pb-c.h
+++ b/wire/gen/mesh.pb-c.h
@@ -175,16 +175,20 @@
      }
 
 
+/*
+ * request is that of a state pull which has to wait; 0 answers a join.
+ */
 struct  Trefoilhill__Mesh__Welcome
 {
   ProtobufCMessage base;
   uint64_t floor;
   size_t n_peers;
   Trefoilhill__Mesh__Node **peers;
+  uint64_t request;
 };
 #define TREFOILHILL__MESH__WELCOME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&trefoilhill__mesh__welcome__descriptor) \
-    , 0, 0,NULL }
+    , 0, 0,NULL, 0 }
 
 
 typedef enum {
--- a/wire/mesh_decode.c
+++ b/wire/mesh_decode.c
@@ -156,6 +156,7 @@
 	if (body->n_peers > MESH_WELCOME_PEERS_MAX)
 		return field_error(error, "welcome.peers");
 	out->floor = body->floor;
+	out->request = body->request;
 	out->peers = g_new0(struct mesh_node, body->n_peers);
 	for (size_t i = 0; i < body->n_peers; i++) {
 		if (!decode_node(&out->peers[i], body->peers[i], error))
--- a/wire/mesh_encode.c
+++ b/wire/mesh_encode.c
@@ -168,6 +168,7 @@
 	}
 	trefoilhill__mesh__welcome__init(out);
 	out->floor = welcome->floor;
+	out->request = welcome->request;
 	out->peers = (Trefoilhill__Mesh__Node **)enc->pointers;
 	out->n_peers = count;
 	enc->frame.body_case = TREFOILHILL__MESH__FRAME__BODY_WELCOME;
--- a/wire/transport.c
+++ b/wire/transport.c
@@ -188,7 +188,10 @@
 static void
 enqueue(struct transport *transport, struct outgoing *out)
 {
-	bool was_filled = cds_wfcq_enqueue(
+	bool was_filled;
+
+	atomic_store_explicit(&out->published, true, memory_order_release);
+	was_filled = cds_wfcq_enqueue(
 	    &transport->queue_head, &transport->queue_tail, &out->node);
 
 	if (!was_filled)
--- a/wire/transport_loop.c
+++ b/wire/transport_loop.c
@@ -213,6 +213,8 @@
 		struct outgoing *out =
 		    caa_container_of(node, struct outgoing, node);
 
+		g_assert(atomic_load_explicit(
+		    &out->published, memory_order_acquire));
 		if (out->address != NULL)
 			send_to_peer(transport, out);
 		else
