route: spend the returning zone's probes without the retry budget

Cause: each entry sends a probe to each upstream without a hint; a cold guard refuses most of them, and with 7% overload the retry budget is empty by then, so the probe's request was lost though others could take it.

Changed: a probe that did not run is tried again without the budget, and a retry is no probe; calls that did not run get three attempts whatever the service allows for those that may have run; queues are compared by the expected wait, over all zones, in place of the load; others' calls fade over the latency.

--- a/bench/zone.py
+++ b/bench/zone.py
@@ -72,9 +72,20 @@
     return Plan(zone, offered, carried, kinds)
 
 
-def run_policy(deployment, policy, build):
+def settings_of(policy, changes):
+    """The policy's settings, with changes given as SECTION.KEY=VALUE."""
+    sections = {name: dict(keys) for name, keys in POLICIES[policy].items()}
+    for change in changes:
+        name, value = change.split("=", 1)
+        section, key = name.split(".", 1)
+        sections.setdefault(section, {})[key] = value
+    return sections
+
+
+def run_policy(deployment, policy, build, changes):
     """One run: the load with the zone's changes, and the raw figures."""
-    with MeshBed(deployment, build, overrides=POLICIES[policy]) as bed:
+    overrides = settings_of(policy, changes)
+    with MeshBed(deployment, build, overrides=overrides) as bed:
         bed.start()
         plan = make_plan(bed.deployment, bed.hosts)
         zone = [bed.upstreams[i] for i in bed.in_zone(plan.zone)]
@@ -250,13 +261,16 @@
     parser.add_argument("--deployment", action="append",
                         choices=sorted(dep.DEPLOYMENTS))
     parser.add_argument("--policy", action="append", choices=list(POLICIES))
+    parser.add_argument("--set", action="append", default=[],
+                        metavar="SECTION.KEY=VALUE")
     parser.add_argument("--per-second", action="store_true")
     parser.add_argument("--json")
     parser.add_argument("--svg")
     args = parser.parse_args()
     figures = {}
     for deployment in args.deployment or ["reelkade", "ekwueme"]:
-        results = [summarize(run_policy(deployment, policy, args.build))
+        results = [summarize(run_policy(
+            deployment, policy, args.build, args.set))
                    for policy in args.policy or POLICIES]
         print_tables(deployment, results, args.per_second)
         figures[deployment] = results
--- a/include/route/choice.h
+++ b/include/route/choice.h
@@ -45,6 +45,7 @@
 	const struct record *upstream;
 	const struct record *host;
 	struct guard_hint known; /* for the fence in OPEN */
+	bool probe; /* nothing recent is known of it: it may be cold */
 };
 
 struct chooser *chooser_new(
--- a/include/route/chooser_state.h
+++ b/include/route/chooser_state.h
@@ -15,10 +15,16 @@
 	struct counter_set counters;
 };
 
+/* What a policy picked, as a place among the service's upstreams. */
+struct picked {
+	size_t index;
+	bool probe;
+};
+
 int64_t chooser_now_ms(const struct chooser *chooser);
 /* Apply the chooser's policy; between peer_table_enter and peer_table_leave. */
 bool chooser_pick_index(struct chooser *chooser,
     const struct choice_request *request, const struct service_view *service,
-    struct rng *rng, size_t *index);
+    struct rng *rng, struct picked *picked);
 
 #endif
--- a/include/route/load_estimate.h
+++ b/include/route/load_estimate.h
@@ -17,11 +17,12 @@
 	enum load_class class;
 	uint32_t calls;
 	uint32_t limit;
+	uint64_t wait_us; /* until a call's turn; 0 while there is room */
 };
 
 struct load_estimate load_estimate(
     struct peer *peer, int64_t now_ms, uint32_t hint_fresh_ms);
-/* Is a less loaded than b, relative to what each may get? */
+/* Is a's turn sooner than b's, or a less loaded for its limit? */
 bool load_is_lower(struct load_estimate a, struct load_estimate b);
 
 #endif
--- a/include/route/retry.h
+++ b/include/route/retry.h
@@ -38,19 +38,23 @@
 	enum attempt_end end;
 	bool idempotent;
 	bool body_replayable;
+	bool probe;       /* the attempt went to an upstream without a hint */
 	uint32_t attempt; /* of this hop, from 0; fenced ones don't count */
-	uint32_t attempts_max;
-	uint32_t fenced; /* fenced attempts of this hop before this one */
+	uint32_t attempts_max; /* when an attempt may have run */
+	uint32_t fenced;       /* fenced attempts of this hop before this one */
 	uint32_t incoming_attempt; /* the caller's own, from its header */
 	int64_t remaining_ms;
 };
 
 /*
  * A fenced attempt is sent again without the budget, FENCED_RESENDS_MAX times
- * at most. The number in OPEN rises with every attempt, fenced ones included.
+ * at most. So is a probe that did not run: the entry itself chose to risk it,
+ * and the next attempt is none as long as other upstreams have room. The number
+ * in OPEN rises with every attempt, fenced ones included.
  */
 enum {
 	FENCED_RESENDS_MAX = 3,
+	NOT_RUN_ATTEMPTS_MAX = 3, /* of this hop, whatever attempts_max is */
 };
 bool retry_allowed(
     const struct retry_question *question, struct retry_budget *budget);
--- a/route/choice.c
+++ b/route/choice.c
@@ -70,7 +70,7 @@
 	const struct service_view *service =
 	    snapshot_service(request->snapshot, request->service);
 	struct peer *peer;
-	size_t index;
+	struct picked picked = { .probe = false };
 	bool found = false;
 
 	*choice = (struct choice){ .upstream = NULL };
@@ -81,10 +81,11 @@
 		return false;
 	}
 	peer_table_enter(chooser->peers);
-	if (chooser_pick_index(chooser, request, service, rng, &index)) {
+	if (chooser_pick_index(chooser, request, service, rng, &picked)) {
 		found = true;
-		choice->upstream = service->upstreams[index];
-		choice->host = service->hosts[index];
+		choice->upstream = service->upstreams[picked.index];
+		choice->host = service->hosts[picked.index];
+		choice->probe = picked.probe;
 		peer = peer_table_find(chooser->peers, choice->upstream->name);
 		if (peer != NULL)
 			choice->known = hint_cell_read(&peer->hint).hint;
--- a/route/load_estimate.c
+++ b/route/load_estimate.c
@@ -3,9 +3,12 @@
 #include "route/load_estimate.h"
 
 enum {
-	LOAD_SHARE = 8,    /* calls of others are fresh for 1/8 of the time */
-	QUEUE_SHARE = 2,   /* queue guessed as long as the limit */
+	FADE_MIN_MS = 20,       /* others' calls are thought to last so long */
+	PAUSE_SHARE = 8,        /* a pause is believed for 1/8 of freshness */
+	QUEUE_SHARE = 2,        /* queue guessed as long as the limit */
+	QUEUE_WAIT_US = 250000, /* and no call stays in it for longer */
 	UNKNOWN_LIMIT = 1, /* calls at once to an upstream without a hint */
+	US_PER_MS = 1000,
 };
 
 static uint32_t
@@ -17,16 +20,20 @@
 }
 
 /*
- * Other entries' calls as the hint told of them, fading away within load_ms:
- * they end, and new ones are not known.
+ * Other entries' calls as the hint told of them, fading away within the time
+ * that a call lasts there: they end, and new ones are not known. Rounded up,
+ * or the one call of a cold upstream would be forgotten at once.
  */
 static uint32_t
-fade(uint32_t calls, int64_t age_ms, int64_t load_ms)
+fade(const struct hint_view *view, int64_t age_ms, int64_t fresh_ms)
 {
+	int64_t last_ms = MAX(view->hint.latency_us / US_PER_MS, FADE_MIN_MS);
+	int64_t load_ms = MIN(last_ms, fresh_ms);
+	int64_t calls = others_at(view);
+
 	if (age_ms >= load_ms)
 		return 0;
-	return (uint32_t)((uint64_t)calls * (uint64_t)(load_ms - age_ms) /
-	    (uint64_t)load_ms);
+	return (uint32_t)((calls * (load_ms - age_ms) + load_ms - 1) / load_ms);
 }
 
 static struct load_estimate
@@ -51,7 +58,7 @@
 {
 	struct load_estimate estimate = { .class = LOAD_AVOID };
 	struct hint_view view;
-	int64_t age_ms, load_ms = MAX(hint_fresh_ms / LOAD_SHARE, 1);
+	int64_t age_ms;
 	uint32_t own;
 
 	if (peer == NULL)
@@ -66,21 +73,32 @@
 	if (!view.hint.accepting)
 		return estimate;
 	if (view.hint.limit == 0)
-		return age_ms < load_ms ? estimate : estimate_unknown(own);
+		return age_ms < hint_fresh_ms / PAUSE_SHARE
+		    ? estimate
+		    : estimate_unknown(own);
 	estimate.limit = view.hint.limit;
-	estimate.calls = own + fade(others_at(&view), age_ms, load_ms);
-	if (estimate.calls < estimate.limit)
+	estimate.calls = own + fade(&view, age_ms, hint_fresh_ms);
+	if (estimate.calls < estimate.limit) {
 		estimate.class = LOAD_FREE;
-	else if (estimate.calls < QUEUE_SHARE * estimate.limit)
+		return estimate;
+	}
+	estimate.wait_us = (uint64_t)(estimate.calls + 1 - estimate.limit) *
+	    view.hint.latency_us / estimate.limit;
+	if (estimate.calls < QUEUE_SHARE * estimate.limit &&
+	    estimate.wait_us <= QUEUE_WAIT_US)
 		estimate.class = LOAD_BUSY;
 	return estimate;
 }
 
 /*
- * Compare two loads without dividing: a.calls / a.limit < b.calls / b.limit.
+ * Compare the waits, else the loads without dividing: a.calls / a.limit <
+ * b.calls / b.limit. By load alone the queue of a cold upstream would look
+ * shorter than that of a warm one, whose turns come sooner.
  */
 bool
 load_is_lower(struct load_estimate a, struct load_estimate b)
 {
+	if (a.wait_us != b.wait_us)
+		return a.wait_us < b.wait_us;
 	return (uint64_t)a.calls * b.limit < (uint64_t)b.calls * a.limit;
 }
--- a/route/pick.c
+++ b/route/pick.c
@@ -65,13 +65,68 @@
 	}
 }
 
+static size_t
+picked_counter(enum zone_side side, enum load_class class)
+{
+	return class +
+	    (side == ZONE_OWN ? CHOICE_PICKED_LOCAL : CHOICE_PICKED_REMOTE);
+}
+
+/*
+ * No zone has room: the shortest queue, whichever zone it is in.
+ */
+static const struct candidate *
+best_of_queues(const struct draw *draw, size_t *counter)
+{
+	const struct candidate *own =
+	    candidates_best(&draw->by[ZONE_OWN][LOAD_BUSY]);
+	const struct candidate *other =
+	    candidates_best(&draw->by[ZONE_OTHER][LOAD_BUSY]);
+	bool leave = own == NULL ||
+	    (other != NULL && load_is_lower(other->load, own->load));
+
+	*counter = picked_counter(leave ? ZONE_OTHER : ZONE_OWN, LOAD_BUSY);
+	return leave ? other : own;
+}
+
+static bool
+best_of_class(const struct draw *draw, enum zone_side side,
+    enum load_class class, size_t *counter, const struct candidate **best)
+{
+	*counter = picked_counter(side, class);
+	*best = candidates_best(&draw->by[side][class]);
+	return *best != NULL;
+}
+
+/*
+ * A request that was refused once is not risked on an upstream that may be
+ * cold, unless there is no other.
+ */
+static const struct candidate *
+best_for_retry(const struct draw *draw, size_t *counter)
+{
+	const struct candidate *best;
+
+	if (best_of_class(draw, ZONE_OWN, LOAD_FREE, counter, &best) ||
+	    best_of_class(draw, ZONE_OTHER, LOAD_FREE, counter, &best))
+		return best;
+	best = best_of_queues(draw, counter);
+	if (best != NULL)
+		return best;
+	if (best_of_class(draw, ZONE_OWN, LOAD_UNKNOWN, counter, &best) ||
+	    best_of_class(draw, ZONE_OTHER, LOAD_UNKNOWN, counter, &best))
+		return best;
+	return NULL;
+}
+
 /*
  * Own zone first, other zones when it lacks room, a queue only when no zone
  * has any. Upstreams without a hint may be cold: they get a share of the
  * picks while others have room.
  */
 static const struct candidate *
-best_of_draw(const struct draw *draw, struct rng *rng, size_t *counter)
+best_of_draw(
+    const struct draw *draw, bool first, struct rng *rng, size_t *counter)
 {
 	static const struct {
 		enum zone_side side;
@@ -81,39 +136,33 @@
 		{ ZONE_OWN, LOAD_UNKNOWN },
 		{ ZONE_OTHER, LOAD_FREE },
 		{ ZONE_OTHER, LOAD_UNKNOWN },
-		{ ZONE_OWN, LOAD_BUSY },
-		{ ZONE_OTHER, LOAD_BUSY },
 	};
 	const struct candidates *unknown = &draw->by[ZONE_OWN][LOAD_UNKNOWN];
+	const struct candidate *best;
 
+	if (!first)
+		return best_for_retry(draw, counter);
 	if (unknown->seen > 0 && rng_below(rng, PROBE_SHARE) == 0) {
-		*counter = CHOICE_PICKED_LOCAL + LOAD_UNKNOWN;
+		*counter = picked_counter(ZONE_OWN, LOAD_UNKNOWN);
 		return candidates_best(unknown);
 	}
-	for (size_t i = 0; i < G_N_ELEMENTS(order); i++) {
-		const struct candidates *candidates =
-		    &draw->by[order[i].side][order[i].class];
-
-		if (candidates->seen == 0)
-			continue;
-		*counter = order[i].class +
-		    (order[i].side == ZONE_OWN ? CHOICE_PICKED_LOCAL
-					       : CHOICE_PICKED_REMOTE);
-		return candidates_best(candidates);
-	}
-	return NULL;
+	for (size_t i = 0; i < G_N_ELEMENTS(order); i++)
+		if (best_of_class(
+			draw, order[i].side, order[i].class, counter, &best))
+			return best;
+	return best_of_queues(draw, counter);
 }
 
 static bool
 pick_hinted(struct chooser *chooser, const struct choice_request *request,
-    const struct service_view *service, struct rng *rng, size_t *index)
+    const struct service_view *service, struct rng *rng, struct picked *picked)
 {
 	struct draw draw = { .in_service = 0 };
 	const struct candidate *best;
 	size_t counter;
 
 	draw_hinted(chooser, request, service, rng, &draw);
-	best = best_of_draw(&draw, rng, &counter);
+	best = best_of_draw(&draw, request->tried_count == 0, rng, &counter);
 	if (best == NULL) {
 		counter = draw.in_service > 0 ? CHOICE_REFUSED_NO_ROOM
 					      : CHOICE_REFUSED_NONE_IN_SERVICE;
@@ -121,7 +170,8 @@
 		return false;
 	}
 	counter_add(&chooser->counters, counter, 1);
-	*index = best->index;
+	picked->index = best->index;
+	picked->probe = best->load.class == LOAD_UNKNOWN;
 	return true;
 }
 
@@ -130,7 +180,7 @@
  */
 static bool
 pick_thin(struct chooser *chooser, const struct choice_request *request,
-    const struct service_view *service, struct rng *rng, size_t *index)
+    const struct service_view *service, struct rng *rng, struct picked *picked)
 {
 	struct candidates candidates = { .seen = 0 };
 
@@ -149,7 +199,7 @@
 	}
 	if (candidates.seen == 0)
 		return false;
-	*index = candidates_best(&candidates)->index;
+	picked->index = candidates_best(&candidates)->index;
 	return true;
 }
 
@@ -158,13 +208,13 @@
  */
 static bool
 pick_round_robin(struct chooser *chooser, const struct choice_request *request,
-    const struct service_view *service, size_t *index)
+    const struct service_view *service, struct picked *picked)
 {
 	uint64_t turn = atomic_fetch_add(&chooser->turn, 1);
 
 	for (size_t i = 0; i < service->upstream_count; i++) {
-		*index = (turn + i) % service->upstream_count;
-		if (may_serve(request, service, *index))
+		picked->index = (turn + i) % service->upstream_count;
+		if (may_serve(request, service, picked->index))
 			return true;
 	}
 	return false;
@@ -177,18 +227,18 @@
 bool
 chooser_pick_index(struct chooser *chooser,
     const struct choice_request *request, const struct service_view *service,
-    struct rng *rng, size_t *index)
+    struct rng *rng, struct picked *picked)
 {
 	bool found = false;
 
 	switch (chooser->settings.policy) {
 	case CHOICE_HINTED:
-		return pick_hinted(chooser, request, service, rng, index);
+		return pick_hinted(chooser, request, service, rng, picked);
 	case CHOICE_THIN:
-		found = pick_thin(chooser, request, service, rng, index);
+		found = pick_thin(chooser, request, service, rng, picked);
 		break;
 	case CHOICE_ROUND_ROBIN:
-		found = pick_round_robin(chooser, request, service, index);
+		found = pick_round_robin(chooser, request, service, picked);
 		break;
 	}
 	if (!found)
--- a/route/retry.c
+++ b/route/retry.c
@@ -85,12 +85,24 @@
 	return reason == REFUSAL_FENCED ? ATTEMPT_FENCED : ATTEMPT_NOT_RUN;
 }
 
+/*
+ * An attempt that did not run cost the upstream nothing, so more of those are
+ * allowed than the service sets for attempts that may have run.
+ */
+static uint32_t
+attempts_max(const struct retry_question *question)
+{
+	if (question->end == ATTEMPT_NOT_RUN)
+		return MAX(question->attempts_max, NOT_RUN_ATTEMPTS_MAX);
+	return question->attempts_max;
+}
+
 /*
  * Decide whether an attempt may be followed by another. A request that may
  * have run is tried again only when that is harmless, and one that already is
  * a caller's retry gets no retries of this hop on top: over a chain of calls
  * they would multiply. Takes from the budget when the answer is true, except
- * for a fenced attempt.
+ * for a fenced attempt and a probe that did not run.
  */
 bool
 retry_allowed(
@@ -105,7 +117,9 @@
 		return false;
 	if (question->incoming_attempt > 0)
 		return false;
-	if (question->attempt + 1 >= question->attempts_max)
+	if (question->attempt + 1 >= attempts_max(question))
 		return false;
+	if (question->probe && question->end == ATTEMPT_NOT_RUN)
+		return true;
 	return retry_budget_withdraw(budget);
 }
--- a/tests/route/test_route.c
+++ b/tests/route/test_route.c
@@ -140,6 +140,59 @@
 	fixture_clear(&f);
 }
 
+static void
+test_retry_does_not_probe(void)
+{
+	struct fixture f;
+	struct choice choice;
+	uint32_t after_ms;
+
+	fixture_init(&f, CHOICE_HINTED);
+	f.snapshot.view.upstream_count = 4;
+	learn(&f, 2, 12, 12);
+	learn(&f, 3, 12, 13);
+	CU_ASSERT_TRUE(
+	    chooser_pick(f.chooser, &f.request, f.rng, &choice, &after_ms));
+	CU_ASSERT_TRUE(choice.probe);
+	f.request.tried[0] = choice.upstream;
+	f.request.tried_count = 1;
+	CU_ASSERT_TRUE(
+	    chooser_pick(f.chooser, &f.request, f.rng, &choice, &after_ms));
+	CU_ASSERT_PTR_EQUAL(choice.upstream, &f.snapshot.upstreams[2]);
+	CU_ASSERT_FALSE(choice.probe);
+	f.request.tried[1] = &f.snapshot.upstreams[2];
+	f.request.tried[2] = &f.snapshot.upstreams[3];
+	f.request.tried_count = 3;
+	CU_ASSERT_TRUE(
+	    chooser_pick(f.chooser, &f.request, f.rng, &choice, &after_ms));
+	CU_ASSERT_TRUE(choice.probe);
+	fixture_clear(&f);
+}
+
+static void
+test_shortest_queue_in_any_zone(void)
+{
+	struct fixture f;
+	struct guard_hint hint = {
+		.incarnation = 7, .tick = 1, .accepting = true
+	};
+
+	fixture_init(&f, CHOICE_HINTED);
+	hint.latency_us = 200000;
+	for (size_t i = 0; i < UPSTREAMS; i++) {
+		/* A cold one in the own zone, the rest warm and full. */
+		hint.limit = i == 0 ? 1 : 12;
+		hint.in_flight = hint.limit;
+		hint.queued = i == 0 ? 0 : 2;
+		chooser_learn(f.chooser, f.snapshot.upstreams[i].name, &hint);
+	}
+	f.snapshot.hosts[1].host.out = true;
+	pick_many(&f);
+	CU_ASSERT_EQUAL(f.hits[0], 0);
+	CU_ASSERT_EQUAL(f.refused, 0);
+	fixture_clear(&f);
+}
+
 static void
 test_out_and_lost_are_avoided(void)
 {
@@ -271,6 +324,11 @@
 	question.body_replayable = true;
 	CU_ASSERT_TRUE(retry_allowed(&question, budget));
 	CU_ASSERT_FALSE(retry_allowed(&question, budget)); /* budget empty */
+	question.end = ATTEMPT_NOT_RUN;
+	question.probe = true;
+	CU_ASSERT_TRUE(retry_allowed(&question, budget));
+	question.attempt = NOT_RUN_ATTEMPTS_MAX - 1;
+	CU_ASSERT_FALSE(retry_allowed(&question, budget));
 	question.end = ATTEMPT_FENCED;
 	CU_ASSERT_TRUE(retry_allowed(&question, budget));
 	question.fenced = FENCED_RESENDS_MAX;
@@ -311,6 +369,9 @@
 		{ "a full zone spills", test_spills_when_zone_is_full },
 		{ "unknown ones get a probing share",
 		    test_unknown_gets_a_probing_share },
+		{ "a retry does not probe", test_retry_does_not_probe },
+		{ "the shortest queue in any zone",
+		    test_shortest_queue_in_any_zone },
 		{ "out and lost ones are avoided",
 		    test_out_and_lost_are_avoided },
 		{ "refusals are spread and pass", test_refusals_are_spread },
--- a/trefoilhilld/data_path/entry_call.c
+++ b/trefoilhilld/data_path/entry_call.c
@@ -67,11 +67,13 @@
 }
 
 static bool
-may_retry(struct entry_call *call, const struct exchange_result *result)
+may_retry(struct entry_call *call, const struct choice *choice,
+    const struct exchange_result *result)
 {
 	struct retry_question question = {
 		.end = result->end,
 		.idempotent = call->request->idempotent,
+		.probe = choice->probe,
 		.body_replayable = body_is_replayable(call->request),
 		.attempt = call->attempt,
 		.attempts_max = call->attempts_max,
@@ -125,7 +127,7 @@
 	while (entry_exchange_run(call, &choice, &result) == EXCHANGE_ERROR) {
 		if (result.end == ATTEMPT_UNKNOWN)
 			call->may_have_run = true;
-		if (!may_retry(call, &result))
+		if (!may_retry(call, &choice, &result))
 			goto refuse;
 		if (result.end == ATTEMPT_FENCED) {
 			choice.known = result.hint;
--- a/trefoilhilld/setting_desc.c
+++ b/trefoilhilld/setting_desc.c
@@ -71,7 +71,7 @@
 	    4096, NULL },
 	{ "guard", "queue_limit", "24", SETTING_NUMBER, AT(guard.queue_limit),
 	    0, 65536, NULL },
-	{ "guard", "queue_wait_ms", "100", SETTING_NUMBER,
+	{ "guard", "queue_wait_ms", "250", SETTING_NUMBER,
 	    AT(guard.queue_wait_ms), 0, MINUTE_MS, NULL },
 	{ "guard", "tick_ms", "100", SETTING_NUMBER, AT(guard.tick_ms), 10,
 	    1000, NULL },
