--- /dev/null
+++ b/bench/fleet.c
@@ -0,0 +1,151 @@
+#include <string.h>
+
+#include "config/change.h"
+#include "fleet.h"
+
+enum {
+	TIMEOUT_MS = 2000,
+	SLOTS = 12,
+	CONNECTIONS = 110,
+	BYTE_BITS = 8,
+	BYTE_MASK = 255,
+	FRAME_BYTES = 16, /* around the records of a publication */
+};
+
+/*
+ * Size a fleet: the services follow the upstreams up to FLEET_SERVICES.
+ */
+void
+fleet_init(struct fleet *fleet, size_t upstreams)
+{
+	size_t services = upstreams / FLEET_UPSTREAMS_A_SERVICE;
+
+	fleet->upstreams = upstreams;
+	fleet->services = CLAMP(services, 1, (size_t)FLEET_SERVICES);
+}
+
+/*
+ * Return a zone record, in for variant 0 and out for others.
+ */
+char *
+fleet_zone(size_t zone, unsigned int variant)
+{
+	return g_strdup_printf("{\"schema\":2,\"kind\":\"zone\","
+			       "\"name\":\"zone-%02zu\",\"state\":\"%s\","
+			       "\"region\":\"region-%zu\"}",
+	    zone, variant == 0 ? "in" : "out", zone % 5);
+}
+
+/*
+ * Return a service record; the variant changes its timeout.
+ */
+char *
+fleet_service(size_t service, unsigned int variant)
+{
+	return g_strdup_printf(
+	    "{\"schema\":2,\"kind\":\"service\",\"name\":\"service-%04zu\","
+	    "\"timeout_ms\":%u,\"idempotent_retries\":1}",
+	    service, TIMEOUT_MS + variant);
+}
+
+/*
+ * Return a host record, in for variant 0 and out for others.
+ */
+char *
+fleet_host(size_t host, unsigned int variant)
+{
+	return g_strdup_printf(
+	    "{\"schema\":2,\"kind\":\"host\",\"name\":\"host-%05zu\","
+	    "\"zone\":\"zone-%02zu\",\"node\":\"10.%zu.%zu.%zu:7001\","
+	    "\"state\":\"%s\"}",
+	    host, host % FLEET_ZONES, host >> 2 * BYTE_BITS,
+	    host >> BYTE_BITS & BYTE_MASK, host & BYTE_MASK,
+	    variant == 0 ? "in" : "out");
+}
+
+/*
+ * Return an upstream record; the variant changes its connections.
+ */
+char *
+fleet_upstream(const struct fleet *fleet, size_t upstream, unsigned int variant)
+{
+	return g_strdup_printf(
+	    "{\"schema\":2,\"kind\":\"upstream\",\"name\":\"upstream-%05zu\","
+	    "\"service\":\"service-%04zu\",\"host\":\"host-%05zu\","
+	    "\"address\":\"127.0.0.1:7003\",\"slots\":%d,"
+	    "\"connections\":%u}",
+	    upstream, upstream % fleet->services, upstream, SLOTS,
+	    CONNECTIONS + variant);
+}
+
+/*
+ * Return a route record: one by authority and one by prefix a service.
+ */
+char *
+fleet_route(const struct fleet *fleet, size_t route)
+{
+	size_t service = route % fleet->services;
+
+	if (route < fleet->services)
+		return g_strdup_printf(
+		    "{\"schema\":2,\"kind\":\"route\","
+		    "\"name\":\"authority-%04zu\","
+		    "\"service\":\"service-%04zu\","
+		    "\"authority\":\"service-%04zu.example\"}",
+		    service, service, service);
+	return g_strdup_printf("{\"schema\":2,\"kind\":\"route\","
+			       "\"name\":\"prefix-%04zu\","
+			       "\"service\":\"service-%04zu\","
+			       "\"prefix\":\"/v1/service-%04zu/\"}",
+	    service, service, service);
+}
+
+static void
+flush(GPtrArray *log, GString *records)
+{
+	char *json;
+
+	if (records->len == 0)
+		return;
+	json = g_strdup_printf("{\"set\":[%s]}", records->str);
+	g_ptr_array_add(log,
+	    publication_new(
+		log->len + 1, g_bytes_new_take(json, strlen(json))));
+	g_string_truncate(records, 0);
+}
+
+static void
+add(GPtrArray *log, GString *records, char *record)
+{
+	if (records->len + strlen(record) + FRAME_BYTES > PUBLICATION_BYTES_MAX)
+		flush(log, records);
+	if (records->len > 0)
+		g_string_append_c(records, ',');
+	g_string_append(records, record);
+	g_free(record);
+}
+
+/*
+ * Return what the operators published to build the fleet.
+ */
+GPtrArray *
+fleet_publications(const struct fleet *fleet)
+{
+	GPtrArray *log =
+	    g_ptr_array_new_with_free_func((GDestroyNotify)publication_unref);
+	GString *records = g_string_new("");
+
+	for (size_t i = 0; i < FLEET_ZONES; i++)
+		add(log, records, fleet_zone(i, 0));
+	for (size_t i = 0; i < fleet->services; i++)
+		add(log, records, fleet_service(i, 0));
+	for (size_t i = 0; i < fleet->upstreams; i++)
+		add(log, records, fleet_host(i, 0));
+	for (size_t i = 0; i < fleet->upstreams; i++)
+		add(log, records, fleet_upstream(fleet, i, 0));
+	for (size_t i = 0; i < 2 * fleet->services; i++)
+		add(log, records, fleet_route(fleet, i));
+	flush(log, records);
+	g_string_free(records, TRUE);
+	return log;
+}
