--- a/config/field_reader.c
+++ b/config/field_reader.c
@@ -55,16 +55,16 @@
 }
 
 /*
- * Tell whether the text is IPv4:PORT or [IPv6]:PORT.
+ * Tell whether the text is IPv4:PORT or [IPv6]:PORT, in its usual form.
  */
-static bool
+bool
 address_is_valid(struct str address)
 {
 	char text[INET6_ADDRSTRLEN + PORT_DIGITS + sizeof("[]:")];
 	size_t ip_len;
 	char *colon;
 
-	if (address.len >= sizeof(text))
+	if (address.len == 0 || address.len >= sizeof(text))
 		return false;
 	memcpy(text, address.ptr, address.len);
 	text[address.len] = '\0';
--- a/include/config/field_reader.h
+++ b/include/config/field_reader.h
@@ -45,5 +45,6 @@
 void field_reader_finish(struct field_reader *reader);
 
 bool name_is_valid(struct str name);
+bool address_is_valid(struct str address);
 
 #endif
--- a/tests/mesh/test_codec.c
+++ b/tests/mesh/test_codec.c
@@ -137,8 +137,14 @@
 	static const uint8_t newer[] = { 0x08, FRAME_PROTOCOL + 1 };
 	static const uint8_t no_sender[] = { 0x08, 0x01 };
 	/* a sender, then field 99 in place of a known body */
-	static const uint8_t unknown[] = { 0x08, 0x01, 0x12, 9, 0x0a, 1, 'h',
-		0x12, 1, 'z', 0x1a, 1, 'a', 0x9a, 0x06, 0 };
+	static const uint8_t unknown[] = { 0x08, 0x01, 0x12, 17, 0x0a, 1, 'h',
+		0x12, 1, 'z', 0x1a, 9, '1', '.', '2', '.', '3', '.', '4', ':',
+		'5', 0x9a, 0x06, 0 };
+	static const uint8_t bad_address[] = { 0x08, 0x01, 0x12, 9, 0x0a, 1,
+		'h', 0x12, 1, 'z', 0x1a, 1, 'a', 0x9a, 0x06, 0 };
+	static const uint8_t bad_name[] = { 0x08, 0x01, 0x12, 17, 0x0a, 1, '"',
+		0x12, 1, 'z', 0x1a, 9, '1', '.', '2', '.', '3', '.', '4', ':',
+		'5', 0x9a, 0x06, 0 };
 	char *large = g_malloc0(FRAME_HEAD_MAX + 1);
 	struct mesh_message message = message_of(MESH_STATE_PART);
 	GBytes *bytes;
@@ -151,6 +157,10 @@
 	    decode_error(no_sender, sizeof(no_sender)), MESH_CODEC_ERROR_FIELD);
 	CU_ASSERT_EQUAL(
 	    decode_error(unknown, sizeof(unknown)), MESH_CODEC_ERROR_KIND);
+	CU_ASSERT_EQUAL(decode_error(bad_address, sizeof(bad_address)),
+	    MESH_CODEC_ERROR_FIELD);
+	CU_ASSERT_EQUAL(
+	    decode_error(bad_name, sizeof(bad_name)), MESH_CODEC_ERROR_FIELD);
 	CU_ASSERT_EQUAL(decode_error(large, FRAME_HEAD_MAX + 1),
 	    MESH_CODEC_ERROR_TOO_LARGE);
 	g_free(large);
--- a/wire/mesh_decode.c
+++ b/wire/mesh_decode.c
@@ -1,5 +1,6 @@
 #include <stdlib.h>
 
+#include "config/field_reader.h"
 #include "gen/mesh.pb-c.h"
 #include "wire/mesh_codec.h"
 #include "wire/transport.h"
@@ -53,20 +54,25 @@
 	return false;
 }
 
+static struct str
+view(ProtobufCBinaryData data)
+{
+	return str_make(data.data, data.len);
+}
+
 static struct str
 decode_str(ProtobufCBinaryData data)
 {
-	return str_dup(str_make(data.data, data.len));
+	return str_dup(view(data));
 }
 
 static bool
 decode_node(
     struct mesh_node *out, const Trefoilhill__Mesh__Node *node, GError **error)
 {
-	if (node == NULL || node->host.len == 0 ||
-	    node->host.len > MESH_NAME_MAX || node->zone.len == 0 ||
-	    node->zone.len > MESH_NAME_MAX || node->address.len == 0 ||
-	    node->address.len > MESH_ADDRESS_MAX)
+	if (node == NULL || !name_is_valid(view(node->host)) ||
+	    !name_is_valid(view(node->zone)) ||
+	    !address_is_valid(view(node->address)))
 		return field_error(error, "node");
 	out->host = decode_str(node->host);
 	out->zone = decode_str(node->zone);
@@ -98,7 +104,7 @@
 	for (size_t i = 0; i < body->n_readers; i++) {
 		ProtobufCBinaryData host = body->readers[i]->host;
 
-		if (host.len == 0 || host.len > MESH_NAME_MAX)
+		if (!name_is_valid(view(host)))
 			return field_error(error, "heartbeat.readers.host");
 		out->readers[i].host = decode_str(host);
 		out->readers[i].beat = body->readers[i]->beat;
