tests: see past a NUL byte in what an entry answers

The test of kept connections failed in 7 of 32 runs, eight at once (for i in 1..8: build/tests/daemon/test_caller_entry). Its second answer seemed to be missing for 2 s. Ruled out: a lost wake-up on the data path (the entry had answered at once, by the time of the third request), and CivetWeb dropping an early next request (its buffer was right). The cause: the bytes of a body may come in a segment of their own and are NUL, and strstr(3) on what had been received ended there.

--- a/tests/daemon/raw_caller.c
+++ b/tests/daemon/raw_caller.c
@@ -43,6 +43,15 @@
 	}
 }
 
+/* Bodies hold any byte; a NUL would hide what comes after it. */
+static void
+show_bytes(char *bytes, size_t len)
+{
+	for (size_t i = 0; i < len; i++)
+		if (bytes[i] == '\0')
+			bytes[i] = '.';
+}
+
 int
 raw_expect(int fd, const char *wanted, int ms, char *out, size_t out_max)
 {
@@ -58,6 +67,7 @@
 		got = recv(fd, out + len, out_max - len - 1, 0);
 		if (got <= 0)
 			break;
+		show_bytes(out + len, (size_t)got);
 		len += (size_t)got;
 		out[len] = '\0';
 		if (strstr(out, wanted) != NULL)
