mesh: keep the polling baseline from repairing by heartbeat

Under policy poll the announcements to the keepers of the floor still led to pulls, so that the baseline spread between nodes: 12 processes had a p50 of 138 ms, which polling each second cannot give. A ready node that polls now neither pulls nor answers announcements.

--- a/mesh/receive.c
+++ b/mesh/receive.c
@@ -73,7 +73,10 @@
 	}
 }
 
-/* Repair: whoever is behind pulls, whoever is ahead says so. */
+/*
+ * Repair: whoever is behind pulls, whoever is ahead says so. The baseline
+ * that only polls the platform does neither once it is ready.
+ */
 static void
 compare_states(struct mesh *mesh, const struct mesh_message *message)
 {
@@ -82,7 +85,8 @@
 	bool reports =
 	    message->kind == MESH_HEARTBEAT || message->kind == MESH_ANNOUNCE;
 
-	if (!message->ready)
+	if (!message->ready ||
+	    (mesh->settings.policy == SPREAD_POLL && mesh->state == MESH_READY))
 		return;
 	if (order > 0)
 		mesh_pull_consider(
