tests: warm the reel vault up until its guards allow all slots

The zone case failed (1779 of 1800 answered, 1677 without any warm-up): the 21 refusals were queue_wait at the two reel vaults left, whose guards allowed 6 to 10 of 12 at once. A guard raises its limit only when it sees the limit used up, and short requests never did. The warm-up now offers more than fits and checks that the limit reached 12; the bound of 99% stays. After: 1797 of 1800.

--- a/tests/process/bed_case.py
+++ b/tests/process/bed_case.py
@@ -9,12 +9,14 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "scripts" / "lib"))
 
+import deployment as dep  # noqa: E402
 from mesh_bed import MeshBed, finish_load  # noqa: E402
 
 BUILD_DIR = os.environ.get("TREFOILHILL_BUILD", str(ROOT / "build"))
 
-WARM_UP_RATE = 450
-WARM_UP_S = 4
+WARM_UP_RATE = 400
+WARM_UP_S = 6
+WARM_UP_WORK_MS = 100
 
 
 class BedCase(unittest.TestCase):
@@ -39,12 +41,15 @@
         self.addCleanup(load.stdout.close)
         return load
 
-    def warm_up(self):
-        """Let the guards learn by short requests what their upstreams bear;
-        a new guard takes its upstream for cold."""
+    def warm_up(self, service):
+        """Let the guards of a service learn what their upstreams bear: a new
+        guard takes its upstream for cold, and allows more at once only after
+        it has seen what it allows used up."""
         self.end_load(self.start_load(WARM_UP_RATE, WARM_UP_S, [
-            ("GET", service, "size=64&work_ms=1", 1)
-            for service, _ in self.bed.deployment.services]))
+            ("GET", service, f"size=64&work_ms={WARM_UP_WORK_MS}", 1)]))
+        limits = [node.status()["guard"]["limit"] for node in self.bed.nodes
+                  if node.host.service == service]
+        self.assertEqual(set(limits), {dep.UPSTREAM_SLOTS}, limits)
 
     def end_load(self, load):
         """The report of a load, after the checks that every run must pass."""
--- a/tests/process/test_zone_out.py
+++ b/tests/process/test_zone_out.py
@@ -29,7 +29,7 @@
         bed = self.bed
         zone = bed.deployment.zones[1]
         hosts = bed.in_zone(zone)
-        self.warm_up()
+        self.warm_up("reel-vault")
         load = self.start_load(RATE, 12, KINDS)
         time.sleep(1.5)
         begun = self.admitted(hosts)
