--- a/include/mesh/mesh_private.h
+++ b/include/mesh/mesh_private.h
@@ -7,6 +7,7 @@
 #include "mesh/members.h"
 #include "mesh/mesh.h"
 #include "mesh/message.h"
+#include "mesh/partner.h"
 #include "mesh/peer_table.h"
 #include "mesh/read_budget.h"
 #include "mesh/ring.h"
@@ -17,6 +18,7 @@
 	MESH_RING_CAPACITY = 256,
 	MESH_RING_BYTES = 4 * 1024 * 1024,
 	MESH_AHEAD_MAX = 4,
+	MESH_ZONE_PARTNERS = 2,
 	MESH_PULL_TIMEOUT_MS = 300,
 	MESH_PULL_GAPS_MAX = 2,
 	MESH_PULL_GRACE_MS = 30, /* a push may be under way */
@@ -151,6 +153,8 @@
 	struct joining joining;
 	struct timespec heartbeat_next;
 	size_t heartbeat_round;
+	struct partner partners[MESH_ZONE_PARTNERS];
+	struct partner partner_elsewhere;
 	uint64_t next_request;
 	size_t listed_hosts; /* fleet's size by the platform's list */
 };
--- /dev/null
+++ b/include/mesh/partner.h
@@ -0,0 +1,25 @@
+#ifndef TREFOILHILL_MESH_PARTNER_H
+#define TREFOILHILL_MESH_PARTNER_H
+
+#include <time.h>
+
+#include "common/rng.h"
+#include "common/str.h"
+#include "mesh/members.h"
+
+/*
+ * A random peer that is kept for some seconds, so that heartbeats go over
+ * connections that are open already.
+ */
+struct partner {
+	struct str address; /* owned; empty: none */
+	struct timespec until;
+};
+
+struct str partner_of_zone(struct partner *partner,
+    const struct members *members, struct rng *rng, struct timespec now);
+struct str partner_elsewhere(struct partner *partner,
+    const struct members *members, struct rng *rng, struct timespec now);
+void partner_release(struct partner *partner);
+
+#endif
--- a/mesh/heartbeat.c
+++ b/mesh/heartbeat.c
@@ -16,14 +16,8 @@
 	message.heartbeat.readers = beats;
 	message.heartbeat.reader_count = election_report(&mesh->election,
 	    mesh_reading_beats(mesh), mesh->now, beats, wanted);
-	mesh_send(mesh, address, &message);
-}
-
-static void
-send_to_record(struct mesh *mesh, const struct record *host)
-{
-	if (host != NULL)
-		send_heartbeat(mesh, host->host.node);
+	if (address.len > 0)
+		mesh_send(mesh, address, &message);
 }
 
 static void
@@ -37,8 +31,8 @@
 }
 
 /*
- * Send the heartbeats when they are due: to one keeper in turn, to a random
- * peer of the zone, to one of another zone, and now and then to a contact,
+ * Send the heartbeats when they are due: to one keeper in turn, to a partner
+ * in the zone and to one in another zone, and now and then to a contact,
  * which finds its way back into the fleet when the snapshot's hosts are all
  * gone.
  */
@@ -46,7 +40,9 @@
 mesh_heartbeat_tick(struct mesh *mesh)
 {
 	struct members *members = &mesh->members;
+	struct rng *rng = mesh->env.rng;
 	const struct contact *contact;
+	size_t round;
 
 	if (mesh->settings.policy == SPREAD_POLL ||
 	    timespec_before(mesh->now, mesh->heartbeat_next))
@@ -54,16 +50,19 @@
 	schedule_next(mesh);
 	if (mesh_reading_beats(mesh))
 		election_beat(&mesh->election);
-	mesh->heartbeat_round++;
+	round = ++mesh->heartbeat_round;
 	if (members->keeper_count > 0)
-		send_to_record(mesh,
-		    members->keepers[mesh->heartbeat_round %
-			members->keeper_count]);
-	send_to_record(mesh, members_pick_zone(members, mesh->env.rng));
-	send_to_record(mesh, members_pick_elsewhere(members, mesh->env.rng));
-	if (mesh->heartbeat_round % CONTACT_ROUNDS != 0)
+		send_heartbeat(mesh,
+		    members->keepers[round % members->keeper_count]->host.node);
+	send_heartbeat(mesh,
+	    partner_of_zone(&mesh->partners[round % MESH_ZONE_PARTNERS],
+		members, rng, mesh->now));
+	send_heartbeat(mesh,
+	    partner_elsewhere(
+		&mesh->partner_elsewhere, members, rng, mesh->now));
+	if (round % CONTACT_ROUNDS != 0)
 		return;
-	contact = contacts_pick(&mesh->contacts, mesh->env.rng);
+	contact = contacts_pick(&mesh->contacts, rng);
 	if (contact != NULL)
 		send_heartbeat(mesh, contact->address);
 }
--- a/mesh/mesh.c
+++ b/mesh/mesh.c
@@ -52,6 +52,9 @@
 	if (mesh == NULL)
 		return;
 	mesh_pull_stop(mesh);
+	for (size_t i = 0; i < MESH_ZONE_PARTNERS; i++)
+		partner_release(&mesh->partners[i]);
+	partner_release(&mesh->partner_elsewhere);
 	handover_release(&mesh->handover);
 	election_release(&mesh->election);
 	contacts_release(&mesh->contacts);
--- /dev/null
+++ b/mesh/partner.c
@@ -0,0 +1,60 @@
+#include "common/clock.h"
+#include "mesh/partner.h"
+
+enum {
+	PARTNER_MS = 4000, /* least time; at most twice as long */
+};
+
+static bool
+partner_is_due(const struct partner *partner, struct timespec now)
+{
+	return partner->address.len == 0 ||
+	    !timespec_before(now, partner->until);
+}
+
+static void
+partner_set(struct partner *partner, const struct record *host, struct rng *rng,
+    struct timespec now)
+{
+	partner_release(partner);
+	if (host == NULL)
+		return;
+	partner->address = str_dup(host->host.node);
+	partner->until = timespec_plus_ms(
+	    now, PARTNER_MS + (int64_t)rng_below(rng, PARTNER_MS));
+}
+
+/*
+ * Return the address of a partner in the own zone, another one when its time
+ * is over; empty when the zone has no other host.
+ */
+struct str
+partner_of_zone(struct partner *partner, const struct members *members,
+    struct rng *rng, struct timespec now)
+{
+	if (partner_is_due(partner, now))
+		partner_set(partner, members_pick_zone(members, rng), rng, now);
+	return partner->address;
+}
+
+/*
+ * Return the address of a partner in another zone in the same way.
+ */
+struct str
+partner_elsewhere(struct partner *partner, const struct members *members,
+    struct rng *rng, struct timespec now)
+{
+	if (partner_is_due(partner, now))
+		partner_set(
+		    partner, members_pick_elsewhere(members, rng), rng, now);
+	return partner->address;
+}
+
+/*
+ * Forget a partner.
+ */
+void
+partner_release(struct partner *partner)
+{
+	str_release(&partner->address);
+}
--- a/mesh/spread.c
+++ b/mesh/spread.c
@@ -2,14 +2,13 @@
 #include "mesh/spread_tree.h"
 
 enum {
-	ANNOUNCE_RANDOM = 2,
 	/* One push in so many goes to another zone as well. */
 	PUSH_ELSEWHERE_SHARE = 4,
 };
 
 /*
- * Tell the keepers of this host's floor and some random peers of the zone
- * which state this node holds.
+ * Tell the keepers of this host's floor and the partners in the zone which
+ * state this node holds.
  */
 void
 mesh_announce_some(struct mesh *mesh)
@@ -18,12 +17,12 @@
 		mesh_send_announce(mesh, mesh->members.keepers[i]->host.node);
 	if (mesh->settings.policy == SPREAD_POLL)
 		return;
-	for (size_t i = 0; i < ANNOUNCE_RANDOM; i++) {
-		const struct record *peer =
-		    members_pick_zone(&mesh->members, mesh->env.rng);
+	for (size_t i = 0; i < MESH_ZONE_PARTNERS; i++) {
+		struct str address = partner_of_zone(&mesh->partners[i],
+		    &mesh->members, mesh->env.rng, mesh->now);
 
-		if (peer != NULL)
-			mesh_send_announce(mesh, peer->host.node);
+		if (address.len > 0)
+			mesh_send_announce(mesh, address);
 	}
 }
 
