--- a/trefoilhilld/data_path/entry_answer.c
+++ b/trefoilhilld/data_path/entry_answer.c
@@ -7,7 +7,8 @@
 	STATUS_NO_CONTENT = 204,
 	STATUS_NOT_MODIFIED = 304,
 	MS_PER_S = 1000,
-	RETRY_SPREAD = 2, /* come back within 1 to 1 + this many times */
+	HEAD_BYTES = 1024, /* of most answers */
+	RETRY_SPREAD = 2,  /* come back within 1 to 1 + this many times */
 };
 
 /*
@@ -95,7 +96,7 @@
 entry_answer_begin(
     struct entry_answer *answer, const struct call_head *head, struct str body)
 {
-	GString *out = g_string_sized_new(CALL_CHUNK_BYTES / 8 + body.len);
+	GString *out = g_string_sized_new(HEAD_BYTES + body.len);
 	bool sent;
 
 	answer->begun = true;
--- a/trefoilhilld/data_path/upstream_client.c
+++ b/trefoilhilld/data_path/upstream_client.c
@@ -6,6 +6,8 @@
 
 enum {
 	POLL_MAX_MS = 1000,
+	/* libcurl takes a buffer of this size for each request. */
+	RECEIVE_BYTES = 16 * 1024,
 	STATUS_SERVER_ERROR = 500,
 	US_PER_MS = 1000,
 };
@@ -27,6 +29,7 @@
 	struct service_call *call;
 	struct upstream_result *result;
 	struct timespec begun;
+	bool had_body;    /* the request before had one */
 	bool asked;       /* libcurl has asked for leave to send */
 	bool read_paused; /* waits for more of the request's body */
 	bool head_sent;
@@ -35,26 +38,6 @@
 	uint64_t body_granted;
 };
 
-/*
- * Return a client without a connection.
- */
-struct upstream_client *
-upstream_client_new(
-    const char *address, struct guard_gate *gate, struct clock *clock)
-{
-	struct upstream_client *client = g_new0(struct upstream_client, 1);
-
-	client->gate = gate;
-	client->clock = clock;
-	client->address = g_strdup(address);
-	client->multi = curl_multi_init();
-	curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS, 1L);
-	client->easy = curl_easy_init();
-	client->pending = g_byte_array_sized_new(CALL_CHUNK_BYTES);
-	answer_reader_init(&client->reader);
-	return client;
-}
-
 /*
  * Close the connection and free the client.
  */
@@ -215,6 +198,54 @@
 	return CURL_READFUNC_ABORT;
 }
 
+/*
+ * Set what is the same for all requests, once: setting it anew for each took a
+ * good part of the time of a small call.
+ */
+static void
+set_constant_options(struct upstream_client *client)
+{
+	CURL *easy = client->easy;
+
+	curl_easy_setopt(easy, CURLOPT_URL, client->url);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, (long)RECEIVE_BYTES);
+	curl_easy_setopt(
+	    easy, CURLOPT_UPLOAD_BUFFERSIZE, (long)CALL_CHUNK_BYTES);
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, handle_before_send);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, client);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, handle_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, client);
+	curl_easy_setopt(easy, CURLOPT_READFUNCTION, handle_request_bytes);
+	curl_easy_setopt(easy, CURLOPT_READDATA, client);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, handle_answer_bytes);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, client);
+}
+
+/*
+ * Return a client without a connection.
+ */
+struct upstream_client *
+upstream_client_new(
+    const char *address, struct guard_gate *gate, struct clock *clock)
+{
+	struct upstream_client *client = g_new0(struct upstream_client, 1);
+
+	client->gate = gate;
+	client->clock = clock;
+	client->address = g_strdup(address);
+	client->multi = curl_multi_init();
+	curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS, 1L);
+	client->url = g_strdup_printf("http://%s/", address);
+	client->easy = curl_easy_init();
+	set_constant_options(client);
+	client->pending = g_byte_array_sized_new(CALL_CHUNK_BYTES);
+	answer_reader_init(&client->reader);
+	return client;
+}
+
 static void add_header(struct upstream_client *client, const char *format, ...)
     G_GNUC_PRINTF(2, 3);
 
@@ -283,36 +314,26 @@
 }
 
 /*
- * Set libcurl up for one request.
+ * Set libcurl up for one request. One with a body starts from a handle without
+ * history: a body of unknown length stalled on one that had sent another.
  */
 static void
 set_request(struct upstream_client *client, const struct call_open *open,
     int64_t remaining_ms)
 {
 	CURL *easy = client->easy;
+	bool has_body = !open->end || open->length != 0;
 
-	g_free(client->url);
+	if (has_body || client->had_body) {
+		curl_easy_reset(easy);
+		set_constant_options(client);
+	}
+	client->had_body = has_body;
 	g_free(client->target);
 	g_free(client->method);
-	client->url = g_strdup_printf("http://%s/", client->address);
 	client->target = str_dup_cstr(open->target);
 	client->method = str_dup_cstr(open->method);
-	curl_easy_reset(easy);
-	curl_easy_setopt(easy, CURLOPT_URL, client->url);
 	curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, client->target);
-	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(easy, CURLOPT_PROXY, "");
-	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
-	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-	curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, (long)CALL_CHUNK_BYTES);
-	curl_easy_setopt(
-	    easy, CURLOPT_UPLOAD_BUFFERSIZE, (long)CALL_CHUNK_BYTES);
-	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, handle_before_send);
-	curl_easy_setopt(easy, CURLOPT_PREREQDATA, client);
-	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, handle_header);
-	curl_easy_setopt(easy, CURLOPT_HEADERDATA, client);
-	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, handle_answer_bytes);
-	curl_easy_setopt(easy, CURLOPT_WRITEDATA, client);
 	set_body(client, open);
 	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, client->method);
 	set_headers(client, open, remaining_ms);
