config: make what a refusal quotes safe to print

A refusal names the record and the field at fault with text from the publication, which goes on to logs, counters' labels and terminals. A name with a line break or an escape sequence passed through, of any length up to the size of a publication. Such text is now cut at 64 bytes and anything but printable ASCII replaced. The new test fails on the code before at each of its three checks of the text.

--- a/config/refusal.c
+++ b/config/refusal.c
@@ -2,6 +2,27 @@
 
 #include "config/refusal.h"
 
+enum {
+	TEXT_BYTES_MAX = 64,
+};
+
+/*
+ * Return a copy of a name that came from outside as text for logs and
+ * terminals: at most TEXT_BYTES_MAX bytes, anything but printable ASCII
+ * replaced. The caller frees it with g_free.
+ */
+static char *
+printable(const char *name)
+{
+	char *text = g_strndup(name, TEXT_BYTES_MAX);
+
+	for (char *c = text; *c != '\0'; c++) {
+		if (!g_ascii_isprint(*c))
+			*c = '?';
+	}
+	return text;
+}
+
 /*
  * Return a refusal of the whole publication, or of one field of it. The field
  * is empty when no single one is at fault.
@@ -16,7 +37,7 @@
 	refusal->reason = g_strdup_vprintf(format, args);
 	va_end(args);
 	refusal->record = g_strdup("");
-	refusal->field = g_strdup(field);
+	refusal->field = printable(field);
 	refusal->code = (int)code;
 	return refusal;
 }
@@ -27,8 +48,13 @@
 void
 refusal_set_record(struct refusal *refusal, const char *kind, const char *name)
 {
+	char *kind_text = printable(kind);
+	char *name_text = printable(name);
+
 	g_free(refusal->record);
-	refusal->record = g_strdup_printf("%s/%s", kind, name);
+	refusal->record = g_strdup_printf("%s/%s", kind_text, name_text);
+	g_free(kind_text);
+	g_free(name_text);
 }
 
 /*
--- a/tests/config/test_hostile.c
+++ b/tests/config/test_hostile.c
@@ -271,6 +271,34 @@
 	g_string_free(text, TRUE);
 }
 
+/* What a refusal quotes from outside is safe for a log and a terminal. */
+static void
+test_refusal_text(void)
+{
+	char *json = g_strdup_printf("{\"set\":[{\"schema\":2,"
+				     "\"kind\":\"zone\",\"name\":\"a\\nb\"},"
+				     "{\"schema\":2,\"kind\":\"zone\","
+				     "\"name\":\"z\",\"state\":\"in\","
+				     "\"\\u001b[2J\\n%0200d\":1}]}",
+	    0);
+	struct snapshot *empty = snapshot_empty_new();
+	struct publication *publication = publication_of(1, json);
+	struct verdict verdict;
+	const struct refusal *refusal;
+
+	snapshot_unref(snapshot_apply(empty, publication, &verdict));
+	CU_ASSERT_EQUAL(verdict.refusals->len, 2);
+	refusal = verdict.refusals->pdata[0];
+	CU_ASSERT_STRING_EQUAL(refusal->record, "zone/a?b");
+	refusal = verdict.refusals->pdata[1];
+	CU_ASSERT(g_str_has_prefix(refusal->field, "?[2J?000"));
+	CU_ASSERT_EQUAL(strlen(refusal->field), 64);
+	verdict_clear(&verdict);
+	publication_unref(publication);
+	snapshot_unref(empty);
+	g_free(json);
+}
+
 static void
 expect_list_error(const char *json, enum config_error code)
 {
@@ -406,6 +434,7 @@
 		{ "size is limited", test_size_limit },
 		{ "bad syntax is refused", test_bad_syntax },
 		{ "refusals are bounded", test_refusals_are_bounded },
+		{ "refusals are safe to print", test_refusal_text },
 		{ "lists of changes are checked", test_list_of_changes },
 		{ "bad hand-overs are refused", test_bad_hand_over },
 		{ "lines of hand-overs are bounded",
