--- a/bench/config_size.c
+++ b/bench/config_size.c
@@ -13,6 +13,7 @@
  * load, change, search and hand it over, and its memory.
  */
 enum {
+	ZONES = 16,
 	CHANGES = 600, /* of each kind */
 	REFUSED = 600,
 	LOOKUPS = 200000,
@@ -150,11 +151,11 @@
 	switch (kind) {
 	case CHANGE_ZONE:
 		return fleet_zone(
-		    i / 2 % FLEET_ZONES, i % 2 == 0 ? variant : 0);
+		    i / 2 % fleet->zones, i % 2 == 0 ? variant : 0);
 	case CHANGE_SERVICE:
 		return fleet_service(upstream % fleet->services, variant);
 	case CHANGE_HOST:
-		return fleet_host(upstream, variant);
+		return fleet_host(fleet, upstream, variant);
 	case CHANGE_UPSTREAM:
 	case CHANGE_KIND_COUNT:
 		break;
@@ -294,7 +295,7 @@
 {
 	struct snapshot *state;
 
-	fleet_init(&out->fleet, upstreams);
+	fleet_init(&out->fleet, upstreams, ZONES);
 	state = load(&out->fleet, out);
 	measure_second(&state, out);
 	measure_changes(&state, out);
--- a/bench/fleet.c
+++ b/bench/fleet.c
@@ -16,10 +16,11 @@
  * Size a fleet: the services follow the upstreams up to FLEET_SERVICES.
  */
 void
-fleet_init(struct fleet *fleet, size_t upstreams)
+fleet_init(struct fleet *fleet, size_t upstreams, size_t zones)
 {
 	size_t services = upstreams / FLEET_UPSTREAMS_A_SERVICE;
 
+	fleet->zones = zones;
 	fleet->upstreams = upstreams;
 	fleet->services = CLAMP(services, 1, (size_t)FLEET_SERVICES);
 }
@@ -52,13 +53,13 @@
  * Return a host record, in for variant 0 and out for others.
  */
 char *
-fleet_host(size_t host, unsigned int variant)
+fleet_host(const struct fleet *fleet, size_t host, unsigned int variant)
 {
 	return g_strdup_printf(
 	    "{\"schema\":2,\"kind\":\"host\",\"name\":\"host-%05zu\","
 	    "\"zone\":\"zone-%02zu\",\"node\":\"10.%zu.%zu.%zu:7001\","
 	    "\"state\":\"%s\"}",
-	    host, host % FLEET_ZONES, host >> 2 * BYTE_BITS,
+	    host, host % fleet->zones, host >> 2 * BYTE_BITS,
 	    host >> BYTE_BITS & BYTE_MASK, host & BYTE_MASK,
 	    variant == 0 ? "in" : "out");
 }
@@ -135,12 +136,13 @@
 	    g_ptr_array_new_with_free_func((GDestroyNotify)publication_unref);
 	GString *records = g_string_new("");
 
-	for (size_t i = 0; i < FLEET_ZONES; i++)
+	g_assert(fleet->zones > 0 && fleet->services > 0);
+	for (size_t i = 0; i < fleet->zones; i++)
 		add(log, records, fleet_zone(i, 0));
 	for (size_t i = 0; i < fleet->services; i++)
 		add(log, records, fleet_service(i, 0));
 	for (size_t i = 0; i < fleet->upstreams; i++)
-		add(log, records, fleet_host(i, 0));
+		add(log, records, fleet_host(fleet, i, 0));
 	for (size_t i = 0; i < fleet->upstreams; i++)
 		add(log, records, fleet_upstream(fleet, i, 0));
 	for (size_t i = 0; i < 2 * fleet->services; i++)
--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -5,7 +5,6 @@
 #include <stddef.h>
 
 enum {
-	FLEET_ZONES = 16,
 	FLEET_SERVICES = 840,
 	FLEET_UPSTREAMS_A_SERVICE = 17,
 };
@@ -15,18 +14,19 @@
  * services with two routes each, hosts and upstreams.
  */
 struct fleet {
+	size_t zones;
 	size_t upstreams;
 	size_t services;
 };
 
-void fleet_init(struct fleet *fleet, size_t upstreams);
+void fleet_init(struct fleet *fleet, size_t upstreams, size_t zones);
 /* Publications of at most PUBLICATION_BYTES_MAX, from version 1 on. */
 GPtrArray *fleet_publications(const struct fleet *fleet);
 
 /* Records of one of the fleet as JSON; the variant tells two apart. */
 char *fleet_zone(size_t zone, unsigned int variant);
 char *fleet_service(size_t service, unsigned int variant);
-char *fleet_host(size_t host, unsigned int variant);
+char *fleet_host(const struct fleet *fleet, size_t host, unsigned int variant);
 char *fleet_upstream(
     const struct fleet *fleet, size_t upstream, unsigned int variant);
 char *fleet_route(const struct fleet *fleet, size_t route);
