--- a/bench/zone.py
+++ b/bench/zone.py
@@ -10,6 +10,7 @@
 import dataclasses
 import json
 import pathlib
+import subprocess
 import sys
 import threading
 import time
@@ -31,6 +32,8 @@
 WORK_MS = 200
 TIMEOUT_MS = 2000
 POST_SHARE = 30  # percent
+CAPACITY_FILL_S = 4
+CAPACITY_S = 8
 
 UNLIMITED = {"slots": 4096, "cold_limit": 4096, "queue_limit": 0,
              "connections": 4096}
@@ -134,6 +137,31 @@
             time.sleep(0.1)
 
 
+def measure_capacity(build):
+    """What one upstream stand-in completes each second when its own queue is
+    never empty: called directly, at 125% of slots / work time."""
+    ideal = dep.UPSTREAM_SLOTS / (WORK_MS / 1000)
+    with MeshBed("reelkade", build) as bed:
+        bed.start_standins()
+        upstream = bed.upstreams[0]
+        load = subprocess.Popen(
+            [str(pathlib.Path(build).resolve() / "trefoilhill-load"
+                 / "trefoilhill-load"), "--direct",
+             "--upstream", upstream.host.address,
+             "--rate", str(1.25 * ideal),
+             "--duration", str(CAPACITY_FILL_S + CAPACITY_S + 1),
+             "--request", f"GET,,/?size=512&work_ms={WORK_MS},1"],
+            stdout=subprocess.DEVNULL)
+        time.sleep(CAPACITY_FILL_S)
+        began, before = time.monotonic(), upstream.counts()["completed"]
+        time.sleep(CAPACITY_S)
+        after, ended = upstream.counts()["completed"], time.monotonic()
+        load.wait()
+    rate = (after - before) / (ended - began)
+    print(f"one stand-in, called directly: {rate:.2f}/s, "
+          f"{rate / ideal:.2%} of slots / work time")
+
+
 def second_rows(run):
     """One row for each second that counts, from the load and the zone."""
     zone = {}
@@ -264,9 +292,14 @@
     parser.add_argument("--set", action="append", default=[],
                         metavar="SECTION.KEY=VALUE")
     parser.add_argument("--per-second", action="store_true")
+    parser.add_argument("--capacity", action="store_true",
+                        help="measure one stand-in without the system, only")
     parser.add_argument("--json")
     parser.add_argument("--svg")
     args = parser.parse_args()
+    if args.capacity:
+        measure_capacity(args.build)
+        return
     figures = {}
     for deployment in args.deployment or ["reelkade", "ekwueme"]:
         results = [summarize(run_policy(
