--- a/tests/process/test_node_killed.py
+++ b/tests/process/test_node_killed.py
@@ -12,6 +12,9 @@
     ("GET", "reel-vault", "size=2000000&chunk_ms=5", 10, 8000),
 ]
 
+# 30 chunks of 64 KiB, 30 ms apart.
+DOWNLOADS = [("GET", "reel-vault", "size=1966080&chunk_ms=30", 1, 8000)]
+
 
 class NodeKilled(BedCase):
     def test_kill_loses_no_answer_silently(self):
@@ -34,6 +37,25 @@
         tail = report["per_second"][-2:]
         self.assertEqual([row["ok"] for row in tail], [150, 150])
 
+    def test_kill_mid_download_shows(self):
+        """The node beside a reel vault dies: a caller can see that its
+        download broke off, and the others go on."""
+        bed = self.bed
+        victim = next(
+            n for n in bed.nodes if n.host.service == "reel-vault")
+        others = [n for n in bed.nodes if n is not victim]
+        load = self.start_load(3, 8, DOWNLOADS, nodes=others)
+        bed.wait_for("download at the victim", 4, lambda: bed.upstreams[
+            bed.nodes.index(victim)].counts()["busy"] > 0)
+        victim.process.kill()
+        report = self.end_load(load)
+        total = report["total"]
+        self.assertGreaterEqual(total["cut"], 1)
+        self.assertEqual(total["no_answer"], 0)
+        self.assertEqual(total["error"], 0)
+        self.assertGreater(total["ok"], 0)
+        self.assertEqual(report["per_second"][-1]["cut"], 0)
+
 
 if __name__ == "__main__":
     unittest.main()
