platform: refuse a compacted list of hosts and URLs with a query

An answer of 410 to the list of hosts was taken as a compacted log, so that one faulty answer sent a node to a raw read; it is now a status error like any other. A platform URL with a query, a fragment or a user passed the check and gave requests for other paths; it is refused.

--- a/tests/platform/test_http_config_source.c
+++ b/tests/platform/test_http_config_source.c
@@ -437,6 +437,9 @@
 	}
 	fake = (struct fake){ 500, "x", 1 };
 	expect_failure(&bed, PLATFORM_READ_CHANGES, PLATFORM_ERROR_STATUS);
+	/* only a log can be compacted */
+	fake = (struct fake){ 410, "{\"oldest\":7}", 12 };
+	expect_failure(&bed, PLATFORM_READ_HOSTS, PLATFORM_ERROR_STATUS);
 	bed_end(&bed);
 }
 
@@ -483,7 +486,8 @@
 {
 	static const char *const urls[] = { "", "127.0.0.1:1",
 		"https://127.0.0.1:1", "http://127.0.0.1:1/v1", "http://",
-		"http://127.0.0.1:1/" };
+		"http://127.0.0.1:1/", "http://127.0.0.1:1?a=b",
+		"http://127.0.0.1:1#a", "http://a:b@127.0.0.1:1" };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(urls); i++) {
 		struct http_config_source_settings settings = { .url = str_from(
