--- a/tests/process/test_whole_path.py
+++ b/tests/process/test_whole_path.py
@@ -1,5 +1,6 @@
 """A caller's request through any node, and records that take effect."""
 
+import sys
 import unittest
 
 from bed_case import BedCase
@@ -57,7 +58,10 @@
             nodes=[entry])
         self.assertEqual(self.end_load(load)["total"]["ok"], 1)
         for node, rss_kib in before.items():
-            growth = node.process.peak_rss_kib() - rss_kib
+            peak_kib = node.process.peak_rss_kib()
+            growth = peak_kib - rss_kib
+            print(f"peak RSS of {node.host.name}: {rss_kib} KiB before, "
+                  f"{peak_kib} KiB after", file=sys.stderr)
             self.assertLess(growth, RSS_GROWTH_KIB, node.host.name)
 
 
