wire: end connections by unacknowledged bytes, not by frequent heartbeats

Ruled out: the wait over many sockets, which is epoll already, and sweeping for idle peers, which is once a second. It is ZeroMQ's heartbeat, twice a second for each connection.

The heartbeat is there to end connections to hosts that vanish. TCP's own limit on unacknowledged bytes (2 s) does so when there is something to send, at no cost at rest; calls in flight are watched by frames of their own. The heartbeat remains, each 10 s, for connections that only receive.

--- a/wire/peer.c
+++ b/wire/peer.c
@@ -6,8 +6,10 @@
 
 enum {
 	HOLD_US = 200 * 1000,
-	HEARTBEAT_INTERVAL_MS = 500,
-	HEARTBEAT_TIMEOUT_MS = 1500,
+	/* What was sent and not acknowledged for so long ends a connection. */
+	UNACKNOWLEDGED_MAX_MS = 2000,
+	HEARTBEAT_INTERVAL_MS = 10000,
+	HEARTBEAT_TIMEOUT_MS = 20000,
 	RECONNECT_MIN_MS = 50,
 	RECONNECT_MAX_MS = 1000,
 	CONNECT_TIMEOUT_MS = 1000,
@@ -34,6 +36,7 @@
 	set_int(socket, ZMQ_SNDHWM, (int)high_water);
 	set_int(socket, ZMQ_RCVHWM, (int)high_water);
 	set_int(socket, ZMQ_IMMEDIATE, 1);
+	set_int(socket, ZMQ_TCP_MAXRT, UNACKNOWLEDGED_MAX_MS);
 	set_int(socket, ZMQ_HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS);
 	set_int(socket, ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS);
 	set_int(socket, ZMQ_RECONNECT_IVL, RECONNECT_MIN_MS);
