--- /dev/null
+++ b/include/trefoilhillctl/text_table.h
@@ -0,0 +1,20 @@
+#ifndef TREFOILHILL_TREFOILHILLCTL_TEXT_TABLE_H
+#define TREFOILHILL_TREFOILHILLCTL_TEXT_TABLE_H
+
+#include <glib.h>
+#include <stdio.h>
+
+/* Rows of text, printed in columns as wide as they need. */
+struct text_table {
+	guint columns;
+	GPtrArray *cells; /* char *, row by row */
+};
+
+void text_table_init(
+    struct text_table *table, const char *const *heads, guint columns);
+void text_table_add(struct text_table *table, const char *format, ...)
+    G_GNUC_PRINTF(2, 3);
+void text_table_print(const struct text_table *table, FILE *out);
+void text_table_clear(struct text_table *table);
+
+#endif
--- /dev/null
+++ b/trefoilhillctl/commands/check.c
@@ -0,0 +1,181 @@
+#include <stdlib.h>
+
+#include "trefoilhillctl/command.h"
+#include "trefoilhillctl/error.h"
+#include "trefoilhillctl/publication_draft.h"
+
+static const struct option no_options[] = { { NULL, 0, NULL, 0 } };
+
+/* Put the file into each refusal that a node answered; false on a bad one. */
+static bool
+refusals_place(const struct publication_draft *draft, json_t *refusals)
+{
+	json_t *refusal;
+	size_t i;
+
+	json_array_foreach (refusals, i, refusal) {
+		const char *record =
+		    json_string_value(json_object_get(refusal, "record"));
+
+		if (record == NULL)
+			return false;
+		json_object_set_new(refusal, "file",
+		    json_string(publication_draft_file(draft, record)));
+	}
+	return json_is_array(refusals);
+}
+
+static void
+print_refusals(FILE *out, const json_t *refusals)
+{
+	json_t *refusal;
+	size_t i;
+
+	json_array_foreach (refusals, i, refusal) {
+		const char *file = "-", *record = "", *field = "", *reason = "";
+
+		json_unpack(refusal, "{s:s,s:s,s?s,s?s}", "file", &file,
+		    "record", &record, "field", &field, "reason", &reason);
+		fprintf(out, "%s: %s: %s%s%s\n", file,
+		    *record == '\0' ? "whole publication" : record, field,
+		    *field == '\0' ? "" : ": ", reason);
+	}
+}
+
+/* Judge one node's answer and print it; true when it accepts. */
+static bool
+show_answer(const struct ctl *ctl, const struct publication_draft *draft,
+    struct node_answer *answer)
+{
+	json_t *refusals = NULL;
+	json_int_t against = 0;
+	int accepted = 0;
+
+	if (answer->error != NULL)
+		return false;
+	if (json_unpack(answer->json, "{s:b,s:I,s:o}", "accepted", &accepted,
+		"against", &against, "refusals", &refusals) != 0 ||
+	    !refusals_place(draft, refusals)) {
+		g_set_error(&answer->error, CTL_ERROR, CTL_ERROR_ANSWER,
+		    "%s: not a verdict", answer->address);
+		return false;
+	}
+	if (ctl->options.json)
+		return accepted;
+	print_refusals(ctl->out, refusals);
+	fprintf(ctl->out,
+	    "%s, at version %" JSON_INTEGER_FORMAT
+	    ": %s (%zu records to set, %zu to remove)\n",
+	    answer->address, against, accepted ? "accepted" : "refused",
+	    json_array_size(draft->set), json_array_size(draft->remove));
+	return accepted;
+}
+
+static void
+print_json(const struct ctl *ctl, const GPtrArray *answers, bool accepted)
+{
+	json_t *nodes = json_array();
+
+	for (guint i = 0; i < answers->len; i++) {
+		const struct node_answer *answer = answers->pdata[i];
+		json_t *node;
+
+		if (answer->error != NULL) {
+			node = ctl_failure_to_json(answer);
+		} else {
+			node = json_copy(answer->json);
+			json_object_set_new(
+			    node, "address", json_string(answer->address));
+		}
+		json_array_append_new(nodes, node);
+	}
+	ctl_print_json(
+	    ctl, json_pack("{s:b,s:o}", "accepted", accepted, "nodes", nodes));
+}
+
+static int
+ask_nodes(const struct ctl *ctl, const struct publication_draft *draft,
+    const char *publication)
+{
+	struct node_request request = {
+		.nodes = ctl->options.nodes,
+		.target = "/v1/check",
+		.body = publication,
+		.timeout_ms = ctl->options.timeout_ms,
+	};
+	GPtrArray *answers = node_client_ask_json(&request);
+	bool accepted = true;
+	int status;
+
+	for (guint i = 0; i < answers->len; i++)
+		if (!show_answer(ctl, draft, answers->pdata[i]))
+			accepted = false;
+	if (ctl->options.json)
+		print_json(ctl, answers, accepted);
+	status = ctl_report_failures(ctl, answers);
+	g_ptr_array_unref(answers);
+	return accepted ? status : CTL_EXIT_FAILED;
+}
+
+/* Say what is wrong with a file before any node is asked; frees the error. */
+static void
+show_file_error(const struct ctl *ctl, json_t *faults, GError *error)
+{
+	json_array_append_new(
+	    faults, json_pack("{s:s}", "reason", error->message));
+	if (!ctl->options.json)
+		fprintf(ctl->out, "%s\n", error->message);
+	g_error_free(error);
+}
+
+static int
+run(struct ctl *ctl)
+{
+	struct publication_draft draft;
+	json_t *faults = json_array();
+	GError *error = NULL;
+	char *text = NULL;
+	int option = ctl_next(ctl, &command_check);
+	int status;
+
+	publication_draft_init(&draft);
+	if (ctl_is_over(ctl, &command_check, option, &status))
+		goto done;
+	if (optind == ctl->argc) {
+		status = ctl_usage(ctl, &command_check, "no file");
+		goto done;
+	}
+	status = CTL_EXIT_FAILED;
+	for (int i = optind; i < ctl->argc; i++)
+		if (!publication_draft_read(&draft, ctl->argv[i], &error))
+			show_file_error(ctl, faults, g_steal_pointer(&error));
+	if (json_array_size(faults) == 0)
+		text = publication_draft_text(&draft, &error);
+	if (error != NULL)
+		show_file_error(ctl, faults, error);
+	if (text != NULL)
+		status = ask_nodes(ctl, &draft, text);
+	else if (ctl->options.json)
+		ctl_print_json(ctl,
+		    json_pack("{s:b,s:O}", "accepted", false, "files", faults));
+done:
+	free(text);
+	json_decref(faults);
+	publication_draft_clear(&draft);
+	return status;
+}
+
+const struct command command_check = {
+	.name = "check",
+	.summary =
+	    "say what nodes would make of records before you publish them",
+	.arguments = "[OPTION]... FILE...",
+	.usage =
+	    "Send the records of all files as one publication to each node, which\n"
+	    "judges them against its configuration in force and changes nothing.\n"
+	    "A file holds one record, a list of records, or a publication\n"
+	    "{\"set\":[RECORD,...],\"remove\":[{\"kind\",\"name\"},...]}. Each refusal is\n"
+	    "printed as FILE: RECORD: FIELD: REASON, and the exit status is 1.\n",
+	.options = no_options,
+	.run = run,
+};
--- /dev/null
+++ b/trefoilhillctl/commands/diff.c
@@ -0,0 +1,223 @@
+#include <stdlib.h>
+
+#include "trefoilhillctl/command.h"
+#include "trefoilhillctl/error.h"
+#include "trefoilhillctl/publication_draft.h"
+#include "trefoilhillctl/record_set.h"
+
+static const struct option own_options[] = {
+	{ "whole", no_argument, NULL, 'w' },
+	{ NULL, 0, NULL, 0 },
+};
+
+/* One side that a node answered. */
+struct side {
+	struct node_answer *answer;
+	struct record_set set;
+	json_int_t version;
+};
+
+static bool
+side_init(struct side *side, struct node_answer *answer)
+{
+	GError *error = NULL;
+	json_t *records = NULL;
+
+	*side = (struct side){ .answer = answer };
+	record_set_init(&side->set);
+	if (answer->error != NULL)
+		return false;
+	if (json_unpack(answer->json, "{s:I,s:o}", "version", &side->version,
+		"records", &records) != 0 ||
+	    !json_is_array(records) ||
+	    !record_set_put_all(&side->set, records, &error)) {
+		g_set_error(&answer->error, CTL_ERROR, CTL_ERROR_ANSWER,
+		    "%s: not a list of records%s%s", answer->address,
+		    error == NULL ? "" : ": ",
+		    error == NULL ? "" : error->message);
+		g_clear_error(&error);
+		return false;
+	}
+	return true;
+}
+
+static void
+print_fields(FILE *out, const json_t *fields)
+{
+	const char *key, *mark = ": ";
+	json_t *pair;
+
+	json_object_foreach ((json_t *)fields, key, pair) {
+		char *before =
+		    json_dumps(json_array_get(pair, 0), JSON_ENCODE_ANY);
+		char *after =
+		    json_dumps(json_array_get(pair, 1), JSON_ENCODE_ANY);
+
+		fprintf(out, "%s%s %s -> %s", mark, key, before, after);
+		mark = ", ";
+		free(before);
+		free(after);
+	}
+}
+
+static void
+print_changes(FILE *out, const json_t *changes)
+{
+	json_t *item;
+	size_t i;
+
+	json_array_foreach (changes, i, item) {
+		const char *record = "", *change = "";
+		json_t *fields = NULL;
+
+		json_unpack(item, "{s:s,s:s,s:o}", "record", &record, "change",
+		    &change, "fields", &fields);
+		fprintf(out, "%c %s",
+		    *change == 'a'       ? '+'
+			: *change == 'r' ? '-'
+					 : '~',
+		    record);
+		if (*change == 'c')
+			print_fields(out, fields);
+		fputc('\n', out);
+	}
+}
+
+/* Print one comparison; true when both are equal. */
+static bool
+show(const struct ctl *ctl, json_t *all, const struct side *from,
+    const char *to_name, const struct record_set *to)
+{
+	json_t *changes = record_set_diff(&from->set, to);
+	bool equal = json_array_size(changes) == 0;
+
+	if (ctl->options.json) {
+		json_array_append_new(all,
+		    json_pack("{s:s,s:I,s:s,s:O}", "from",
+			from->answer->address, "version", from->version, "to",
+			to_name, "changes", changes));
+	} else if (equal) {
+		fprintf(ctl->out,
+		    "%s at version %" JSON_INTEGER_FORMAT " equals %s\n",
+		    from->answer->address, from->version, to_name);
+	} else {
+		fprintf(ctl->out,
+		    "--- %s at version %" JSON_INTEGER_FORMAT "\n+++ %s\n",
+		    from->answer->address, from->version, to_name);
+		print_changes(ctl->out, changes);
+	}
+	json_decref(changes);
+	return equal;
+}
+
+static bool
+diff_with_files(const struct ctl *ctl, json_t *all, const struct side *side,
+    const struct publication_draft *draft, bool whole)
+{
+	GError *error = NULL;
+	struct record_set to;
+	bool equal = false;
+
+	if (whole)
+		record_set_init(&to);
+	else
+		record_set_init_from(&to, &side->set);
+	record_set_remove_all(&to, draft->remove);
+	if (record_set_put_all(&to, draft->set, &error))
+		equal = show(ctl, all, side, "files", &to);
+	else
+		fprintf(ctl->err, "trefoilhillctl: %s\n", error->message);
+	g_clear_error(&error);
+	record_set_clear(&to);
+	return equal;
+}
+
+static bool
+diff_nodes(const struct ctl *ctl, json_t *all, const struct side *first,
+    const struct side *other)
+{
+	char *name = g_strdup_printf("%s at version %" JSON_INTEGER_FORMAT,
+	    other->answer->address, other->version);
+	bool equal = show(ctl, all, first, name, &other->set);
+
+	g_free(name);
+	return equal;
+}
+
+static int
+diff(const struct ctl *ctl, const struct publication_draft *draft, bool whole)
+{
+	GPtrArray *answers = ctl_get_json(ctl, "/v1/records");
+	struct side *sides = g_new(struct side, answers->len);
+	json_t *all = json_array();
+	bool equal = true;
+	int status;
+
+	for (guint i = 0; i < answers->len; i++)
+		side_init(&sides[i], answers->pdata[i]);
+	for (guint i = draft == NULL ? 1 : 0; i < answers->len; i++) {
+		const struct side *first = &sides[draft == NULL ? 0 : i];
+
+		if (sides[i].answer->error != NULL ||
+		    first->answer->error != NULL)
+			continue;
+		equal &= draft == NULL
+		    ? diff_nodes(ctl, all, first, &sides[i])
+		    : diff_with_files(ctl, all, first, draft, whole);
+	}
+	if (ctl->options.json)
+		ctl_print_json(ctl, json_incref(all));
+	status = ctl_report_failures(ctl, answers);
+	for (guint i = 0; i < answers->len; i++)
+		record_set_clear(&sides[i].set);
+	json_decref(all);
+	g_free(sides);
+	g_ptr_array_unref(answers);
+	return equal ? status : CTL_EXIT_FAILED;
+}
+
+static int
+run(struct ctl *ctl)
+{
+	struct publication_draft draft;
+	GError *error = NULL;
+	bool whole = false;
+	int option, status;
+
+	publication_draft_init(&draft);
+	while ((option = ctl_next(ctl, &command_diff)) >= 0)
+		whole = true;
+	if (ctl_is_over(ctl, &command_diff, option, &status))
+		goto done;
+	if (optind == ctl->argc && (ctl->options.nodes->len < 2 || whole)) {
+		status = ctl_usage(ctl, &command_diff,
+		    whole ? "--whole needs a file"
+			  : "give a file or a second node");
+		goto done;
+	}
+	status = CTL_EXIT_FAILED;
+	for (int i = optind; i < ctl->argc && error == NULL; i++)
+		publication_draft_read(&draft, ctl->argv[i], &error);
+	if (error != NULL)
+		fprintf(ctl->err, "trefoilhillctl: %s\n", error->message);
+	else
+		status = diff(ctl, optind < ctl->argc ? &draft : NULL, whole);
+done:
+	g_clear_error(&error);
+	publication_draft_clear(&draft);
+	return status;
+}
+
+const struct command command_diff = {
+	.name = "diff",
+	.summary = "compare the records of nodes with each other or with files",
+	.arguments = "[--whole] [OPTION]... [FILE]...",
+	.usage =
+	    "Without a file, compare the first node with each of the others. With\n"
+	    "files (as for check), show what publishing them would change at each\n"
+	    "node. + is added, - removed, ~ changed; exit status 1 on a difference.\n"
+	    "  --whole               the files hold the whole configuration: show\n"
+	    "                        as removed what only the node has\n",
+	.options = own_options,
+	.run = run,
+};
--- /dev/null
+++ b/trefoilhillctl/commands/drain.c
@@ -0,0 +1,51 @@
+#include "trefoilhillctl/command.h"
+
+static const struct option no_options[] = { { NULL, 0, NULL, 0 } };
+
+static int
+run(struct ctl *ctl)
+{
+	struct node_request request = { .target = "/v1/drain", .body = "" };
+	GPtrArray *answers;
+	const char *state = "?";
+	int option = ctl_next(ctl, &command_drain);
+	int status;
+
+	if (ctl_is_over(ctl, &command_drain, option, &status))
+		return status;
+	if (ctl->options.nodes->len != 1 || ctl->options.nodes_from_environment)
+		return ctl_usage(ctl, &command_drain,
+		    "give exactly one node, by --node on the command line");
+	request.nodes = ctl->options.nodes;
+	request.timeout_ms = ctl->options.timeout_ms;
+	answers = node_client_ask_json(&request);
+	status = ctl_report_failures(ctl, answers);
+	if (status == CTL_EXIT_GOOD) {
+		const struct node_answer *answer = answers->pdata[0];
+
+		json_unpack(answer->json, "{s:s}", "state", &state);
+		if (ctl->options.json)
+			ctl_print_json(ctl,
+			    json_pack("{s:s,s:s}", "address", answer->address,
+				"state", state));
+		else
+			fprintf(ctl->out,
+			    "%s: %s; it exits when its work in flight has "
+			    "ended\n",
+			    answer->address, state);
+	}
+	g_ptr_array_unref(answers);
+	return status;
+}
+
+const struct command command_drain = {
+	.name = "drain",
+	.summary = "stop one node gracefully",
+	.arguments = "--node IP:PORT [OPTION]...",
+	.usage =
+	    "Ask one node to refuse new work, let its work in flight end, and\n"
+	    "exit. Exactly one --node is needed; TREFOILHILL_NODES is not\n"
+	    "used.\n",
+	.options = no_options,
+	.run = run,
+};
--- /dev/null
+++ b/trefoilhillctl/commands/events.c
@@ -0,0 +1,140 @@
+#include <inttypes.h>
+#include <string.h>
+
+#include "trefoilhillctl/command.h"
+#include "trefoilhillctl/error.h"
+#include "trefoilhillctl/text_table.h"
+
+enum {
+	DECIMAL = 10,
+};
+
+static const struct option own_options[] = {
+	{ "after", required_argument, NULL, 'a' },
+	{ "kind", required_argument, NULL, 'k' },
+	{ NULL, 0, NULL, 0 },
+};
+
+/* Append the events of one node to a JSON array; false on a bad answer. */
+static bool
+events_read(struct node_answer *answer, const char *kind, json_t *events)
+{
+	char **lines = g_strsplit(answer->body->str, "\n", 0);
+	bool good = true;
+
+	for (char **line = lines; good && *line != NULL; line++) {
+		json_t *event;
+		const char *name;
+
+		if (**line == '\0')
+			continue;
+		event = json_loads(*line, 0, NULL);
+		name = json_string_value(json_object_get(event, "kind"));
+		good = name != NULL;
+		if (good && (kind == NULL || strcmp(kind, name) == 0))
+			json_array_append(events, event);
+		json_decref(event);
+	}
+	if (!good)
+		g_set_error(&answer->error, CTL_ERROR, CTL_ERROR_ANSWER,
+		    "%s: a line is not an event", answer->address);
+	g_strfreev(lines);
+	return good;
+}
+
+static void
+print_text(FILE *out, const json_t *events)
+{
+	static const char *const heads[] = { "AT", "NODE", "SEQ", "EVENT",
+		"VERSION", "REQUEST", "VALUE", "SUBJECT" };
+	struct text_table table;
+	json_t *event;
+	size_t i;
+
+	text_table_init(&table, heads, G_N_ELEMENTS(heads));
+	json_array_foreach (events, i, event) {
+		const char *at = "?", *node = "?", *kind = "?", *subject = "";
+		json_int_t seq = 0, version = 0, request = 0, value = 0;
+
+		json_unpack(event, "{s:s,s:s,s:I,s:s,s:I,s:I,s:I,s:s}", "at",
+		    &at, "node", &node, "seq", &seq, "kind", &kind, "version",
+		    &version, "request", &request, "value", &value, "subject",
+		    &subject);
+		text_table_add(&table, "%s", at);
+		text_table_add(&table, "%s", node);
+		text_table_add(&table, "%" JSON_INTEGER_FORMAT, seq);
+		text_table_add(&table, "%s", kind);
+		text_table_add(&table, "%" JSON_INTEGER_FORMAT, version);
+		if (request == 0)
+			text_table_add(&table, "-");
+		else
+			text_table_add(
+			    &table, "%016" PRIx64, (uint64_t)request);
+		text_table_add(&table, "%" JSON_INTEGER_FORMAT, value);
+		text_table_add(&table, "%s", subject);
+	}
+	text_table_print(&table, out);
+	text_table_clear(&table);
+}
+
+static int
+print_events(struct ctl *ctl, const char *after, const char *kind)
+{
+	char *target = g_strdup_printf("/v1/events?after=%s", after);
+	struct node_request request = {
+		.nodes = ctl->options.nodes,
+		.target = target,
+		.timeout_ms = ctl->options.timeout_ms,
+	};
+	GPtrArray *answers = node_client_ask(&request);
+	json_t *events = json_array();
+	int status;
+
+	for (guint i = 0; i < answers->len; i++) {
+		struct node_answer *answer = answers->pdata[i];
+
+		if (answer->error == NULL)
+			events_read(answer, kind, events);
+	}
+	if (ctl->options.json) {
+		ctl_print_json(ctl, events);
+	} else {
+		print_text(ctl->out, events);
+		json_decref(events);
+	}
+	status = ctl_report_failures(ctl, answers);
+	g_ptr_array_unref(answers);
+	g_free(target);
+	return status;
+}
+
+static int
+run(struct ctl *ctl)
+{
+	const char *after = "0", *kind = NULL;
+	int option, status;
+	guint64 number;
+
+	while ((option = ctl_next(ctl, &command_events)) >= 0)
+		*(option == 'a' ? &after : &kind) = optarg;
+	if (ctl_is_over(ctl, &command_events, option, &status))
+		return status;
+	if (!g_ascii_string_to_unsigned(
+		after, DECIMAL, 0, G_MAXINT64, &number, NULL))
+		return ctl_usage(
+		    ctl, &command_events, "--after: expected a whole number");
+	return print_events(ctl, after, kind);
+}
+
+const struct command command_events = {
+	.name = "events",
+	.summary = "print the events that nodes keep",
+	.arguments = "[--after SEQ] [--kind KIND] [OPTION]...",
+	.usage =
+	    "Print the last events of each node, oldest first, node by node;\n"
+	    "trefoilhill-timeline(1) merges them:\n"
+	    "  --after SEQ           only those with a higher sequence number\n"
+	    "  --kind KIND           only those of one kind\n",
+	.options = own_options,
+	.run = run,
+};
--- /dev/null
+++ b/trefoilhillctl/commands/status.c
@@ -0,0 +1,191 @@
+#include "trefoilhillctl/command.h"
+#include "trefoilhillctl/error.h"
+#include "trefoilhillctl/text_table.h"
+
+/* What the table shows of one node; the texts belong to the answer. */
+struct status_row {
+	const struct node_answer *answer;
+	const char *node, *zone, *state, *digest, *platform;
+	json_int_t version;
+	int reader;
+};
+
+static const struct option no_options[] = { { NULL, 0, NULL, 0 } };
+
+static bool
+row_read(struct status_row *row, struct node_answer *answer)
+{
+	json_error_t fault;
+
+	*row = (struct status_row){ .answer = answer };
+	if (answer->error != NULL)
+		return false;
+	if (json_unpack_ex(answer->json, &fault, 0,
+		"{s:s,s:s,s:s,s:I,s:s,s:b,s:s}", "node", &row->node, "zone",
+		&row->zone, "state", &row->state, "version", &row->version,
+		"digest", &row->digest, "reader", &row->reader, "platform",
+		&row->platform) == 0)
+		return true;
+	g_set_error(&answer->error, CTL_ERROR, CTL_ERROR_ANSWER, "%s: %s",
+	    answer->address, fault.text);
+	return false;
+}
+
+/* The first row that holds the highest version; NULL when none answered. */
+static const struct status_row *
+rows_newest(const struct status_row *rows, guint count)
+{
+	const struct status_row *newest = NULL;
+
+	for (guint i = 0; i < count; i++)
+		if (rows[i].answer->error == NULL &&
+		    (newest == NULL || rows[i].version > newest->version))
+			newest = &rows[i];
+	return newest;
+}
+
+static bool
+row_differs(const struct status_row *row, const struct status_row *newest)
+{
+	return row->version == newest->version &&
+	    g_strcmp0(row->digest, newest->digest) != 0;
+}
+
+static void
+print_table(
+    FILE *out, const struct status_row *rows, guint count, json_int_t head)
+{
+	static const char *const heads[] = { "NODE", "ADDRESS", "ZONE", "STATE",
+		"VERSION", "LAG", "DIGEST", "READER", "PLATFORM" };
+	struct text_table table;
+
+	text_table_init(&table, heads, G_N_ELEMENTS(heads));
+	for (guint i = 0; i < count; i++) {
+		const struct status_row *row = &rows[i];
+		bool good = row->answer->error == NULL;
+
+		text_table_add(&table, "%s", good ? row->node : "?");
+		text_table_add(&table, "%s", row->answer->address);
+		text_table_add(&table, "%s", good ? row->zone : "-");
+		text_table_add(&table, "%s", good ? row->state : "no answer");
+		if (!good) {
+			for (int j = 0; j < 5; j++)
+				text_table_add(&table, "-");
+			continue;
+		}
+		text_table_add(&table, "%" JSON_INTEGER_FORMAT, row->version);
+		text_table_add(
+		    &table, "%" JSON_INTEGER_FORMAT, head - row->version);
+		text_table_add(&table, "%.12s", row->digest);
+		text_table_add(&table, "%s", row->reader ? "yes" : "no");
+		text_table_add(&table, "%s", row->platform);
+	}
+	text_table_print(&table, out);
+	text_table_clear(&table);
+}
+
+/* Name each node that is behind, or whose state differs at one version. */
+static void
+print_summary(FILE *out, const struct status_row *rows, guint count,
+    const struct status_row *newest)
+{
+	guint answered = 0, in_force = 0;
+
+	for (guint i = 0; i < count; i++) {
+		const struct status_row *row = &rows[i];
+
+		if (row->answer->error != NULL)
+			continue;
+		answered++;
+		in_force += row->version == newest->version;
+		if (row->version < newest->version)
+			fprintf(out,
+			    "behind: %s (%s) at version %" JSON_INTEGER_FORMAT
+			    ", %" JSON_INTEGER_FORMAT " behind\n",
+			    row->node, row->zone, row->version,
+			    newest->version - row->version);
+		else if (row_differs(row, newest))
+			fprintf(out,
+			    "differs: %s (%s) has another digest than %s at "
+			    "version %" JSON_INTEGER_FORMAT "\n",
+			    row->node, row->zone, newest->node, row->version);
+	}
+	fprintf(out, "%u of %u nodes answered", answered, count);
+	if (newest != NULL)
+		fprintf(out, ", %u hold version %" JSON_INTEGER_FORMAT,
+		    in_force, newest->version);
+	fputc('\n', out);
+}
+
+static void
+print_json(const struct ctl *ctl, const struct status_row *rows, guint count,
+    const struct status_row *newest)
+{
+	json_t *nodes = json_array();
+
+	for (guint i = 0; i < count; i++) {
+		const struct status_row *row = &rows[i];
+		json_t *node;
+
+		if (row->answer->error != NULL) {
+			json_array_append_new(
+			    nodes, ctl_failure_to_json(row->answer));
+			continue;
+		}
+		node = json_copy(row->answer->json);
+		json_object_set_new(
+		    node, "address", json_string(row->answer->address));
+		json_object_set_new(
+		    node, "lag", json_integer(newest->version - row->version));
+		json_object_set_new(
+		    node, "differs", json_boolean(row_differs(row, newest)));
+		json_array_append_new(nodes, node);
+	}
+	ctl_print_json(ctl,
+	    json_pack("{s:I,s:o}", "version",
+		newest == NULL ? (json_int_t)0 : newest->version, "nodes",
+		nodes));
+}
+
+static int
+run(struct ctl *ctl)
+{
+	const struct status_row *newest;
+	struct status_row *rows;
+	GPtrArray *answers;
+	int option = ctl_next(ctl, &command_status);
+	int status;
+
+	if (ctl_is_over(ctl, &command_status, option, &status))
+		return status;
+	answers = ctl_get_json(ctl, "/v1/status");
+	rows = g_new(struct status_row, answers->len);
+	for (guint i = 0; i < answers->len; i++)
+		row_read(&rows[i], answers->pdata[i]);
+	newest = rows_newest(rows, answers->len);
+	if (ctl->options.json) {
+		print_json(ctl, rows, answers->len, newest);
+	} else {
+		print_table(ctl->out, rows, answers->len,
+		    newest == NULL ? 0 : newest->version);
+		print_summary(ctl->out, rows, answers->len, newest);
+	}
+	status = ctl_report_failures(ctl, answers);
+	g_free(rows);
+	g_ptr_array_unref(answers);
+	return status;
+}
+
+const struct command command_status = {
+	.name = "status",
+	.summary = "show what each node is and holds, and who is behind",
+	.arguments = "[OPTION]...",
+	.usage =
+	    "Print a row for each node: its state, configuration version and\n"
+	    "digest, how many versions it lags behind the highest one seen,\n"
+	    "whether it reads the platform for its zone, and whether its last\n"
+	    "read reached the platform. Then name the nodes that are behind,\n"
+	    "and those whose digest differs at the highest version.\n",
+	.options = no_options,
+	.run = run,
+};
