--- a/trefoilhilld/data_path/upstream_client.c
+++ b/trefoilhilld/data_path/upstream_client.c
@@ -1,8 +1,7 @@
 #include <curl/curl.h>
 #include <string.h>
 
-#include "trefoilhilld/answer_reader.h"
-#include "trefoilhilld/upstream_client.h"
+#include "trefoilhilld/upstream_client_state.h"
 
 enum {
 	POLL_MAX_MS = 1000,
@@ -12,32 +11,6 @@
 	US_PER_MS = 1000,
 };
 
-struct upstream_client {
-	struct guard_gate *gate;
-	struct clock *clock;
-	char *address;
-	CURLM *multi;
-	CURL *easy;
-	struct curl_slist *headers;
-	char *url;
-	char *target;
-	char *method;
-	struct answer_reader reader;
-	GByteArray *pending; /* bytes of the answer not yet sent on */
-
-	/* Of the call that runs. */
-	struct service_call *call;
-	struct upstream_result *result;
-	struct timespec begun;
-	bool had_body;    /* the request before had one */
-	bool asked;       /* libcurl has asked for leave to send */
-	bool read_paused; /* waits for more of the request's body */
-	bool head_sent;
-	uint64_t sent; /* bytes of the answer's body */
-	uint64_t body_taken;
-	uint64_t body_granted;
-};
-
 /*
  * Close the connection and free the client.
  */
@@ -246,100 +219,6 @@
 	return client;
 }
 
-static void add_header(struct upstream_client *client, const char *format, ...)
-    G_GNUC_PRINTF(2, 3);
-
-static void
-add_header(struct upstream_client *client, const char *format, ...)
-{
-	va_list args;
-	char *line;
-
-	va_start(args, format);
-	line = g_strdup_vprintf(format, args);
-	va_end(args);
-	client->headers = curl_slist_append(client->headers, line);
-	g_free(line);
-}
-
-/*
- * Headers of the request to the upstream. An empty one is written with a
- * semicolon, as libcurl wants it.
- */
-static void
-set_headers(struct upstream_client *client, const struct call_open *open,
-    int64_t remaining_ms)
-{
-	curl_slist_free_all(client->headers);
-	client->headers = NULL;
-	for (size_t i = 0; i < open->headers.count; i++) {
-		struct str name = open->headers.list[i].name;
-		struct str value = open->headers.list[i].value;
-
-		if (value.len == 0)
-			add_header(client, "%.*s;", STR_ARG(name));
-		else
-			add_header(client, "%.*s: %.*s", STR_ARG(name),
-			    STR_ARG(value));
-	}
-	add_header(client, "Trefoilhill-Request: %.*s", STR_ARG(open->request));
-	add_header(client, "Trefoilhill-Attempt: %u", open->retry);
-	add_header(client, "Trefoilhill-Timeout-Ms: %" G_GINT64_FORMAT,
-	    MAX(remaining_ms, 1));
-	add_header(client, "Expect:");
-	if (!open->end || open->length != 0)
-		return;
-	if (!str_equal(open->method, str_from("GET")) &&
-	    !str_equal(open->method, str_from("HEAD")))
-		add_header(client, "Content-Length: 0");
-}
-
-static void
-set_body(struct upstream_client *client, const struct call_open *open)
-{
-	CURL *easy = client->easy;
-
-	if (open->end && open->length == 0) {
-		curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
-		if (str_equal(open->method, str_from("HEAD")))
-			curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
-		return;
-	}
-	curl_easy_setopt(easy, CURLOPT_UPLOAD, 1L);
-	curl_easy_setopt(easy, CURLOPT_READFUNCTION, handle_request_bytes);
-	curl_easy_setopt(easy, CURLOPT_READDATA, client);
-	if (open->length != CALL_LENGTH_UNKNOWN)
-		curl_easy_setopt(
-		    easy, CURLOPT_INFILESIZE_LARGE, (curl_off_t)open->length);
-}
-
-/*
- * Set libcurl up for one request. One with a body starts from a handle without
- * history: a body of unknown length stalled on one that had sent another.
- */
-static void
-set_request(struct upstream_client *client, const struct call_open *open,
-    int64_t remaining_ms)
-{
-	CURL *easy = client->easy;
-	bool has_body = !open->end || open->length != 0;
-
-	if (has_body || client->had_body) {
-		curl_easy_reset(easy);
-		set_constant_options(client);
-	}
-	client->had_body = has_body;
-	g_free(client->target);
-	g_free(client->method);
-	client->target = str_dup_cstr(open->target);
-	client->method = str_dup_cstr(open->method);
-	curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, client->target);
-	set_body(client, open);
-	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, client->method);
-	set_headers(client, open, remaining_ms);
-	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, client->headers);
-}
-
 /* Why a transfer was left. */
 enum transfer_end {
 	TRANSFER_WHOLE,
@@ -498,7 +377,7 @@
 	client->body_granted = 0;
 	answer_reader_reset(&client->reader);
 	g_byte_array_set_size(client->pending, 0);
-	set_request(client, &call->open->open, remaining_ms);
+	upstream_request_set(client, &call->open->open, remaining_ms);
 	service_call_set_multi(call, client->multi);
 	curl_multi_add_handle(client->multi, client->easy);
 	end = run_transfer(client);
