tests: count answers, not frames, of a doubled call

Cause: it wanted one frame, but an answer whose body comes in a segment of its own is passed on as head and body. What must hold is one head, no refusal and one run; the test now says that.

--- a/tests/daemon/test_call_service.c
+++ b/tests/daemon/test_call_service.c
@@ -159,13 +159,14 @@
 }
 
 static size_t
-frames_of(uint64_t call)
+frames_of(enum call_kind kind, uint64_t call)
 {
 	size_t count = 0;
 
 	pthread_mutex_lock(&fixture.inbox.lock);
 	for (size_t i = 0; i < fixture.inbox.count; i++)
-		count += fixture.inbox.frames[i]->call == call;
+		count += fixture.inbox.frames[i]->kind == kind &&
+		    fixture.inbox.frames[i]->call == call;
 	pthread_mutex_unlock(&fixture.inbox.lock);
 	return count;
 }
@@ -188,11 +189,12 @@
 	const struct call_frame *refused;
 
 	fixture_start(4);
-	send_open(1, "r1", "/wait/100");
-	send_open(1, "r1", "/wait/100");
+	send_open(1, "r1", "/wait/1000");
+	send_open(1, "r1", "/wait/1000");
 	CU_ASSERT_PTR_NOT_NULL(wait_frame(CALL_HEAD, 1));
 	wait_idle();
-	CU_ASSERT_EQUAL(frames_of(1), 1);
+	CU_ASSERT_EQUAL(frames_of(CALL_HEAD, 1), 1);
+	CU_ASSERT_EQUAL(frames_of(CALL_REFUSED, 1), 0);
 	send_open(1, "r1", "/wait/100");
 	refused = wait_frame(CALL_REFUSED, 1);
 	CU_ASSERT_PTR_NOT_NULL(refused);
