trefoilhill-timeline: merge the events of many nodes

Answers who was late with a version and why a request failed, as text and as a self-contained SVG or page. Causal order: a process's own sequence, then that a version got from a peer was read from the platform before, then wall clocks. A node that takes a version while it joins has it in force when it is ready.

--- a/tests/tools/test_ctl.c
+++ b/tests/tools/test_ctl.c
@@ -206,7 +206,7 @@
 	CU_ASSERT_EQUAL(run(&bed, "status", "--timeout-ms", "200", "--node",
 			    first.address, "--node", second.address, NULL),
 	    1);
-	CU_ASSERT_TRUE(g_get_monotonic_time() - began < DEAF_MS * 1000);
+	CU_ASSERT_TRUE(g_get_monotonic_time() - began < (gint64)DEAF_MS * 1000);
 	ASSERT_HAS(bed.out, "no answer");
 	ASSERT_HAS(bed.out, "host-a");
 	bed_stop(&bed);
--- /dev/null
+++ b/tests/tools/test_timeline.c
@@ -0,0 +1,252 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "harness.h"
+#include "trefoilhill-timeline/timeline.h"
+
+#define EVENT(node, seq, at, kind, version, request, value, subject) \
+	"{\"seq\":" #seq ",\"at\":\"" at "\",\"node\":\"" node       \
+	"\",\"kind\":\"" kind "\",\"version\":" #version             \
+	",\"request\":" #request ",\"value\":" #value                \
+	",\"subject\":\"" subject "\"}\n"
+
+/* b has the version from a peer, and its clock is two seconds behind. */
+static const char recorded[] = EVENT("b", 1, "9.000000", "node_ready", 1, 0, 5,
+    "") EVENT("b", 2, "8.500000", "version_accepted", 2, 0, 0, "") EVENT("b", 3,
+    "8.600000", "guard_closed", 0, 0, 0, "<up&1>") EVENT("a", 1, "10.000000",
+    "node_ready", 1, 0, 5, "") EVENT("a", 2, "10.500000", "version_accepted", 2,
+    0, 2, "") EVENT("a", 3, "10.700000", "call_retried", 2, 255, 1, "refused")
+    EVENT("a", 4, "10.900000", "call_refused", 2, 255, 2, "no_upstream")
+	EVENT("c", 7, "10.800000", "version_accepted", 2, 0, 2, "")
+	    EVENT("d", 1, "10.100000", "node_started", 0, 0, 3, "")
+		EVENT("d", 2, "10.200000", "version_accepted", 2, 0, 2, "")
+		    EVENT("d", 3, "12.500000", "node_ready", 2, 0, 9, "") EVENT(
+			"e", 1, "10.000000", "version_accepted", 1, 0, 2, "");
+
+static void
+load(struct timeline *timeline)
+{
+	GError *error = NULL;
+
+	timeline_init(timeline);
+	CU_ASSERT_TRUE(timeline_read(timeline, "recorded", recorded, &error));
+	CU_ASSERT_PTR_NULL(error);
+	timeline_merge(timeline);
+}
+
+static guint
+place_of(const struct timeline *timeline, const char *node, uint64_t sequence)
+{
+	for (guint i = 0; i < timeline->merged->len; i++) {
+		const struct timeline_event *event = timeline->merged->pdata[i];
+
+		if (strcmp(event->node, node) == 0 &&
+		    event->sequence == sequence)
+			return i;
+	}
+	CU_FAIL("no such event");
+	return 0;
+}
+
+static void
+test_merge_keeps_causes_before_effects(void)
+{
+	struct timeline timeline;
+
+	load(&timeline);
+	CU_ASSERT_EQUAL(timeline.merged->len, 12);
+	/* By sequence within b, although its clock went back. */
+	CU_ASSERT_TRUE(
+	    place_of(&timeline, "b", 1) < place_of(&timeline, "b", 2));
+	/* The clock of b is behind, but it got the version from a peer. */
+	CU_ASSERT_TRUE(
+	    place_of(&timeline, "d", 2) < place_of(&timeline, "b", 2));
+	/* By wall clock where nothing else is known. */
+	CU_ASSERT_TRUE(
+	    place_of(&timeline, "a", 3) < place_of(&timeline, "c", 7));
+	CU_ASSERT_TRUE(
+	    place_of(&timeline, "c", 7) < place_of(&timeline, "a", 4));
+	timeline_clear(&timeline);
+}
+
+static void
+test_merge_ends_when_the_cause_was_lost(void)
+{
+	static const char lost[] =
+	    EVENT("a", 5, "1.000000", "version_accepted", 2, 0, 0, "") EVENT(
+		"a", 6, "1.100000", "version_accepted", 3, 0, 2, "")
+		EVENT("b", 5, "1.000000", "version_accepted", 3, 0, 0, "")
+		    EVENT("b", 6, "1.200000", "version_accepted", 2, 0, 2, "");
+	struct timeline timeline;
+
+	timeline_init(&timeline);
+	CU_ASSERT_TRUE(timeline_read(&timeline, "lost", lost, NULL));
+	timeline_merge(&timeline);
+	CU_ASSERT_EQUAL(timeline.merged->len, 4);
+	timeline_clear(&timeline);
+}
+
+static void
+test_a_replaced_node_is_a_stream_of_its_own(void)
+{
+	static const char replaced[] =
+	    EVENT("a", 1, "5.000000", "node_started", 0, 0, 1, "")
+		EVENT("a", 2, "5.100000", "node_ready", 1, 0, 1, "")
+		    EVENT("a", 1, "6.000000", "node_started", 0, 0, 2, "");
+	struct timeline timeline;
+
+	timeline_init(&timeline);
+	CU_ASSERT_TRUE(timeline_read(&timeline, "replaced", replaced, NULL));
+	CU_ASSERT_EQUAL(timeline.streams->len, 2);
+	timeline_clear(&timeline);
+}
+
+static void
+test_reading_refuses_what_is_no_event(void)
+{
+	static const char *const bad[] = { "{", "[]", "{\"seq\":1}",
+		EVENT("a", 1, "5", "x", 0, 0, 0, ""),
+		EVENT("a", 1, "5.1", "x", 0, 0, 0, ""),
+		EVENT("a", 1, "99999999999999.000000", "x", 0, 0, 0, ""),
+		EVENT("a", 1, "-5.000000", "x", 0, 0, 0, "") };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		struct timeline timeline;
+		GError *error = NULL;
+
+		timeline_init(&timeline);
+		CU_ASSERT_FALSE(
+		    timeline_read(&timeline, "bad", bad[i], &error));
+		CU_ASSERT_TRUE(g_error_matches(
+		    error, TIMELINE_ERROR, TIMELINE_ERROR_SYNTAX));
+		g_clear_error(&error);
+		timeline_clear(&timeline);
+	}
+}
+
+static void
+test_filters(void)
+{
+	static const struct {
+		struct timeline_filter filter;
+		guint count;
+	} cases[] = {
+		{ { .until_us = INT64_MAX }, 12 },
+		{ { .node = "a", .until_us = INT64_MAX }, 4 },
+		{ { .kind = "node_ready", .until_us = INT64_MAX }, 3 },
+		{ { .version = 2, .until_us = INT64_MAX }, 7 },
+		{ { .request = 255, .until_us = INT64_MAX }, 2 },
+		{ { .since_us = 10800000, .until_us = 10900000 }, 2 },
+	};
+	struct timeline timeline;
+
+	load(&timeline);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		GPtrArray *events =
+		    timeline_select(&timeline, &cases[i].filter);
+
+		CU_ASSERT_EQUAL(events->len, cases[i].count);
+		g_ptr_array_unref(events);
+	}
+	timeline_clear(&timeline);
+}
+
+/* d took the version while it joined: in force only when it was ready. */
+static void
+test_late_tells_arrivals(void)
+{
+	struct timeline timeline;
+	size_t len;
+	char *text;
+	FILE *out = open_memstream(&text, &len);
+
+	load(&timeline);
+	timeline_print_late(&timeline, 2, out);
+	fclose(out);
+	CU_ASSERT_PTR_NOT_NULL(strstr(text, "in force at 4 of 5 nodes"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(text, "+4000.0 ms  d  <- among"));
+	CU_ASSERT_PTR_NOT_NULL(
+	    strstr(text, "never seen at e, last seen there: version 1"));
+	free(text);
+	timeline_clear(&timeline);
+}
+
+static void
+test_why_tells_what_happened(void)
+{
+	struct timeline timeline;
+	size_t len;
+	char *text;
+	FILE *out = open_memstream(&text, &len);
+
+	load(&timeline);
+	CU_ASSERT_TRUE(timeline_print_why(&timeline, 255, out));
+	CU_ASSERT_FALSE(timeline_print_why(&timeline, 254, out));
+	fclose(out);
+	CU_ASSERT_PTR_NOT_NULL(strstr(text, "request=00000000000000ff"));
+	CU_ASSERT_PTR_NOT_NULL(
+	    strstr(text, "a refused it (no_upstream): it did not run"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(text, "node_started"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(text, "00000000000000fe: no event"));
+	free(text);
+	timeline_clear(&timeline);
+}
+
+static guint
+occurrences(const char *text, const char *part)
+{
+	guint count = 0;
+
+	while ((text = strstr(text, part)) != NULL) {
+		count++;
+		text++;
+	}
+	return count;
+}
+
+static void
+test_picture_is_whole_and_escaped(void)
+{
+	struct timeline_filter filter = { .until_us = INT64_MAX };
+	struct timeline timeline;
+	GPtrArray *events;
+	char *svg;
+
+	load(&timeline);
+	events = timeline_select(&timeline, &filter);
+	svg = timeline_draw(&timeline, events, 2);
+	CU_ASSERT_EQUAL(occurrences(svg, "<circle"), 12);
+	CU_ASSERT_EQUAL(occurrences(svg, "<title>"), 12);
+	CU_ASSERT_PTR_NOT_NULL(strstr(svg, "&lt;up&amp;1&gt;"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(svg, "never: version 1"));
+	CU_ASSERT_TRUE(g_str_has_suffix(svg, "</svg>\n"));
+	g_free(svg);
+	g_ptr_array_set_size(events, 0);
+	svg = timeline_draw(&timeline, events, 0);
+	CU_ASSERT_TRUE(g_str_has_suffix(svg, "</svg>\n"));
+	g_free(svg);
+	g_ptr_array_unref(events);
+	timeline_clear(&timeline);
+}
+
+static const struct test_case cases[] = {
+	{ "merge keeps causes before effects",
+	    test_merge_keeps_causes_before_effects },
+	{ "merge ends when the cause was lost",
+	    test_merge_ends_when_the_cause_was_lost },
+	{ "a replaced node is a stream of its own",
+	    test_a_replaced_node_is_a_stream_of_its_own },
+	{ "reading refuses what is no event",
+	    test_reading_refuses_what_is_no_event },
+	{ "filters", test_filters },
+	{ "late tells arrivals", test_late_tells_arrivals },
+	{ "why tells what happened", test_why_tells_what_happened },
+	{ "picture is whole and escaped", test_picture_is_whole_and_escaped },
+	{ NULL, NULL },
+};
+
+int
+main(void)
+{
+	return harness_run("trefoilhill-timeline", cases);
+}
--- /dev/null
+++ b/trefoilhill-timeline/read.c
@@ -0,0 +1,172 @@
+#include <glib/gstdio.h>
+#include <jansson.h>
+#include <string.h>
+
+#include "trefoilhill-timeline/timeline.h"
+
+enum {
+	FILE_BYTES_MAX = 256 * 1024 * 1024,
+	SECOND_US = 1000000,
+};
+
+G_DEFINE_QUARK(trefoilhill - timeline - error, timeline_error)
+
+static void
+event_free(void *arg)
+{
+	struct timeline_event *event = arg;
+
+	g_free(event->node);
+	g_free(event->kind);
+	g_free(event->subject);
+	g_free(event);
+}
+
+static void
+stream_free(void *arg)
+{
+	struct timeline_stream *stream = arg;
+
+	g_ptr_array_unref(stream->events);
+	g_free(stream);
+}
+
+/*
+ * Begin an empty time line.
+ */
+void
+timeline_init(struct timeline *timeline)
+{
+	timeline->streams = g_ptr_array_new_with_free_func(stream_free);
+	timeline->merged = g_ptr_array_new();
+}
+
+/*
+ * Release what the time line holds.
+ */
+void
+timeline_clear(struct timeline *timeline)
+{
+	g_ptr_array_unref(timeline->merged);
+	g_ptr_array_unref(timeline->streams);
+}
+
+/* Parse "seconds.microseconds", exactly six digits after the point. */
+static bool
+time_parse(const char *text, int64_t *us)
+{
+	char *end = NULL, *last = NULL;
+	gint64 seconds = g_ascii_strtoll(text, &end, 10);
+	gint64 rest;
+
+	if (end == text || *end != '.' || strlen(end + 1) != 6)
+		return false;
+	rest = g_ascii_strtoll(end + 1, &last, 10);
+	if (*last != '\0' || rest < 0 || seconds < 0 ||
+	    seconds > INT64_MAX / SECOND_US - 1)
+		return false;
+	*us = seconds * SECOND_US + rest;
+	return true;
+}
+
+static struct timeline_event *
+event_parse(const char *line)
+{
+	json_t *json = json_loads(line, 0, NULL);
+	const char *node, *kind, *at, *subject = "";
+	json_int_t seq, version = 0, request = 0, value = 0;
+	struct timeline_event *event = NULL;
+	int64_t at_us;
+
+	if (json_unpack(json, "{s:I,s:s,s:s,s:s,s?I,s?I,s?I,s?s}", "seq", &seq,
+		"at", &at, "node", &node, "kind", &kind, "version", &version,
+		"request", &request, "value", &value, "subject",
+		&subject) != 0 ||
+	    !time_parse(at, &at_us))
+		goto done;
+	event = g_new0(struct timeline_event, 1);
+	event->node = g_strdup(node);
+	event->kind = g_strdup(kind);
+	event->subject = g_strdup(subject);
+	event->sequence = (uint64_t)seq;
+	event->at_us = at_us;
+	event->version = (uint64_t)version;
+	event->request = (uint64_t)request;
+	event->value = value;
+done:
+	json_decref(json);
+	return event;
+}
+
+/* Add an event to the process of its node; a lower sequence than the last one
+ * shows that the node was replaced. */
+static void
+add_event(struct timeline *timeline, GHashTable *current,
+    struct timeline_event *event)
+{
+	struct timeline_stream *stream =
+	    g_hash_table_lookup(current, event->node);
+	const struct timeline_event *last = stream == NULL
+	    ? NULL
+	    : stream->events->pdata[stream->events->len - 1];
+
+	if (last == NULL || event->sequence <= last->sequence) {
+		stream = g_new0(struct timeline_stream, 1);
+		stream->events = g_ptr_array_new_with_free_func(event_free);
+		g_ptr_array_add(timeline->streams, stream);
+		g_hash_table_insert(current, event->node, stream);
+	}
+	g_ptr_array_add(stream->events, event);
+}
+
+/*
+ * Add JSON lines, of one or several nodes, each node's in its own order. False
+ * with error set at the first line that is not an event; those before it stay.
+ */
+bool
+timeline_read(struct timeline *timeline, const char *name, const char *text,
+    GError **error)
+{
+	GHashTable *current = g_hash_table_new(g_str_hash, g_str_equal);
+	char **lines = g_strsplit(text, "\n", 0);
+	bool good = true;
+
+	for (size_t i = 0; good && lines[i] != NULL; i++) {
+		struct timeline_event *event;
+
+		if (*lines[i] == '\0')
+			continue;
+		event = event_parse(lines[i]);
+		good = event != NULL;
+		if (good)
+			add_event(timeline, current, event);
+		else
+			g_set_error(error, TIMELINE_ERROR,
+			    TIMELINE_ERROR_SYNTAX,
+			    "%s:%zu: the line is not an event", name, i + 1);
+	}
+	g_strfreev(lines);
+	g_hash_table_unref(current);
+	return good;
+}
+
+/*
+ * As timeline_read, from a file of at most 256 MiB.
+ */
+bool
+timeline_read_file(struct timeline *timeline, const char *path, GError **error)
+{
+	GStatBuf about;
+	char *text = NULL;
+	bool good;
+
+	if (g_stat(path, &about) == 0 && about.st_size > FILE_BYTES_MAX) {
+		g_set_error(error, TIMELINE_ERROR, TIMELINE_ERROR_TOO_LARGE,
+		    "%s: over %d bytes", path, FILE_BYTES_MAX);
+		return false;
+	}
+	good = g_file_get_contents(path, &text, NULL, error) &&
+	    timeline_read(timeline, path, text, error);
+	g_free(text);
+	return good;
+}
--- /dev/null
+++ b/trefoilhill-timeline/text.c
@@ -0,0 +1,187 @@
+#include <inttypes.h>
+#include <string.h>
+
+#include "trefoilhill-timeline/timeline.h"
+
+enum {
+	SECOND_US = 1000000,
+	MS_US = 1000,
+	TIME_MAX = 40,
+	CONTEXT_US = 2 * SECOND_US,
+	CONTEXT_MAX = 60,
+	LAST_MARKED = 3,
+};
+
+static void
+print_time(FILE *out, int64_t at_us)
+{
+	GDateTime *at = g_date_time_new_from_unix_utc(at_us / SECOND_US);
+	char *text = at == NULL ? NULL : g_date_time_format(at, "%H:%M:%S");
+
+	fprintf(out, "%s.%06d", text == NULL ? "?" : text,
+	    (int)(at_us % SECOND_US));
+	g_free(text);
+	if (at != NULL)
+		g_date_time_unref(at);
+}
+
+char *
+timeline_event_text(const struct timeline_event *event)
+{
+	GString *text = g_string_new(event->kind);
+
+	if (event->version != 0)
+		g_string_append_printf(
+		    text, " version=%" PRIu64, event->version);
+	if (event->request != 0)
+		g_string_append_printf(
+		    text, " request=%016" PRIx64, event->request);
+	if (event->value != 0)
+		g_string_append_printf(text, " value=%" PRId64, event->value);
+	if (*event->subject != '\0')
+		g_string_append_printf(text, " %s", event->subject);
+	return g_string_free(text, FALSE);
+}
+
+/*
+ * Print one line for each event: time of day in UTC, node, sequence, words.
+ */
+void
+timeline_print(const GPtrArray *events, FILE *out)
+{
+	int width = 0;
+
+	for (guint i = 0; i < events->len; i++) {
+		const struct timeline_event *event = events->pdata[i];
+
+		width = MAX(width, (int)strlen(event->node));
+	}
+	for (guint i = 0; i < events->len; i++) {
+		const struct timeline_event *event = events->pdata[i];
+		char *text = timeline_event_text(event);
+
+		print_time(out, event->at_us);
+		fprintf(out, "  %-*s  #%-5" PRIu64 "  %s\n", width, event->node,
+		    event->sequence, text);
+		g_free(text);
+	}
+}
+
+/*
+ * Print when each node had a version in force, and mark the last ones.
+ */
+void
+timeline_print_late(
+    const struct timeline *timeline, uint64_t version, FILE *out)
+{
+	GArray *arrivals = timeline_arrivals(timeline, version);
+	guint seen = 0;
+
+	while (seen < arrivals->len &&
+	    g_array_index(arrivals, struct version_arrival, seen).at_us !=
+		INT64_MAX)
+		seen++;
+	fprintf(out, "version %" PRIu64 ": in force at %u of %u nodes\n",
+	    version, seen, arrivals->len);
+	for (guint i = 0; i < arrivals->len; i++) {
+		const struct version_arrival *arrival =
+		    &g_array_index(arrivals, struct version_arrival, i);
+		const struct version_arrival *first =
+		    &g_array_index(arrivals, struct version_arrival, 0);
+
+		if (i >= seen) {
+			fprintf(out,
+			    "  never seen at %s, last seen there: "
+			    "version %" PRIu64 "\n",
+			    arrival->node, arrival->newest);
+			continue;
+		}
+		fputs("  ", out);
+		print_time(out, arrival->at_us);
+		fprintf(out, "  +%.1f ms  %s%s\n",
+		    (double)(arrival->at_us - first->at_us) / MS_US,
+		    arrival->node,
+		    i + LAST_MARKED >= seen && i > 0 ? "  <- among the last"
+						     : "");
+	}
+	g_array_unref(arrivals);
+}
+
+static void
+print_meaning(const struct timeline_event *event, FILE *out)
+{
+	if (timeline_event_is(event, "call_refused"))
+		fprintf(out, "%s refused it (%s): it did not run.\n",
+		    event->node, event->subject);
+	else if (timeline_event_is(event, "call_unknown"))
+		fprintf(out, "%s gave it up (%s): it may have run.\n",
+		    event->node, event->subject);
+	else if (timeline_event_is(event, "call_retried"))
+		fprintf(out,
+		    "%s tried it again after attempt %" PRId64 " (%s).\n",
+		    event->node, event->value, event->subject);
+}
+
+/* Does the event help to see why a call at the node ended badly? */
+static bool
+is_context(const struct timeline_event *event, const char *node)
+{
+	if (g_str_has_prefix(event->kind, "call_"))
+		return false;
+	return strcmp(event->node, node) == 0 ||
+	    !(g_str_has_prefix(event->kind, "version_") ||
+		timeline_event_is(event, "state_adopted"));
+}
+
+/* What led to it: the last changes of state up to its end. */
+static void
+print_context(const struct timeline *timeline,
+    const struct timeline_event *first, const struct timeline_event *last,
+    FILE *out)
+{
+	struct timeline_filter filter = { .since_us = first->at_us - CONTEXT_US,
+		.until_us = last->at_us };
+	GPtrArray *around = timeline_select(timeline, &filter);
+	guint left = 0;
+
+	for (guint i = 0; i < around->len; i++)
+		if (is_context(around->pdata[i], first->node))
+			around->pdata[left++] = around->pdata[i];
+	g_ptr_array_set_size(around, (int)left);
+	if (left > CONTEXT_MAX)
+		g_ptr_array_remove_range(around, 0, left - CONTEXT_MAX);
+	fprintf(out,
+	    "Changes of state in the 2 s up to then (versions at %s only):\n",
+	    first->node);
+	timeline_print(around, out);
+	if (left == 0)
+		fputs("none\n", out);
+	g_ptr_array_unref(around);
+}
+
+bool
+timeline_print_why(const struct timeline *timeline, uint64_t request, FILE *out)
+{
+	struct timeline_filter filter = { .request = request,
+		.until_us = INT64_MAX };
+	GPtrArray *events = timeline_select(timeline, &filter);
+	bool found = events->len > 0;
+
+	if (!found) {
+		fprintf(out,
+		    "request %016" PRIx64 ": no event. It was answered by its "
+		    "upstream at the first attempt, or its node keeps that "
+		    "time no more.\n",
+		    request);
+		goto done;
+	}
+	fprintf(out, "request %016" PRIx64 ":\n", request);
+	timeline_print(events, out);
+	for (guint i = 0; i < events->len; i++)
+		print_meaning(events->pdata[i], out);
+	print_context(
+	    timeline, events->pdata[0], events->pdata[events->len - 1], out);
+done:
+	g_ptr_array_unref(events);
+	return found;
+}
