trefoilhill-timeline: point out the request in the picture

They now have a ring, a line through all lanes and their words on top; the picture ends 0.2 s after the last of them, since what led to it came before.

--- a/include/trefoilhill-timeline/timeline.h
+++ b/include/trefoilhill-timeline/timeline.h
@@ -82,8 +82,14 @@
 /* False when no event tells of the request. */
 bool timeline_print_why(
     const struct timeline *timeline, uint64_t request, FILE *out);
-/* A self-contained SVG; late is a version to mark, or 0. */
-char *timeline_draw(
-    const struct timeline *timeline, const GPtrArray *events, uint64_t late);
+/* What a picture points out; 0 for none. */
+struct timeline_marks {
+	uint64_t version; /* when it came into force at each node */
+	uint64_t request; /* its events */
+};
+
+/* A self-contained SVG, to be freed with g_free. */
+char *timeline_draw(const struct timeline *timeline, const GPtrArray *events,
+    const struct timeline_marks *marks);
 
 #endif
--- a/tests/tools/test_timeline.c
+++ b/tests/tools/test_timeline.c
@@ -208,21 +208,25 @@
 test_picture_is_whole_and_escaped(void)
 {
 	struct timeline_filter filter = { .until_us = INT64_MAX };
+	struct timeline_marks marks = { .version = 2, .request = 255 };
+	struct timeline_marks none = { 0 };
 	struct timeline timeline;
 	GPtrArray *events;
 	char *svg;
 
 	load(&timeline);
 	events = timeline_select(&timeline, &filter);
-	svg = timeline_draw(&timeline, events, 2);
-	CU_ASSERT_EQUAL(occurrences(svg, "<circle"), 12);
+	svg = timeline_draw(&timeline, events, &marks);
+	CU_ASSERT_EQUAL(occurrences(svg, "<circle"), 14);
+	CU_ASSERT_EQUAL(occurrences(svg, "fill='none'"), 2);
+	CU_ASSERT_PTR_NOT_NULL(strstr(svg, "no_upstream</text>"));
 	CU_ASSERT_EQUAL(occurrences(svg, "<title>"), 12);
 	CU_ASSERT_PTR_NOT_NULL(strstr(svg, "&lt;up&amp;1&gt;"));
 	CU_ASSERT_PTR_NOT_NULL(strstr(svg, "never: version 1"));
 	CU_ASSERT_TRUE(g_str_has_suffix(svg, "</svg>\n"));
 	g_free(svg);
 	g_ptr_array_set_size(events, 0);
-	svg = timeline_draw(&timeline, events, 0);
+	svg = timeline_draw(&timeline, events, &none);
 	CU_ASSERT_TRUE(g_str_has_suffix(svg, "</svg>\n"));
 	g_free(svg);
 	g_ptr_array_unref(events);
--- a/trefoilhill-timeline/main.c
+++ b/trefoilhill-timeline/main.c
@@ -10,7 +10,7 @@
 	DECIMAL = 10,
 	SECOND_US = 1000000,
 	MARGIN_US = 200000, /* shown before and after what is asked about */
-	WHY_MARGIN_US = 2 * SECOND_US,
+	WHY_BEFORE_US = 2 * SECOND_US,
 };
 
 struct run {
@@ -219,9 +219,8 @@
 	if (to == 0)
 		return;
 	run->filter.since_us =
-	    from - (run->late != 0 ? MARGIN_US : WHY_MARGIN_US);
-	run->filter.until_us =
-	    to + (run->late != 0 ? MARGIN_US : WHY_MARGIN_US);
+	    from - (run->late != 0 ? MARGIN_US : WHY_BEFORE_US);
+	run->filter.until_us = to + MARGIN_US;
 }
 
 static bool
@@ -240,7 +239,8 @@
 static bool
 draw(struct run *run, const GPtrArray *events)
 {
-	char *svg = timeline_draw(&run->timeline, events, run->late);
+	struct timeline_marks marks = { run->late, run->why };
+	char *svg = timeline_draw(&run->timeline, events, &marks);
 	bool good = true;
 
 	if (run->svg != NULL)
--- a/trefoilhill-timeline/picture.c
+++ b/trefoilhill-timeline/picture.c
@@ -165,6 +165,36 @@
 	    LEFT, version);
 }
 
+/* A ring about each event of a request, and its words in full. */
+static void
+draw_request(struct picture *picture, const GPtrArray *events, uint64_t request)
+{
+	int line = 0;
+
+	for (guint i = 0; i < events->len; i++) {
+		const struct timeline_event *event = events->pdata[i];
+		char *text;
+		int x;
+
+		if (event->request != request)
+			continue;
+		text = timeline_event_text(event);
+		x = (int)x_of(picture, event->at_us);
+		draw(picture,
+		    "<line x1='%d' y1='%d' x2='%d' y2='%d' stroke='#c0392b' "
+		    "stroke-opacity='0.4'/>\n"
+		    "<circle cx='%d' cy='%d' r='8' fill='none' "
+		    "stroke='#c0392b' stroke-width='2'/>\n"
+		    "<text x='%d' y='%d' fill='#c0392b'>%s +%.1f ms: %s</text>"
+		    "\n",
+		    x, TOP, x, TOP + (int)picture->nodes->len * LANE, x,
+		    lane_of(picture, event->node) + ROW, LEFT, 14 + line++ * 14,
+		    event->node,
+		    (double)(event->at_us - picture->from_us) / MS_US, text);
+		g_free(text);
+	}
+}
+
 static void
 set_span(struct picture *picture, const GPtrArray *events)
 {
@@ -184,31 +214,34 @@
 }
 
 /*
- * Draw a lane for each node with its events over time; a version given marks
- * when it came into force at each. The text is freed with g_free.
+ * Draw a lane for each node with its events over time; the marks point
+ * out when a version came into force at each, or the events of a request. The
+ * text is freed with g_free.
  */
 char *
-timeline_draw(
-    const struct timeline *timeline, const GPtrArray *events, uint64_t late)
+timeline_draw(const struct timeline *timeline, const GPtrArray *events,
+    const struct timeline_marks *marks)
 {
 	struct picture picture = { .svg = g_string_new(NULL),
 		.nodes = g_ptr_array_new() };
-	GArray *arrivals = timeline_arrivals(timeline, late);
+	GArray *arrivals = timeline_arrivals(timeline, marks->version);
 	GString *whole = g_string_new(NULL);
 
 	set_span(&picture, events);
 	for (guint i = 0; i < events->len; i++)
 		lane_of(&picture,
 		    ((struct timeline_event *)events->pdata[i])->node);
-	for (guint i = 0; late != 0 && i < arrivals->len; i++)
+	for (guint i = 0; marks->version != 0 && i < arrivals->len; i++)
 		lane_of(&picture,
 		    g_array_index(arrivals, struct version_arrival, i).node);
 	g_ptr_array_sort(picture.nodes, compare_names);
 	draw_axis(&picture);
-	if (late != 0 && arrivals->len > 0)
-		draw_late(&picture, arrivals, late);
+	if (marks->version != 0 && arrivals->len > 0)
+		draw_late(&picture, arrivals, marks->version);
 	for (guint i = 0; i < events->len; i++)
 		draw_event(&picture, events->pdata[i]);
+	if (marks->request != 0)
+		draw_request(&picture, events, marks->request);
 	g_string_printf(whole,
 	    "<svg xmlns='http://www.w3.org/2000/svg' width='%d' height='%d' "
 	    "font-family='sans-serif' font-size='11'>\n"
