--- /dev/null
+++ b/tests/tools/test_man.c
@@ -0,0 +1,74 @@
+#include <string.h>
+
+#include "harness.h"
+#include "trefoilhilld/setting_desc.h"
+
+/* The line of a key below its section; NULL when the page lacks it. */
+static char *
+page_line(const char *page, const char *section, const char *key)
+{
+	char *head = g_strdup_printf("\n# [%s]\n", section);
+	char *start = g_strdup_printf("\n*%s* ", key);
+	const char *from = strstr(page, head);
+	const char *end = from == NULL ? NULL : strstr(from + 1, "\n# ");
+	const char *line = from == NULL ? NULL : strstr(from, start);
+	char *found = NULL;
+
+	if (line != NULL && (end == NULL || line < end))
+		found = g_strndup(line + 1, strcspn(line + 1, "\n"));
+	g_free(head);
+	g_free(start);
+	return found;
+}
+
+static void
+check_line(const struct setting_desc *desc, const char *line)
+{
+	char *fallback = g_strdup_printf(
+	    "default %s", desc->fallback == NULL ? "" : desc->fallback);
+	char *bounds = g_strdup_printf(" %u to %u, ", desc->min, desc->max);
+
+	if (desc->fallback == NULL)
+		CU_ASSERT_TRUE(g_str_has_suffix(line, ", required"));
+	if (desc->fallback != NULL && *fallback != '\0' &&
+	    desc->type != SETTING_SEEDS)
+		CU_ASSERT_TRUE(g_str_has_suffix(line, fallback));
+	if (desc->type == SETTING_NUMBER)
+		CU_ASSERT_PTR_NOT_NULL(strstr(line, bounds));
+	for (size_t i = 0;
+	     desc->type == SETTING_CHOICE && desc->choices[i] != NULL; i++)
+		CU_ASSERT_PTR_NOT_NULL(strstr(line, desc->choices[i]));
+	g_free(fallback);
+	g_free(bounds);
+}
+
+/* The page names every key with its default and bounds. */
+static void
+test_settings_page_is_complete(void)
+{
+	char *page = NULL;
+
+	CU_ASSERT_TRUE_FATAL(
+	    g_file_get_contents(SETTINGS_PAGE, &page, NULL, NULL));
+	for (size_t i = 0; i < setting_desc_count; i++) {
+		const struct setting_desc *desc = &setting_descs[i];
+		char *line = page_line(page, desc->section, desc->key);
+
+		CU_ASSERT_PTR_NOT_NULL(line);
+		if (line != NULL)
+			check_line(desc, line);
+		g_free(line);
+	}
+	g_free(page);
+}
+
+static const struct test_case cases[] = {
+	{ "settings page is complete", test_settings_page_is_complete },
+	{ NULL, NULL },
+};
+
+int
+main(void)
+{
+	return harness_run("man", cases);
+}
