mesh: spread the first reads of nodes that know nobody

A joiner without seeds read the platform at once. One that names itself as a seed, or is alone on the list of hosts, still reads at once.

An empty list of hosts was read again each 600 ms, never the changes, as the check looked at the list alone: 99 reads in a minute by one node. It is now asked for once before each read of changes: 4 reads.

Drawing from the budget for an unknown fleet (47 s) was tried and left: 12 nodes without seeds then took 11 s to begin and their test's 3 s failed. Both new tests fail on the former code (91 and 99 reads).

--- a/include/mesh/mesh_private.h
+++ b/include/mesh/mesh_private.h
@@ -110,8 +110,7 @@
 	struct timespec compacted_since;
 	bool raw_scheduled;
 	struct timespec raw_next;
-	struct timespec hosts_next;
-	bool hosts_scheduled;
+	bool hosts_asked; /* since the last read of changes */
 	unsigned int failures;
 };
 
--- a/mesh/reading.c
+++ b/mesh/reading.c
@@ -11,6 +11,8 @@
 	READ_STALL_MS = 15000,
 	WATCH_STALL_MS = 60000,
 	JOIN_READS = 2, /* the list of hosts and the changes */
+	/* First read of a joiner that knows neither peers nor its fleet. */
+	NOBODY_WINDOW_MS = 10000,
 };
 
 static bool
@@ -19,10 +21,22 @@
 	return mesh->members.rank < mesh->settings.readers_per_zone;
 }
 
+/*
+ * Tell whether a joiner has nobody to ask and no list of hosts. It may be one
+ * of many that begin together, so it must not read at once.
+ */
+static bool
+knows_nobody(const struct mesh *mesh)
+{
+	return !mesh->contacts.self_is_seed && mesh->contacts.count == 0 &&
+	    mesh->listed_hosts == 0;
+}
+
 static bool
 is_urgent_joiner(const struct mesh *mesh)
 {
-	return mesh->contacts.self_is_seed || mesh->contacts.count == 0;
+	return mesh->contacts.self_is_seed ||
+	    (mesh->contacts.count == 0 && mesh->listed_hosts > 0);
 }
 
 static int64_t
@@ -176,6 +190,9 @@
 
 	if (is_urgent(mesh))
 		return urgent_wait_ms(mesh);
+	if (reading->failures == 0 && !reading->answered &&
+	    mesh->state == MESH_JOINING && knows_nobody(mesh))
+		return (int64_t)rng_below(rng, NOBODY_WINDOW_MS);
 	if (reading->failures == 0 && !reading->answered)
 		return read_budget_first_ms(rng, fleet, reads);
 	if (mesh->state == MESH_READY &&
@@ -199,7 +216,8 @@
 	    timespec_before(mesh->now, reading->next))
 		return;
 	if (mesh->state == MESH_JOINING && mesh->listed_hosts == 0 &&
-	    !reading->open[PLATFORM_READ_HOSTS]) {
+	    !reading->hosts_asked && !reading->open[PLATFORM_READ_HOSTS]) {
+		reading->hosts_asked = true;
 		request(mesh, PLATFORM_READ_HOSTS, 0);
 		if (!is_urgent_joiner(mesh)) {
 			reading->next =
@@ -207,6 +225,7 @@
 			return;
 		}
 	}
+	reading->hosts_asked = false;
 	request(mesh, PLATFORM_READ_CHANGES, version);
 }
 
--- a/tests/mesh/net_platform.c
+++ b/tests/mesh/net_platform.c
@@ -145,7 +145,8 @@
 			.zone = str_from(net->nodes[i].zone),
 			.node = str_from(net->nodes[i].address),
 		};
-	mesh_handle_hosts(node->mesh, hosts, net->settings.nodes);
+	mesh_handle_hosts(
+	    node->mesh, hosts, net->source.no_hosts ? 0 : net->settings.nodes);
 }
 
 static void
--- a/tests/mesh/net_platform.h
+++ b/tests/mesh/net_platform.h
@@ -29,6 +29,7 @@
 	uint64_t stale_at;  /* 0: current */
 	uint64_t log_limit; /* 0: whole log */
 	bool cut[64];
+	bool no_hosts; /* its list of hosts is empty */
 	uint64_t reads;
 	uint64_t waiting;
 	struct net_watch watches[NET_WATCHES_MAX];
--- a/tests/mesh/test_mesh.c
+++ b/tests/mesh/test_mesh.c
@@ -176,6 +176,50 @@
 	}
 }
 
+/* Nodes that know nobody do not read at once: they may be many. */
+static void
+test_herd_without_seeds(void)
+{
+	struct net_settings settings = { .nodes = 60, .seed = 7 };
+	struct net *net = g_new(struct net, 1);
+	int64_t ms;
+
+	net_init(net, &settings);
+	net_publish_fleet(net, 0);
+	net_start_all(net);
+	net_run(net, 1000);
+	g_print("herd of 60 without seeds: %d reads at first\n",
+	    (int)net->source.reads);
+	CU_ASSERT(net->source.reads <= 12);
+	ms = net_run_settled(net, 10000);
+	g_print("ready after %d ms more, %d reads\n", (int)ms,
+	    (int)net->source.reads);
+	CU_ASSERT(ms >= 0);
+	CU_ASSERT(net->source.reads <= 40);
+	assert_sound(net);
+	net_release(net);
+	g_free(net);
+}
+
+/* A platform that is still empty: a joiner without peers keeps to its draws. */
+static void
+test_empty_list_of_hosts(void)
+{
+	struct net_settings settings = { .nodes = 12, .seed = 8, .seeds = 3 };
+	struct net *net = g_new(struct net, 1);
+
+	net_init(net, &settings);
+	net->source.no_hosts = true;
+	net_start(net, 5);
+	net_run(net, 60000);
+	g_print("an empty list of hosts: %d reads\n", (int)net->source.reads);
+	CU_ASSERT(net->source.reads >= 2);
+	CU_ASSERT(net->source.reads <= 6);
+	assert_sound(net);
+	net_release(net);
+	g_free(net);
+}
+
 int
 main(void)
 {
@@ -188,6 +232,10 @@
 		    test_cold_start_compacted },
 		{ "a herd that restarts spares the platform",
 		    test_herd_restart },
+		{ "a herd without seeds spreads its reads",
+		    test_herd_without_seeds },
+		{ "an empty list of hosts is not read on and on",
+		    test_empty_list_of_hosts },
 		{ NULL, NULL },
 	};
 
