common: record events without a lock

A refused, retried or unknown call records an event, and the ring's lock was shared with the control thread and with operators who read the ring, against the rule that a request takes no lock that the control thread holds. Slots now carry a stamp that readers compare before and after they copy. Words are released and acquired one by one in place of fences, which the thread sanitizer does not follow. The new test of four writers and a reader in a ring of 16 finds a torn event when the second look at the stamp is left out.

--- a/common/event.c
+++ b/common/event.c
@@ -1,7 +1,24 @@
+#include <sched.h>
 #include <string.h>
 
 #include "common/event.h"
 
+enum {
+	EVENT_WORDS =
+	    (sizeof(struct event) + sizeof(uint64_t) - 1) / sizeof(uint64_t),
+};
+
+/*
+ * The stamp is twice the sequence of the event that the slot holds, one less
+ * while that event is being written, and 0 before the first. Readers compare
+ * it before and after they copy; words are released and acquired one by one,
+ * so that a new word is never seen with an old stamp.
+ */
+struct event_slot {
+	atomic_uint_fast64_t stamp;
+	atomic_uint_fast64_t words[EVENT_WORDS];
+};
+
 static const char *const kind_names[EVENT_KIND_COUNT] = {
 	[EVENT_NODE_STARTED] = "node_started",
 	[EVENT_NODE_READY] = "node_ready",
@@ -45,9 +62,8 @@
 
 	log->clock = clock;
 	log->capacity = MAX(capacity, 1);
-	log->ring = g_new0(struct event, log->capacity);
-	log->next_sequence = 1;
-	pthread_mutex_init(&log->lock, NULL);
+	log->slots = g_new0(struct event_slot, log->capacity);
+	atomic_init(&log->next_sequence, 1);
 	return log;
 }
 
@@ -59,57 +75,119 @@
 {
 	if (log == NULL)
 		return;
-	pthread_mutex_destroy(&log->lock);
-	g_free(log->ring);
+	g_free(log->slots);
 	g_free(log);
 }
 
 /*
- * Append one event; safe from any thread. A NULL log drops it, so that tests
- * need none. A subject over EVENT_SUBJECT_MAX - 1 bytes is cut.
+ * Take a slot for writing. It is busy only while a writer that is a whole
+ * ring behind still copies. False when a newer event has come first.
+ */
+static bool
+slot_claim(struct event_slot *slot, uint64_t sequence)
+{
+	uint64_t stamp = atomic_load(&slot->stamp);
+
+	while (stamp < sequence * 2) {
+		if (stamp % 2 != 0) {
+			sched_yield();
+			stamp = atomic_load(&slot->stamp);
+			continue;
+		}
+		if (atomic_compare_exchange_weak(
+			&slot->stamp, &stamp, sequence * 2 - 1))
+			return true;
+	}
+	return false;
+}
+
+static void
+slot_store(struct event_slot *slot, const struct event *event)
+{
+	uint64_t words[EVENT_WORDS] = { 0 };
+
+	memcpy(words, event, sizeof(*event));
+	for (size_t i = 0; i < EVENT_WORDS; i++)
+		atomic_store_explicit(
+		    &slot->words[i], words[i], memory_order_release);
+	atomic_store_explicit(
+	    &slot->stamp, event->sequence * 2, memory_order_release);
+}
+
+/*
+ * Append one event; safe from any thread, without a lock. A NULL log drops
+ * it, so that tests need none. A subject over EVENT_SUBJECT_MAX - 1 bytes is
+ * cut.
  */
 void
 event_record(struct event_log *log, enum event_kind kind, uint64_t version,
     uint64_t request, int64_t value, struct str subject)
 {
-	struct event *event;
+	struct event event = { .kind = kind };
+	struct event_slot *slot;
 	size_t len = MIN(subject.len, (size_t)EVENT_SUBJECT_MAX - 1);
 
 	if (log == NULL)
 		return;
-	pthread_mutex_lock(&log->lock);
-	event = &log->ring[log->next_sequence % log->capacity];
-	*event = (struct event){
-		.sequence = log->next_sequence++,
-		.wall = clock_wall(log->clock),
-		.kind = kind,
-		.version = version,
-		.request = request,
-		.value = value,
-	};
+	event.sequence = atomic_fetch_add(&log->next_sequence, 1);
+	event.wall = clock_wall(log->clock);
+	event.version = version;
+	event.request = request;
+	event.value = value;
 	if (len > 0)
-		memcpy(event->subject, subject.ptr, len);
-	pthread_mutex_unlock(&log->lock);
+		memcpy(event.subject, subject.ptr, len);
+	slot = &log->slots[event.sequence % log->capacity];
+	if (slot_claim(slot, event.sequence))
+		slot_store(slot, &event);
+}
+
+enum slot_content {
+	SLOT_UNWRITTEN, /* the event is still being written */
+	SLOT_HELD,
+	SLOT_GONE, /* a newer event has taken the slot */
+};
+
+static enum slot_content
+slot_load(struct event_slot *slot, uint64_t sequence, struct event *out)
+{
+	uint64_t words[EVENT_WORDS];
+	uint64_t stamp =
+	    atomic_load_explicit(&slot->stamp, memory_order_acquire);
+
+	if (stamp < sequence * 2)
+		return SLOT_UNWRITTEN;
+	if (stamp > sequence * 2)
+		return SLOT_GONE;
+	for (size_t i = 0; i < EVENT_WORDS; i++)
+		words[i] =
+		    atomic_load_explicit(&slot->words[i], memory_order_relaxed);
+	if (atomic_load_explicit(&slot->stamp, memory_order_relaxed) != stamp)
+		return SLOT_GONE;
+	memcpy(out, words, sizeof(*out));
+	return SLOT_HELD;
 }
 
 /*
  * Copy up to out_max events whose sequence is above after, oldest first, and
- * return their number.
+ * return their number. Ends before an event that is still being written, so
+ * that a reader who goes on behind the last one misses none.
  */
 size_t
 event_log_copy(
     struct event_log *log, uint64_t after, struct event *out, size_t out_max)
 {
+	uint64_t next = atomic_load(&log->next_sequence);
+	uint64_t oldest = next > log->capacity ? next - log->capacity : 1;
 	size_t copied = 0;
-	uint64_t oldest;
-
-	pthread_mutex_lock(&log->lock);
-	oldest = log->next_sequence > log->capacity
-	    ? log->next_sequence - log->capacity
-	    : 1;
-	for (uint64_t s = MAX(after + 1, oldest);
-	     s < log->next_sequence && copied < out_max; s++)
-		out[copied++] = log->ring[s % log->capacity];
-	pthread_mutex_unlock(&log->lock);
+
+	for (uint64_t s = MAX(after + 1, oldest); s < next && copied < out_max;
+	     s++) {
+		enum slot_content content =
+		    slot_load(&log->slots[s % log->capacity], s, &out[copied]);
+
+		if (content == SLOT_UNWRITTEN)
+			break;
+		copied += content == SLOT_HELD;
+	}
 	return copied;
 }
--- a/include/common/event.h
+++ b/include/common/event.h
@@ -2,7 +2,7 @@
 #define TREFOILHILL_COMMON_EVENT_H
 
 #include <glib.h>
-#include <pthread.h>
+#include <stdatomic.h>
 #include <stdint.h>
 
 #include "common/clock.h"
@@ -39,7 +39,7 @@
 };
 
 struct event {
-	uint64_t sequence; /* from 1, dense within a process */
+	uint64_t sequence; /* from 1, rising within a process */
 	struct timespec wall;
 	enum event_kind kind;
 	uint64_t version; /* configuration version, 0 if none */
@@ -48,13 +48,17 @@
 	char subject[EVENT_SUBJECT_MAX];
 };
 
-/* A bounded ring: the oldest event makes room for the newest. */
+struct event_slot;
+
+/*
+ * A bounded ring: the oldest event makes room for the newest. Writers take no
+ * lock, so that no request waits for a reader or for the control thread.
+ */
 struct event_log {
 	struct clock *clock;
-	pthread_mutex_t lock;
-	struct event *ring;
+	struct event_slot *slots;
 	size_t capacity;
-	uint64_t next_sequence;
+	atomic_uint_fast64_t next_sequence;
 };
 
 const char *event_kind_name(enum event_kind kind);
--- a/tests/common/test_common.c
+++ b/tests/common/test_common.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <string.h>
 
 #include "common/counter.h"
@@ -76,6 +77,47 @@
 	event_log_free(log);
 }
 
+enum {
+	WRITERS = 4,
+	EVENTS_EACH = 20000,
+	RING = 16,
+};
+
+static void *
+write_events(void *arg)
+{
+	for (uint64_t i = 1; i <= EVENTS_EACH; i++)
+		event_record(
+		    arg, EVENT_CALL_REFUSED, i, i, (int64_t)i, str_from("x"));
+	return NULL;
+}
+
+/* Writers overtake each other in a small ring; no event comes out torn. */
+static void
+test_events_are_whole_under_threads(void)
+{
+	struct event_log *log = event_log_new(clock_system(), RING);
+	struct event out[RING];
+	pthread_t threads[WRITERS];
+	uint64_t last = 0;
+
+	for (size_t i = 0; i < WRITERS; i++)
+		pthread_create(&threads[i], NULL, write_events, log);
+	while (last < (uint64_t)WRITERS * EVENTS_EACH) {
+		size_t count = event_log_copy(log, last, out, RING);
+
+		for (size_t i = 0; i < count; i++) {
+			CU_ASSERT(out[i].sequence > last);
+			CU_ASSERT_EQUAL(out[i].version, out[i].request);
+			CU_ASSERT_EQUAL(out[i].value, (int64_t)out[i].version);
+			last = out[i].sequence;
+		}
+	}
+	for (size_t i = 0; i < WRITERS; i++)
+		pthread_join(threads[i], NULL);
+	event_log_free(log);
+}
+
 int
 main(void)
 {
@@ -85,6 +127,8 @@
 		{ "a seed repeats its sequence", test_rng_repeats },
 		{ "a family has one heading", test_counter_families },
 		{ "the event ring is bounded", test_event_ring_is_bounded },
+		{ "events are whole under threads",
+		    test_events_are_whole_under_threads },
 		{ NULL, NULL },
 	};
 
