config: keep the bound of refusals in one place

Applying and reading a publication each had their own list with the same bound. No change in behaviour; the test of the bound stays as it is.

--- a/config/apply.c
+++ b/config/apply.c
@@ -1,23 +1,6 @@
 #include "config/change.h"
 #include "config/snapshot_new.h"
 
-static void
-free_refusal(gpointer refusal)
-{
-	refusal_free(refusal);
-}
-
-static void
-note(GPtrArray *refusals, struct refusal *refusal)
-{
-	if (refusal == NULL)
-		return;
-	if (refusals->len < REFUSALS_MAX)
-		g_ptr_array_add(refusals, refusal);
-	else
-		refusal_free(refusal);
-}
-
 /*
  * Take a change into a draft. A record is set after those that it may refer
  * to, and removed before them, so each step can be judged when it is taken
@@ -31,13 +14,14 @@
 		const GPtrArray *sets = change->sets[kind];
 
 		for (size_t i = 0; i < sets->len; i++)
-			note(refusals, draft_put(draft, sets->pdata[i]));
+			refusal_list_add(
+			    refusals, draft_put(draft, sets->pdata[i]));
 	}
 	for (size_t kind = RECORD_KIND_COUNT; kind-- > 0;) {
 		const GPtrArray *removes = change->removes[kind];
 
 		for (size_t i = 0; i < removes->len; i++)
-			note(refusals,
+			refusal_list_add(refusals,
 			    draft_remove(draft, (enum record_kind)kind,
 				str_from(removes->pdata[i])));
 	}
@@ -51,7 +35,7 @@
     struct verdict *verdict)
 {
 	const struct draft *content = snapshot_content(base);
-	GPtrArray *refusals = g_ptr_array_new_with_free_func(free_refusal);
+	GPtrArray *refusals = refusal_list_new();
 	struct change change;
 	struct draft draft;
 
--- a/config/change.c
+++ b/config/change.c
@@ -42,18 +42,6 @@
 	}
 }
 
-/*
- * Keep a refusal, up to a bound: the first ones tell enough.
- */
-static void
-refuse(struct reading *reading, struct refusal *refusal)
-{
-	if (reading->refusals->len < REFUSALS_MAX)
-		g_ptr_array_add(reading->refusals, refusal);
-	else
-		refusal_free(refusal);
-}
-
 /*
  * Note that the publication names a record; naming one twice is a fault, as
  * the result would depend on the order.
@@ -69,7 +57,7 @@
 	refusal = refusal_new(
 	    CONFIG_ERROR_NAME, "name", "stands twice in one publication");
 	refusal_set_record(refusal, record_kind_name(kind), name);
-	refuse(reading, refusal);
+	refusal_list_add(reading->refusals, refusal);
 }
 
 static void
@@ -79,7 +67,7 @@
 	struct record *record = record_read(json, version, &fault);
 
 	if (record == NULL) {
-		refuse(reading, fault);
+		refusal_list_add(reading->refusals, fault);
 		return;
 	}
 	g_ptr_array_add(reading->change->sets[record->kind], record);
@@ -102,7 +90,7 @@
 	field_read_name(&reader, "name", &name);
 	field_reader_finish(&reader);
 	if (reader.fault != NULL) {
-		refuse(reading, reader.fault);
+		refusal_list_add(reading->refusals, reader.fault);
 		return;
 	}
 	g_ptr_array_add(reading->change->removes[kind], str_dup_cstr(name));
@@ -119,7 +107,7 @@
 	const json_t *list = json_object_get(root, field);
 
 	if (list != NULL && !json_is_array(list)) {
-		refuse(reading,
+		refusal_list_add(reading->refusals,
 		    refusal_new(CONFIG_ERROR_FIELD, field, "must be a list"));
 		return NULL;
 	}
@@ -138,12 +126,12 @@
 	if (revision != NULL &&
 	    (!json_is_integer(revision) ||
 		json_integer_value(revision) != (json_int_t)version))
-		refuse(reading,
+		refusal_list_add(reading->refusals,
 		    refusal_new(CONFIG_ERROR_ORDER, "revision",
 			"is not that of the publication"));
 	json_object_foreach ((json_t *)root, key, value) {
 		if (!g_strv_contains(fields, key))
-			refuse(reading,
+			refusal_list_add(reading->refusals,
 			    refusal_new(CONFIG_ERROR_FIELD, key,
 				"is not a field of a publication"));
 	}
@@ -180,7 +168,7 @@
 	const char *text = g_bytes_get_data(publication->json, &len);
 
 	if (len > PUBLICATION_BYTES_MAX) {
-		refuse(&reading,
+		refusal_list_add(refusals,
 		    refusal_new(CONFIG_ERROR_TOO_LARGE, "",
 			"has %zu bytes, at most %d are allowed", len,
 			PUBLICATION_BYTES_MAX));
@@ -189,7 +177,7 @@
 	root = json_loadb(
 	    text == NULL ? "" : text, len, JSON_REJECT_DUPLICATES, &fault);
 	if (!json_is_object(root)) {
-		refuse(&reading,
+		refusal_list_add(refusals,
 		    refusal_new(CONFIG_ERROR_SYNTAX, "", "byte %d: %s",
 			root == NULL ? fault.position : 0,
 			root == NULL ? fault.text : "must be an object"));
--- a/config/refusal.c
+++ b/config/refusal.c
@@ -71,6 +71,34 @@
 	g_free(refusal);
 }
 
+static void
+free_refusal(gpointer refusal)
+{
+	refusal_free(refusal);
+}
+
+/*
+ * Return an empty list that owns its refusals.
+ */
+GPtrArray *
+refusal_list_new(void)
+{
+	return g_ptr_array_new_with_free_func(free_refusal);
+}
+
+/*
+ * Add a refusal to a list, up to REFUSALS_MAX: the first ones tell enough.
+ * Takes it over; NULL, the refusal of nothing, is allowed.
+ */
+void
+refusal_list_add(GPtrArray *refusals, struct refusal *refusal)
+{
+	if (refusal != NULL && refusals->len < REFUSALS_MAX)
+		g_ptr_array_add(refusals, refusal);
+	else
+		refusal_free(refusal);
+}
+
 /*
  * Set a GError of the domain CONFIG_ERROR that says the same.
  */
--- a/include/config/change.h
+++ b/include/config/change.h
@@ -7,7 +7,6 @@
 
 enum {
 	PUBLICATION_BYTES_MAX = 1024 * 1024,
-	REFUSALS_MAX = 100,
 };
 
 /* What one publication asks for, read and checked by itself. */
--- a/include/config/refusal.h
+++ b/include/config/refusal.h
@@ -5,6 +5,10 @@
 
 #include "config/error.h"
 
+enum {
+	REFUSALS_MAX = 100, /* that one verdict keeps */
+};
+
 /* One reason why a publication is refused. */
 struct refusal {
 	char *record; /* "kind/name", or "" for the whole publication */
@@ -18,6 +22,8 @@
 void refusal_set_record(
     struct refusal *refusal, const char *kind, const char *name);
 void refusal_free(struct refusal *refusal);
+GPtrArray *refusal_list_new(void);
+void refusal_list_add(GPtrArray *refusals, struct refusal *refusal);
 void refusal_to_error(const struct refusal *refusal, GError **error);
 
 #endif
