trefoilhill-timeline: merge by ordered streams

Each step looked through all streams, and each stream through all nodes, so the cost grew with the square of the fleet.

A stream that waits for a version to be read goes on as soon as it was; the test of that was seen to fail when nothing released it.

--- a/include/trefoilhill-timeline/timeline.h
+++ b/include/trefoilhill-timeline/timeline.h
@@ -21,6 +21,8 @@
 /* The events of one process in its own order. */
 struct timeline_stream {
 	GPtrArray *events; /* struct timeline_event * */
+	guint number;      /* place among the streams */
+	guint next;        /* event that the merge takes next */
 };
 
 /* Events of many processes, merged. */
--- a/tests/tools/test_timeline.c
+++ b/tests/tools/test_timeline.c
@@ -61,6 +61,9 @@
 	/* The clock of b is behind, but it got the version from a peer. */
 	CU_ASSERT_TRUE(
 	    place_of(&timeline, "d", 2) < place_of(&timeline, "b", 2));
+	/* It waits for that alone. */
+	CU_ASSERT_EQUAL(
+	    place_of(&timeline, "b", 2), place_of(&timeline, "d", 2) + 1);
 	/* By wall clock where nothing else is known. */
 	CU_ASSERT_TRUE(
 	    place_of(&timeline, "a", 3) < place_of(&timeline, "c", 7));
--- a/trefoilhill-timeline/late.c
+++ b/trefoilhill-timeline/late.c
@@ -54,6 +54,7 @@
 {
 	GArray *arrivals =
 	    g_array_new(FALSE, FALSE, sizeof(struct version_arrival));
+	GHashTable *places = g_hash_table_new(g_str_hash, g_str_equal);
 
 	for (guint i = 0; i < timeline->streams->len; i++) {
 		const struct timeline_stream *stream =
@@ -61,18 +62,19 @@
 		const struct timeline_event *first = stream->events->pdata[0];
 		struct version_arrival fresh = { .node = first->node,
 			.at_us = INT64_MAX };
-		guint at = 0;
+		gpointer place = NULL;
 
-		while (at < arrivals->len &&
-		    strcmp(g_array_index(arrivals, struct version_arrival, at)
-			       .node,
-			first->node) != 0)
-			at++;
-		if (at == arrivals->len)
+		if (!g_hash_table_lookup_extended(
+			places, first->node, NULL, &place)) {
+			place = GUINT_TO_POINTER(arrivals->len);
+			g_hash_table_insert(places, first->node, place);
 			g_array_append_val(arrivals, fresh);
+		}
 		stream_arrival(stream, version,
-		    &g_array_index(arrivals, struct version_arrival, at));
+		    &g_array_index(arrivals, struct version_arrival,
+			GPOINTER_TO_UINT(place)));
 	}
+	g_hash_table_unref(places);
 	g_array_sort(arrivals, compare_arrivals);
 	return arrivals;
 }
--- a/trefoilhill-timeline/merge.c
+++ b/trefoilhill-timeline/merge.c
@@ -1,4 +1,3 @@
-#include <stdlib.h>
 #include <string.h>
 
 #include "trefoilhill-timeline/timeline.h"
@@ -54,35 +53,78 @@
 	    g_hash_table_contains(unread, &event->version);
 }
 
-/* The stream whose next event comes first; one that is early only when all
- * are, which happens when events were lost. */
-static struct timeline_stream *
-next_stream(const struct timeline *timeline, const guint *heads,
-    GHashTable *unread, guint *chosen)
+static struct timeline_event *
+head_of(const struct timeline_stream *stream)
 {
-	struct timeline_stream *best = NULL;
-	int64_t best_at = INT64_MAX;
-	bool best_early = true;
+	return stream->events->pdata[stream->next];
+}
 
-	for (guint i = 0; i < timeline->streams->len; i++) {
-		struct timeline_stream *stream = timeline->streams->pdata[i];
-		const struct timeline_event *event;
-		bool early;
-
-		if (heads[i] == stream->events->len)
-			continue;
-		event = stream->events->pdata[heads[i]];
-		early = is_early(event, unread);
-		if (best != NULL &&
-		    (early > best_early ||
-			(early == best_early && event->at_us >= best_at)))
-			continue;
-		best = stream;
-		best_at = event->at_us;
-		best_early = early;
-		*chosen = i;
+/* By the wall clock of the next event, then by place. */
+static gint
+compare_heads(gconstpointer a, gconstpointer b, gpointer unused)
+{
+	const struct timeline_stream *x = a, *y = b;
+	int64_t x_us = head_of(x)->at_us, y_us = head_of(y)->at_us;
+
+	if (x_us != y_us)
+		return x_us < y_us ? -1 : 1;
+	return x->number < y->number ? -1 : x->number > y->number;
+}
+
+/* Streams by their next event; those that wait for another one apart. */
+struct merge {
+	GSequence *open;
+	GSequence *waiting;
+	GHashTable *unread;
+};
+
+static void
+merge_put(struct merge *merge, struct timeline_stream *stream)
+{
+	if (stream->next == stream->events->len)
+		return;
+	g_sequence_insert_sorted(is_early(head_of(stream), merge->unread)
+		? merge->waiting
+		: merge->open,
+	    stream, compare_heads, NULL);
+}
+
+/* A version was read from the platform: who waits for it may go on. */
+static void
+merge_release(struct merge *merge, const struct timeline_event *event)
+{
+	GSequenceIter *iter = g_sequence_get_begin_iter(merge->waiting);
+
+	if (!g_hash_table_remove(merge->unread, &event->version))
+		return;
+	while (!g_sequence_iter_is_end(iter)) {
+		GSequenceIter *after = g_sequence_iter_next(iter);
+		struct timeline_stream *stream = g_sequence_get(iter);
+
+		if (head_of(stream)->version == event->version) {
+			g_sequence_remove(iter);
+			merge_put(merge, stream);
+		}
+		iter = after;
 	}
-	return best;
+}
+
+/* The stream whose event comes next; one that waits only when all do, which
+ * happens when events were lost. */
+static struct timeline_stream *
+merge_take(struct merge *merge)
+{
+	GSequence *from = g_sequence_get_length(merge->open) > 0
+	    ? merge->open
+	    : merge->waiting;
+	GSequenceIter *iter = g_sequence_get_begin_iter(from);
+	struct timeline_stream *stream;
+
+	if (g_sequence_iter_is_end(iter))
+		return NULL;
+	stream = g_sequence_get(iter);
+	g_sequence_remove(iter);
+	return stream;
 }
 
 /*
@@ -93,23 +135,29 @@
 void
 timeline_merge(struct timeline *timeline)
 {
-	GHashTable *unread = platform_versions(timeline);
-	guint *heads = g_new0(guint, timeline->streams->len);
+	struct merge merge = { .open = g_sequence_new(NULL),
+		.waiting = g_sequence_new(NULL),
+		.unread = platform_versions(timeline) };
 	struct timeline_stream *stream;
-	guint chosen = 0;
 
 	g_ptr_array_set_size(timeline->merged, 0);
-	while (
-	    (stream = next_stream(timeline, heads, unread, &chosen)) != NULL) {
-		struct timeline_event *event =
-		    stream->events->pdata[heads[chosen]++];
+	for (guint i = 0; i < timeline->streams->len; i++) {
+		stream = timeline->streams->pdata[i];
+		stream->next = 0;
+		merge_put(&merge, stream);
+	}
+	while ((stream = merge_take(&merge)) != NULL) {
+		struct timeline_event *event = head_of(stream);
 
+		stream->next++;
 		if (is_from_platform(event))
-			g_hash_table_remove(unread, &event->version);
+			merge_release(&merge, event);
 		g_ptr_array_add(timeline->merged, event);
+		merge_put(&merge, stream);
 	}
-	g_free(heads);
-	g_hash_table_unref(unread);
+	g_sequence_free(merge.open);
+	g_sequence_free(merge.waiting);
+	g_hash_table_unref(merge.unread);
 }
 
 bool
--- a/trefoilhill-timeline/read.c
+++ b/trefoilhill-timeline/read.c
@@ -113,6 +113,7 @@
 	if (last == NULL || event->sequence <= last->sequence) {
 		stream = g_new0(struct timeline_stream, 1);
 		stream->events = g_ptr_array_new_with_free_func(event_free);
+		stream->number = timeline->streams->len;
 		g_ptr_array_add(timeline->streams, stream);
 		g_hash_table_insert(current, event->node, stream);
 	}
