--- a/common/event.c
+++ b/common/event.c
@@ -160,7 +160,7 @@
 		return SLOT_GONE;
 	for (size_t i = 0; i < EVENT_WORDS; i++)
 		words[i] =
-		    atomic_load_explicit(&slot->words[i], memory_order_relaxed);
+		    atomic_load_explicit(&slot->words[i], memory_order_acquire);
 	if (atomic_load_explicit(&slot->stamp, memory_order_relaxed) != stamp)
 		return SLOT_GONE;
 	memcpy(out, words, sizeof(*out));
