tests: kill the node only once its download has begun

The kill came as soon as the upstream was at work, now and then before the head of its answer had passed (1 of 2 runs at load average 20 to 34). Such a GET is rightly sent again, so no answer was cut. Now 0.3 s into a download of 0.9 s.

--- a/tests/process/test_node_killed.py
+++ b/tests/process/test_node_killed.py
@@ -12,7 +12,9 @@
     ("GET", "reel-vault", "size=2000000&chunk_ms=5", 10, 8000),
 ]
 
-# 30 chunks of 64 KiB, 30 ms apart.
+# 30 chunks of 64 KiB, 30 ms apart: 0.9 s. A node that dies before the head
+# has passed leaves a GET that is rightly sent again, so nothing is cut.
+IN_ANSWER_S = 0.3
 DOWNLOADS = [("GET", "reel-vault", "size=1966080&chunk_ms=30", 1, 8000)]
 
 
@@ -47,6 +49,7 @@
         load = self.start_load(3, 8, DOWNLOADS, nodes=others)
         bed.wait_for("download at the victim", 4, lambda: bed.upstreams[
             bed.nodes.index(victim)].counts()["busy"] > 0)
+        time.sleep(IN_ANSWER_S)
         victim.process.kill()
         report = self.end_load(load)
         total = report["total"]
