mesh: ask the zone's readers too before a joiner serves

A node that is cut from its peers but not from the platform may serve a version that none of its keepers heard of; when it is replaced and the cut heals, it joined through peers that lack that version and served the older one. Ruled out: a read of the platform by each joiner, which a herd restart of 15,000 could not afford within 2,000 reads a second and the time to be ready.

The zone's first two readers watch the platform, so their version is its head. A joiner asks them beside its keepers and waits the same 0.3 s at most.

--- a/include/mesh/members.h
+++ b/include/mesh/members.h
@@ -11,6 +11,7 @@
 
 enum {
 	MEMBERS_KEEPERS = 4, /* hosts that remember what another announced */
+	MEMBERS_READERS = 2, /* first in the zone's order of readers */
 	MEMBERS_ZONES_MAX = 256,
 };
 
@@ -31,6 +32,8 @@
 	bool present;      /* the snapshot has this host in this zone */
 	const struct record *keepers[MEMBERS_KEEPERS];
 	size_t keeper_count;
+	const struct record *readers[MEMBERS_READERS]; /* without this host */
+	size_t reader_count;
 };
 
 void members_init(struct members *members, struct str host, struct str zone);
--- a/include/mesh/mesh_private.h
+++ b/include/mesh/mesh_private.h
@@ -127,7 +127,7 @@
 	uint64_t floor;  /* no lower version may be served */
 	bool settling;
 	struct timespec settle_until;
-	uint32_t keepers_answered; /* bit for each */
+	uint32_t witnesses_answered; /* bit for each */
 };
 
 struct mesh {
--- a/mesh/join.c
+++ b/mesh/join.c
@@ -87,29 +87,51 @@
 	    snapshot_id(mesh->snapshot).version >= reading->head;
 }
 
+/*
+ * Those whose word a joiner waits for: the keepers of its floor, and the
+ * zone's first readers. A reader watches the platform, so its version is the
+ * platform's head: this host may have served one that no keeper heard of.
+ */
+static size_t
+witness_count(const struct mesh *mesh)
+{
+	return mesh->members.keeper_count + mesh->members.reader_count;
+}
+
+static const struct record *
+witness_at(const struct mesh *mesh, size_t index)
+{
+	const struct members *members = &mesh->members;
+
+	if (index < members->keeper_count)
+		return members->keepers[index];
+	return members->readers[index - members->keeper_count];
+}
+
 static void
 begin_settling(struct mesh *mesh)
 {
 	struct joining *joining = &mesh->joining;
 
 	joining->settling = true;
-	joining->keepers_answered = 0;
+	joining->witnesses_answered = 0;
 	joining->settle_until = timespec_plus_ms(mesh->now, JOIN_SETTLE_MS);
-	for (size_t i = 0; i < mesh->members.keeper_count; i++)
-		send_join(mesh, mesh->members.keepers[i]->host.node);
+	for (size_t i = 0; i < witness_count(mesh); i++)
+		send_join(mesh, witness_at(mesh, i)->host.node);
 }
 
 static bool
-all_keepers_answered(const struct mesh *mesh)
+all_witnesses_answered(const struct mesh *mesh)
 {
-	size_t count = mesh->members.keeper_count;
+	size_t count = witness_count(mesh);
 
-	return count > 0 && mesh->joining.keepers_answered == (1U << count) - 1;
+	return count > 0 &&
+	    mesh->joining.witnesses_answered == (1U << count) - 1;
 }
 
 /*
- * Once a state is held, ask the keepers of this host's floor, which its own
- * record and zone now name. The node is ready when all of them answered or
+ * Once a state is held, ask the witnesses, which the host's own record and
+ * zone now name. The node is ready when all of them answered or
  * had the time to, and the state is not below the floor.
  */
 static void
@@ -123,7 +145,7 @@
 		begin_settling(mesh);
 		return;
 	}
-	if (!all_keepers_answered(mesh) &&
+	if (!all_witnesses_answered(mesh) &&
 	    timespec_before(mesh->now, joining->settle_until))
 		return;
 	if (snapshot_id(mesh->snapshot).version < joining->floor) {
@@ -145,11 +167,11 @@
 }
 
 static void
-note_keeper(struct mesh *mesh, struct str host)
+note_witness(struct mesh *mesh, struct str host)
 {
-	for (size_t i = 0; i < mesh->members.keeper_count; i++)
-		if (str_equal(mesh->members.keepers[i]->name, host))
-			mesh->joining.keepers_answered |= 1U << i;
+	for (size_t i = 0; i < witness_count(mesh); i++)
+		if (str_equal(witness_at(mesh, i)->name, host))
+			mesh->joining.witnesses_answered |= 1U << i;
 }
 
 /*
@@ -170,7 +192,7 @@
 		return;
 	joining->floor = MAX(joining->floor, welcome->floor);
 	joining->peer_answered = true;
-	note_keeper(mesh, message->sender.host);
+	note_witness(mesh, message->sender.host);
 	if (!message->ready)
 		return;
 	joining->floor = MAX(joining->floor, message->state.version);
--- a/mesh/members.c
+++ b/mesh/members.c
@@ -1,3 +1,5 @@
+#include <glib.h>
+
 #include "mesh/members.h"
 #include "mesh/rendezvous.h"
 
@@ -53,17 +55,18 @@
 	}
 }
 
-/* The first of some hosts in an order salted by this host's name. */
+/* The first of some hosts, this one left out, in an order salted by a name. */
 static size_t
-first_hosts(const struct members *members, struct record *const *hosts,
-    size_t count, const struct record **out, size_t out_max)
+first_hosts(const struct members *members, struct str salt,
+    struct record *const *hosts, size_t count, const struct record **out,
+    size_t out_max)
 {
 	struct rendezvous_score best[MEMBERS_KEEPERS];
 	size_t found = 0;
 
 	for (size_t i = 0; i < count; i++) {
 		struct rendezvous_score score =
-		    rendezvous_score(members->host, 0, hosts[i]->name);
+		    rendezvous_score(salt, 0, hosts[i]->name);
 		size_t at = found;
 
 		if (str_equal(hosts[i]->name, members->host))
@@ -118,10 +121,20 @@
 	size_t count;
 	struct record *const *elsewhere = first_other_zone(members, &count);
 
-	members->keeper_count = first_hosts(members, members->hosts,
-	    members->host_count, members->keepers, MEMBERS_KEEPERS - 1);
-	members->keeper_count += first_hosts(members, elsewhere, count,
-	    members->keepers + members->keeper_count, 1);
+	members->keeper_count =
+	    first_hosts(members, members->host, members->hosts,
+		members->host_count, members->keepers, MEMBERS_KEEPERS - 1);
+	members->keeper_count += first_hosts(members, members->host, elsewhere,
+	    count, members->keepers + members->keeper_count, 1);
+}
+
+static void
+members_refresh_readers(struct members *members)
+{
+	G_STATIC_ASSERT(MEMBERS_READERS <= MEMBERS_KEEPERS);
+	members->reader_count =
+	    first_hosts(members, members->zone, members->hosts,
+		members->host_count, members->readers, MEMBERS_READERS);
 }
 
 /*
@@ -138,6 +151,7 @@
 	members_refresh_zones(members);
 	members_refresh_rank(members);
 	members_refresh_keepers(members);
+	members_refresh_readers(members);
 }
 
 /*
--- a/tests/mesh/test_mesh.c
+++ b/tests/mesh/test_mesh.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "harness.h"
 #include "net.h"
 
@@ -220,6 +222,70 @@
 	g_free(net);
 }
 
+static void
+cut_link(struct net *net, size_t a, size_t b, bool cut)
+{
+	net->cut[a][b] = cut;
+	net->cut[b][a] = cut;
+}
+
+static bool
+reads_platform(const struct net *net, size_t index)
+{
+	return mesh_is_reader(net->nodes[index].mesh);
+}
+
+/*
+ * One node is cut from all others, reads the platform itself and serves a
+ * version that only the readers have, since those are cut from the rest. It
+ * is replaced and joins through peers that never heard of that version.
+ */
+static void
+join_below_own_version(size_t alone)
+{
+	struct net_settings settings = { .nodes = 48, .seed = 9, .seeds = 3 };
+	struct net *net = g_new(struct net, 1);
+	bool reader[NET_NODES_MAX] = { false };
+
+	net_init(net, &settings);
+	net_publish_fleet(net, 0);
+	net_start_all(net);
+	CU_ASSERT(net_run_settled(net, 5000) >= 0);
+	net_run(net, 10000);
+	for (size_t i = 0; i < settings.nodes; i++)
+		reader[i] = i != alone && reads_platform(net, i);
+	net_cut_node(net, alone, true, true);
+	net_run(net, 10000);
+	for (size_t i = 0; i < settings.nodes; i++) {
+		net->source.cut[i] = !reader[i] && i != alone;
+		for (size_t j = 0; j < settings.nodes; j++)
+			if (reader[i] != reader[j])
+				cut_link(net, i, j, true);
+	}
+	net_publish_change(net);
+	net_run(net, 30000);
+	CU_ASSERT_EQUAL(
+	    net_version(net, alone), net_platform_head(&net->source));
+	net_kill(net, alone);
+	for (size_t i = 0; i < settings.nodes; i++)
+		cut_link(net, alone, i, false);
+	net_start(net, alone);
+	net_run(net, 5000);
+	net_heal_links(net);
+	memset(net->source.cut, 0, sizeof(net->source.cut));
+	CU_ASSERT(net_run_settled(net, 10000) >= 0);
+	assert_sound(net);
+	net_release(net);
+	g_free(net);
+}
+
+static void
+test_floor_that_no_keeper_heard(void)
+{
+	for (size_t alone = NET_SEEDS; alone < 30; alone++)
+		join_below_own_version(alone);
+}
+
 int
 main(void)
 {
@@ -236,6 +302,8 @@
 		    test_herd_without_seeds },
 		{ "an empty list of hosts is not read on and on",
 		    test_empty_list_of_hosts },
+		{ "a floor that no keeper heard of",
+		    test_floor_that_no_keeper_heard },
 		{ NULL, NULL },
 	};
 
