--- /dev/null
+++ b/include/trefoilhilld/service_ping.h
@@ -0,0 +1,13 @@
+#ifndef TREFOILHILL_TREFOILHILLD_SERVICE_PING_H
+#define TREFOILHILL_TREFOILHILLD_SERVICE_PING_H
+
+#include "trefoilhilld/call_link.h"
+#include "trefoilhilld/guard_gate.h"
+#include "trefoilhilld/service_table.h"
+#include "wire/call.h"
+
+/* An entry asks now and then which of its calls are still at this guard. */
+void service_ping_answer(struct service_table *table, struct guard_gate *gate,
+    const struct call_frame *ping, struct call_link *link);
+
+#endif
--- a/trefoilhilld/data_path/call_service.c
+++ b/trefoilhilld/data_path/call_service.c
@@ -3,6 +3,8 @@
 
 #include "trefoilhilld/call_service.h"
 #include "trefoilhilld/service_call.h"
+#include "trefoilhilld/service_ping.h"
+#include "trefoilhilld/service_table.h"
 #include "trefoilhilld/upstream_client.h"
 #include "trefoilhilld/worker_pool.h"
 
@@ -14,10 +16,7 @@
 	struct worker_pool *pool;
 	struct counter_set counters;
 	atomic_bool ready;
-	/* Covers the tables; the gate may be entered inside of it. */
-	pthread_mutex_t lock;
-	GHashTable *calls;   /* struct service_call_key to call, a reference */
-	GHashTable *tickets; /* ticket to call, borrowed */
+	struct service_table table;
 };
 
 static const struct counter_desc counter_descs[SERVICE_COUNTER_COUNT] = {
@@ -51,12 +50,6 @@
 	.close = close_worker,
 };
 
-static void
-unref_call(void *call)
-{
-	service_call_unref(call);
-}
-
 /*
  * Return a service in front of one upstream; it becomes the gate's handler.
  */
@@ -73,10 +66,7 @@
 	service->gate = gate;
 	service->pool =
 	    worker_pool_new(&pool_ops, service, settings->connections);
-	service->calls = g_hash_table_new_full(
-	    service_call_key_hash, service_call_key_equal, NULL, unref_call);
-	service->tickets = g_hash_table_new(g_int64_hash, g_int64_equal);
-	pthread_mutex_init(&service->lock, NULL);
+	service_table_init(&service->table);
 	atomic_init(&service->ready, false);
 	counter_set_init(
 	    &service->counters, counter_descs, SERVICE_COUNTER_COUNT);
@@ -94,9 +84,7 @@
 		return;
 	call_service_sweep(service, INT64_MIN);
 	worker_pool_free(service->pool);
-	g_hash_table_destroy(service->tickets);
-	g_hash_table_destroy(service->calls);
-	pthread_mutex_destroy(&service->lock);
+	service_table_release(&service->table);
 	str_release(&service->upstream_name);
 	g_free(service->upstream_address);
 	g_free(service);
@@ -109,23 +97,9 @@
 }
 
 /*
- * Take a call out of the tables, after its last frame was sent, so that a
- * ping can't be told first that the call is gone. The caller's reference
- * keeps it alive.
- */
-static void
-forget_call(struct call_service *service, struct service_call *call)
-{
-	pthread_mutex_lock(&service->lock);
-	if (g_hash_table_lookup(service->calls, &call->key) == call) {
-		g_hash_table_remove(service->tickets, &call->ticket);
-		g_hash_table_remove(service->calls, &call->key);
-	}
-	pthread_mutex_unlock(&service->lock);
-}
-
-/*
- * Tell the entry that no answer, or no more of it, will come.
+ * Tell the entry that no answer, or no more of it, will come. A call leaves
+ * the table after its last frame, so that a ping can't be told first that the
+ * call is gone.
  */
 static void
 send_refused(struct call_service *service, struct service_call *call,
@@ -155,7 +129,7 @@
 	};
 
 	send_refused(service, call, &refused);
-	forget_call(service, call);
+	service_table_remove(&service->table, call);
 }
 
 static void *
@@ -214,7 +188,7 @@
 		};
 		send_refused(service, call, &refused);
 	}
-	forget_call(service, call);
+	service_table_remove(&service->table, call);
 	if (result.last_body != NULL)
 		g_bytes_unref(result.last_body);
 	service_call_unref(call);
@@ -228,13 +202,9 @@
     enum refusal_reason reason)
 {
 	struct call_service *service = arg;
-	struct service_call *call;
+	struct service_call *call =
+	    service_table_find_ticket(&service->table, ticket);
 
-	pthread_mutex_lock(&service->lock);
-	call = g_hash_table_lookup(service->tickets, &ticket);
-	if (call != NULL)
-		service_call_ref(call);
-	pthread_mutex_unlock(&service->lock);
 	if (call == NULL)
 		return;
 	if (decision == GUARD_RUN) {
@@ -259,34 +229,25 @@
 	to->deadline = call->deadline;
 }
 
-/*
- * Enter a new call in the tables and ask the guard, in one step, so that its
- * turn can't come before it is known. A second copy of a call that is here
- * already is no new call: *doubled is set.
- */
+struct admission {
+	struct call_service *service;
+	enum refusal_reason reason;
+};
+
+/* Ask the guard, once the node may serve. */
 static enum guard_decision
-admit_call(struct call_service *service, struct service_call *call,
-    enum refusal_reason *reason, bool *doubled)
+handle_admission(void *arg, struct service_call *call)
 {
-	enum guard_decision decision = GUARD_REFUSE;
+	struct admission *admission = arg;
+	struct call_service *service = admission->service;
 	struct guard_call question;
 
+	admission->reason = REFUSAL_NOT_READY;
+	if (!atomic_load(&service->ready))
+		return GUARD_REFUSE;
 	fill_guard_call(call, &question);
-	*reason = REFUSAL_NOT_READY;
-	pthread_mutex_lock(&service->lock);
-	*doubled = g_hash_table_contains(service->calls, &call->key);
-	if (*doubled)
-		goto out;
-	if (atomic_load(&service->ready))
-		decision = guard_gate_admit(
-		    service->gate, &question, &call->ticket, reason);
-	if (decision == GUARD_REFUSE)
-		goto out;
-	g_hash_table_insert(service->calls, &call->key, service_call_ref(call));
-	g_hash_table_insert(service->tickets, &call->ticket, call);
-out:
-	pthread_mutex_unlock(&service->lock);
-	return decision;
+	return guard_gate_admit(
+	    service->gate, &question, &call->ticket, &admission->reason);
 }
 
 /*
@@ -298,12 +259,14 @@
 {
 	struct service_call *call =
 	    service_call_new(service->clock, frame, body, link, remote);
+	struct admission admission = { service, REFUSAL_UNKNOWN_UPSTREAM };
+	struct service_admission ask = { handle_admission, &admission };
 	enum guard_decision decision = GUARD_REFUSE;
-	enum refusal_reason reason = REFUSAL_UNKNOWN_UPSTREAM;
 	bool doubled = false;
 
 	if (str_equal(frame->open.upstream, service->upstream_name))
-		decision = admit_call(service, call, &reason, &doubled);
+		decision =
+		    service_table_enter(&service->table, call, &ask, &doubled);
 	if (doubled) {
 		counter_add(&service->counters, SERVICE_DOUBLED, 1);
 		service_call_unref(call);
@@ -315,7 +278,7 @@
 		return;
 	}
 	if (decision == GUARD_REFUSE)
-		refuse_call(service, call, reason);
+		refuse_call(service, call, admission.reason);
 	service_call_unref(call);
 }
 
@@ -323,13 +286,8 @@
 find_call(struct call_service *service, const struct call_frame *frame)
 {
 	struct service_call_key key = { frame->entry, frame->call };
-	struct service_call *call;
+	struct service_call *call = service_table_find(&service->table, &key);
 
-	pthread_mutex_lock(&service->lock);
-	call = g_hash_table_lookup(service->calls, &key);
-	if (call != NULL)
-		service_call_ref(call);
-	pthread_mutex_unlock(&service->lock);
 	if (call == NULL)
 		counter_add(&service->counters, SERVICE_STRAY, 1);
 	return call;
@@ -371,43 +329,6 @@
 		g_bytes_unref(body);
 }
 
-/*
- * Answer which of an entry's calls are here.
- */
-static void
-answer_ping(struct call_service *service, const struct call_frame *ping,
-    struct call_link *link)
-{
-	GArray *running = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	GArray *gone = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	struct call_frame frame;
-
-	for (size_t i = 0; i < ping->ping.count; i++) {
-		struct service_call_key key = { ping->entry,
-			ping->ping.list[i] };
-		struct service_call *call;
-
-		pthread_mutex_lock(&service->lock);
-		call = g_hash_table_lookup(service->calls, &key);
-		if (call != NULL)
-			service_call_mark_heard(call);
-		pthread_mutex_unlock(&service->lock);
-		g_array_append_val(call == NULL ? gone : running, key.call);
-	}
-	memset(&frame, 0, sizeof(frame));
-	frame.kind = CALL_PONG;
-	frame.entry = ping->entry;
-	frame.has_hint = true;
-	frame.hint = guard_gate_hint(service->gate);
-	frame.pong.running.count = running->len;
-	frame.pong.running.list = (const uint64_t *)(void *)running->data;
-	frame.pong.gone.count = gone->len;
-	frame.pong.gone.list = (const uint64_t *)(void *)gone->data;
-	call_link_send(link, &frame, NULL);
-	g_array_unref(running);
-	g_array_unref(gone);
-}
-
 /*
  * See include/trefoilhilld/call_service.h.
  */
@@ -420,7 +341,8 @@
 		return;
 	}
 	if (frame->kind == CALL_PING) {
-		answer_ping(service, frame, link);
+		service_ping_answer(
+		    &service->table, service->gate, frame, link);
 		if (body != NULL)
 			g_bytes_unref(body);
 	} else {
@@ -436,24 +358,15 @@
 void
 call_service_sweep(struct call_service *service, int64_t lost_ms)
 {
-	GPtrArray *lost = g_ptr_array_new();
-	GHashTableIter iter;
-	void *value;
-
-	pthread_mutex_lock(&service->lock);
-	g_hash_table_iter_init(&iter, service->calls);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		if (lost_ms < 0 || service_call_is_silent(value, lost_ms))
-			g_ptr_array_add(lost, service_call_ref(value));
-	pthread_mutex_unlock(&service->lock);
+	GPtrArray *lost = service_table_silent(&service->table, lost_ms);
+
 	for (guint i = 0; i < lost->len; i++) {
 		struct service_call *call = g_ptr_array_index(lost, i);
 
-		if (!service_call_is_cancelled(call)) {
-			counter_add(&service->counters, SERVICE_ENTRY_LOST, 1);
-			cancel_call(service, call);
-		}
-		service_call_unref(call);
+		if (service_call_is_cancelled(call))
+			continue;
+		counter_add(&service->counters, SERVICE_ENTRY_LOST, 1);
+		cancel_call(service, call);
 	}
 	g_ptr_array_free(lost, TRUE);
 }
@@ -461,12 +374,7 @@
 bool
 call_service_is_idle(struct call_service *service)
 {
-	bool idle;
-
-	pthread_mutex_lock(&service->lock);
-	idle = g_hash_table_size(service->calls) == 0;
-	pthread_mutex_unlock(&service->lock);
-	return idle;
+	return service_table_is_empty(&service->table);
 }
 
 const struct counter_set *
--- /dev/null
+++ b/trefoilhilld/data_path/service_table.c
@@ -0,0 +1,134 @@
+#include "trefoilhilld/service_table.h"
+
+static void
+unref_call(void *call)
+{
+	service_call_unref(call);
+}
+
+/*
+ * Set up an empty table.
+ */
+void
+service_table_init(struct service_table *table)
+{
+	table->calls = g_hash_table_new_full(
+	    service_call_key_hash, service_call_key_equal, NULL, unref_call);
+	table->tickets = g_hash_table_new(g_int64_hash, g_int64_equal);
+	pthread_mutex_init(&table->lock, NULL);
+}
+
+/*
+ * Drop the table's references. No other thread uses it any more.
+ */
+void
+service_table_release(struct service_table *table)
+{
+	g_hash_table_destroy(table->tickets);
+	g_hash_table_destroy(table->calls);
+	pthread_mutex_destroy(&table->lock);
+}
+
+/*
+ * Enter a new call and ask for its admission, in one step, so that its turn
+ * can't come before it is known. A second copy of a call that is here already
+ * is no new call: *doubled is set and nobody is asked.
+ */
+enum guard_decision
+service_table_enter(struct service_table *table, struct service_call *call,
+    const struct service_admission *admission, bool *doubled)
+{
+	enum guard_decision decision = GUARD_REFUSE;
+
+	pthread_mutex_lock(&table->lock);
+	*doubled = g_hash_table_contains(table->calls, &call->key);
+	if (!*doubled)
+		decision = admission->admit(admission->arg, call);
+	if (decision != GUARD_REFUSE) {
+		g_hash_table_insert(
+		    table->calls, &call->key, service_call_ref(call));
+		g_hash_table_insert(table->tickets, &call->ticket, call);
+	}
+	pthread_mutex_unlock(&table->lock);
+	return decision;
+}
+
+static struct service_call *
+find_in(struct service_table *table, GHashTable *by, const void *key)
+{
+	struct service_call *call;
+
+	pthread_mutex_lock(&table->lock);
+	call = g_hash_table_lookup(by, key);
+	if (call != NULL)
+		service_call_ref(call);
+	pthread_mutex_unlock(&table->lock);
+	return call;
+}
+
+/*
+ * Find a call by its entry's number for it; NULL when it is not here.
+ */
+struct service_call *
+service_table_find(
+    struct service_table *table, const struct service_call_key *key)
+{
+	return find_in(table, table->calls, key);
+}
+
+/*
+ * Find a call by the guard's ticket; NULL when it is not here.
+ */
+struct service_call *
+service_table_find_ticket(struct service_table *table, uint64_t ticket)
+{
+	return find_in(table, table->tickets, &ticket);
+}
+
+/*
+ * Take a call out. The caller's own reference keeps it alive.
+ */
+void
+service_table_remove(struct service_table *table, struct service_call *call)
+{
+	pthread_mutex_lock(&table->lock);
+	if (g_hash_table_lookup(table->calls, &call->key) == call) {
+		g_hash_table_remove(table->tickets, &call->ticket);
+		g_hash_table_remove(table->calls, &call->key);
+	}
+	pthread_mutex_unlock(&table->lock);
+}
+
+/*
+ * Collect the calls whose entry was not heard of for lost_ms milliseconds;
+ * all of them when that is below zero.
+ */
+GPtrArray *
+service_table_silent(struct service_table *table, int64_t lost_ms)
+{
+	GPtrArray *silent = g_ptr_array_new_with_free_func(unref_call);
+	GHashTableIter iter;
+	void *value;
+
+	pthread_mutex_lock(&table->lock);
+	g_hash_table_iter_init(&iter, table->calls);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (lost_ms < 0 || service_call_is_silent(value, lost_ms))
+			g_ptr_array_add(silent, service_call_ref(value));
+	pthread_mutex_unlock(&table->lock);
+	return silent;
+}
+
+/*
+ * Tell whether no call is here.
+ */
+bool
+service_table_is_empty(struct service_table *table)
+{
+	bool empty;
+
+	pthread_mutex_lock(&table->lock);
+	empty = g_hash_table_size(table->calls) == 0;
+	pthread_mutex_unlock(&table->lock);
+	return empty;
+}
