--- a/trefoilhilld/control.c
+++ b/trefoilhilld/control.c
@@ -18,8 +18,6 @@
 	COUNTER_FRAMES_SENT,
 	COUNTER_BYTES_SENT,
 	COUNTER_FRAMES_DROPPED,
-	COUNTER_PLATFORM_REQUESTS,
-	COUNTER_PLATFORM_FAILURES,
 	COUNTER_COUNT,
 };
 
@@ -34,10 +32,6 @@
 	    "Bytes of control frames sent." },
 	[COUNTER_FRAMES_DROPPED] = { "trefoilhill_control_frames_dropped_total",
 	    "Control frames dropped because the queue was full." },
-	[COUNTER_PLATFORM_REQUESTS] = { "trefoilhill_platform_requests_total",
-	    "Requests to the platform, waiting watches included." },
-	[COUNTER_PLATFORM_FAILURES] = { "trefoilhill_platform_failures_total",
-	    "Requests to the platform that failed." },
 };
 
 struct control {
@@ -78,7 +72,6 @@
 	struct control *control = (struct control *)((char *)platform -
 	    offsetof(struct control, platform));
 
-	counter_add(&control->counters, COUNTER_PLATFORM_REQUESTS, 1);
 	config_source_request(control->source, request, after);
 }
 
@@ -154,8 +147,6 @@
 {
 	struct control *control = arg;
 
-	if (answer->kind == CONFIG_ANSWER_FAILED)
-		counter_add(&control->counters, COUNTER_PLATFORM_FAILURES, 1);
 	g_async_queue_push(control->inputs, control_input_answer(answer));
 }
 
