--- /dev/null
+++ b/common/json_log.c
@@ -0,0 +1,307 @@
+#include <errno.h>
+#include <pthread.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "common/json_log.h"
+
+enum {
+	LINE_TEXT_MAX = 200, /* longer values are cut */
+	BATCH_MS = 100,      /* how long lines are gathered for one write */
+	SECOND_MS = 1000,
+};
+
+struct json_line {
+	struct json_log *log;
+	GString *text;
+};
+
+struct json_log {
+	struct json_log_settings settings;
+	char *node;
+	struct clock *clock;
+	struct json_line line;
+	/* Of the current second. */
+	int64_t second;
+	uint32_t lines;
+	uint64_t left_out;
+	uint64_t left_out_told;
+	/* Shared with the writer. */
+	pthread_mutex_t lock;
+	pthread_cond_t changed;
+	GString *waiting;
+	bool stopping;
+	bool done;
+	pthread_t writer;
+	bool started;
+};
+
+/* Lines of a class go out while fewer than this share have gone, percent. */
+static const uint32_t class_share[] = {
+	[LOG_CLASS_STATE] = UINT32_MAX,
+	[LOG_CLASS_FAILURE] = 100,
+	[LOG_CLASS_DECISION] = 60,
+	[LOG_CLASS_ANSWERED] = 30,
+};
+
+static void
+write_all(int fd, const char *bytes, size_t len)
+{
+	while (len > 0) {
+		ssize_t count = write(fd, bytes, len);
+
+		if (count < 0 && errno != EINTR)
+			return; /* nobody is left to tell */
+		if (count > 0) {
+			bytes += count;
+			len -= (size_t)count;
+		}
+	}
+}
+
+static void *
+run(void *arg)
+{
+	struct timespec batch = { .tv_nsec = BATCH_MS * 1000000L };
+	GString *batch_text = g_string_new(NULL);
+	struct json_log *log = arg;
+	bool stopping;
+
+	do {
+		pthread_mutex_lock(&log->lock);
+		while (log->waiting->len == 0 && !log->stopping)
+			pthread_cond_wait(&log->changed, &log->lock);
+		stopping = log->stopping;
+		pthread_mutex_unlock(&log->lock);
+		if (!stopping)
+			nanosleep(&batch, NULL);
+		pthread_mutex_lock(&log->lock);
+		GString *full = log->waiting;
+
+		log->waiting = batch_text;
+		pthread_mutex_unlock(&log->lock);
+		write_all(log->settings.fd, full->str, full->len);
+		g_string_truncate(full, 0);
+		batch_text = full;
+	} while (!stopping);
+	pthread_mutex_lock(&log->lock);
+	log->done = true;
+	pthread_cond_broadcast(&log->changed);
+	pthread_mutex_unlock(&log->lock);
+	g_string_free(batch_text, TRUE);
+	return NULL;
+}
+
+/*
+ * Return a log with its writer running.
+ */
+struct json_log *
+json_log_new(const struct json_log_settings *settings, struct clock *clock)
+{
+	struct json_log *log = g_new0(struct json_log, 1);
+
+	log->settings = *settings;
+	log->node = str_dup_cstr(settings->node);
+	log->clock = clock;
+	log->line.log = log;
+	log->line.text = g_string_sized_new(512);
+	log->waiting = g_string_new(NULL);
+	pthread_mutex_init(&log->lock, NULL);
+	pthread_cond_init(&log->changed, NULL);
+	log->started = pthread_create(&log->writer, NULL, run, log) == 0;
+	return log;
+}
+
+/*
+ * End the writer. When the reader stands still for longer than flush_ms, the
+ * rest is given up and the log's memory is left to the end of the process.
+ */
+void
+json_log_free(struct json_log *log, uint32_t flush_ms)
+{
+	struct timespec until;
+	int status = 0;
+
+	if (log == NULL)
+		return;
+	clock_gettime(CLOCK_REALTIME, &until);
+	until = timespec_plus_ms(until, flush_ms);
+	pthread_mutex_lock(&log->lock);
+	log->stopping = true;
+	pthread_cond_broadcast(&log->changed);
+	while (log->started && !log->done && status == 0)
+		status = pthread_cond_timedwait(
+		    &log->changed, &log->lock, &until);
+	pthread_mutex_unlock(&log->lock);
+	if (log->started && status != 0) {
+		pthread_detach(log->writer);
+		return;
+	}
+	if (log->started)
+		pthread_join(log->writer, NULL);
+	pthread_mutex_destroy(&log->lock);
+	pthread_cond_destroy(&log->changed);
+	g_string_free(log->waiting, TRUE);
+	g_string_free(log->line.text, TRUE);
+	g_free(log->node);
+	g_free(log);
+}
+
+static void
+line_start(struct json_log *log, const char *event)
+{
+	struct timespec now = clock_now(log->clock);
+	struct timespec wall = clock_wall(log->clock);
+	struct json_line *line = &log->line;
+
+	g_string_assign(line->text, "{");
+	json_line_int(line, "steady_ms",
+	    (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000);
+	json_line_int(line, "wall_ms",
+	    (int64_t)wall.tv_sec * 1000 + wall.tv_nsec / 1000000);
+	json_line_cstr(line, "node", log->node);
+	json_line_int(
+	    line, "incarnation", (int64_t)log->settings.incarnation);
+	json_line_cstr(line, "event", event);
+}
+
+/* At the turn of a second, tell how many lines the last one left out. */
+static void
+second_turn(struct json_log *log)
+{
+	struct timespec now = clock_now(log->clock);
+
+	if (now.tv_sec == log->second)
+		return;
+	log->second = now.tv_sec;
+	log->lines = 0;
+	if (log->left_out == log->left_out_told)
+		return;
+	line_start(log, "log_thinned");
+	json_line_int(&log->line, "left_out",
+	    (int64_t)(log->left_out - log->left_out_told));
+	log->left_out_told = log->left_out;
+	json_log_end(&log->line);
+}
+
+/*
+ * Begin a line of an event; NULL when it is left out.
+ */
+struct json_line *
+json_log_begin(struct json_log *log, enum log_class class, const char *event)
+{
+	second_turn(log);
+	if (class != LOG_CLASS_STATE &&
+	    log->lines >= (uint64_t)log->settings.lines_per_s *
+		    class_share[class] / 100) {
+		log->left_out++;
+		return NULL;
+	}
+	log->lines++;
+	line_start(log, event);
+	return &log->line;
+}
+
+static void
+name_append(struct json_line *line, const char *name)
+{
+	if (line->text->len > 1)
+		g_string_append_c(line->text, ',');
+	g_string_append_c(line->text, '"');
+	g_string_append(line->text, name);
+	g_string_append(line->text, "\":");
+}
+
+/*
+ * Add a text; control characters and quotes are escaped, bytes that are not
+ * ASCII replaced, long values cut.
+ */
+void
+json_line_text(struct json_line *line, const char *name, struct str value)
+{
+	if (line == NULL)
+		return;
+	name_append(line, name);
+	g_string_append_c(line->text, '"');
+	for (size_t i = 0; i < MIN(value.len, (size_t)LINE_TEXT_MAX); i++) {
+		unsigned char byte = (unsigned char)value.ptr[i];
+
+		if (byte == '"' || byte == '\\')
+			g_string_append_printf(line->text, "\\%c", byte);
+		else if (byte < 0x20 || byte >= 0x7f)
+			g_string_append_printf(line->text, "\\u%04x", byte);
+		else
+			g_string_append_c(line->text, (char)byte);
+	}
+	g_string_append_c(line->text, '"');
+}
+
+/*
+ * Add a text that ends with NUL; NULL adds an empty one.
+ */
+void
+json_line_cstr(struct json_line *line, const char *name, const char *value)
+{
+	json_line_text(line, name, str_from(value == NULL ? "" : value));
+}
+
+/*
+ * Add a whole number.
+ */
+void
+json_line_int(struct json_line *line, const char *name, int64_t value)
+{
+	if (line == NULL)
+		return;
+	name_append(line, name);
+	g_string_append_printf(line->text, "%" G_GINT64_FORMAT, (gint64)value);
+}
+
+/*
+ * Add true or false.
+ */
+void
+json_line_bool(struct json_line *line, const char *name, bool value)
+{
+	if (line == NULL)
+		return;
+	name_append(line, name);
+	g_string_append(line->text, value ? "true" : "false");
+}
+
+/*
+ * End a line and hand it to the writer. It is left out when the reader is so
+ * far behind that the buffer is full.
+ */
+void
+json_log_end(struct json_line *line)
+{
+	struct json_log *log;
+	bool wake = false;
+
+	if (line == NULL)
+		return;
+	log = line->log;
+	g_string_append(line->text, "}\n");
+	pthread_mutex_lock(&log->lock);
+	if (log->waiting->len + line->text->len <=
+	    log->settings.buffer_bytes) {
+		wake = log->waiting->len == 0;
+		g_string_append_len(log->waiting, line->text->str,
+		    (gssize)line->text->len);
+	} else {
+		log->left_out++;
+	}
+	if (wake)
+		pthread_cond_signal(&log->changed);
+	pthread_mutex_unlock(&log->lock);
+}
+
+/*
+ * Return how many lines were left out so far.
+ */
+uint64_t
+json_log_left_out(const struct json_log *log)
+{
+	return log->left_out;
+}
--- /dev/null
+++ b/fleet/mesh_config.c
@@ -0,0 +1,254 @@
+#include <string.h>
+
+#include "fleet/mesh_config.h"
+
+enum {
+	AUTHORITY_MAX = 256, /* longer names match no route */
+};
+
+static void
+part_clear(void *part)
+{
+	g_free(((struct route_part *)part)->service);
+}
+
+/*
+ * Return a route without parts.
+ */
+struct mesh_route *
+mesh_route_new(void)
+{
+	struct mesh_route *route = g_new0(struct mesh_route, 1);
+
+	route->parts = g_array_new(FALSE, TRUE, sizeof(struct route_part));
+	g_array_set_clear_func(route->parts, part_clear);
+	return route;
+}
+
+/*
+ * Free a route.
+ */
+void
+mesh_route_free(struct mesh_route *route)
+{
+	g_free(route->name);
+	g_free(route->authority);
+	g_free(route->prefix);
+	g_array_free(route->parts, TRUE);
+	g_free(route);
+}
+
+/*
+ * Let a route lead to one more service.
+ */
+void
+mesh_route_add_part(
+    struct mesh_route *route, struct str service, uint32_t weight)
+{
+	struct route_part part = {
+		.service = str_dup_cstr(service),
+		.weight = weight,
+	};
+
+	g_array_append_val(route->parts, part);
+}
+
+/*
+ * Return a service without a name.
+ */
+struct mesh_service *
+mesh_service_new(void)
+{
+	return g_new0(struct mesh_service, 1);
+}
+
+static void
+service_free(void *data)
+{
+	struct mesh_service *service = data;
+
+	g_free(service->name);
+	g_free(service->health_path);
+	g_free(service);
+}
+
+static void
+route_free(void *route)
+{
+	mesh_route_free(route);
+}
+
+static void
+routes_unref(void *routes)
+{
+	g_ptr_array_unref(routes);
+}
+
+/*
+ * Return an empty configuration with one reference.
+ */
+struct mesh_config *
+mesh_config_new(void)
+{
+	struct mesh_config *config = g_new0(struct mesh_config, 1);
+
+	config->refs = 1;
+	config->services = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, service_free);
+	config->routes = g_ptr_array_new_with_free_func(route_free);
+	config->by_authority = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, routes_unref);
+	return config;
+}
+
+/*
+ * Take one more reference.
+ */
+struct mesh_config *
+mesh_config_ref(struct mesh_config *config)
+{
+	g_atomic_int_inc(&config->refs);
+	return config;
+}
+
+/*
+ * Give a reference back; the last frees the configuration.
+ */
+void
+mesh_config_unref(struct mesh_config *config)
+{
+	if (config == NULL || !g_atomic_int_dec_and_test(&config->refs))
+		return;
+	g_free(config->label);
+	g_hash_table_destroy(config->by_authority);
+	g_hash_table_destroy(config->services);
+	g_ptr_array_unref(config->routes);
+	g_free(config);
+}
+
+/*
+ * Add a route, which the configuration then owns.
+ */
+void
+mesh_config_add_route(struct mesh_config *config, struct mesh_route *route)
+{
+	g_ptr_array_add(config->routes, route);
+}
+
+/*
+ * Add a service, which the configuration then owns.
+ */
+void
+mesh_config_add_service(
+    struct mesh_config *config, struct mesh_service *service)
+{
+	g_hash_table_replace(config->services, service->name, service);
+}
+
+static int
+compare_prefix_len(const void *a, const void *b)
+{
+	const struct mesh_route *const *left = a, *const *right = b;
+	size_t left_len = strlen((*left)->prefix);
+	size_t right_len = strlen((*right)->prefix);
+
+	return (left_len < right_len) - (left_len > right_len);
+}
+
+static bool
+route_is_complete(
+    const struct mesh_config *config, const struct mesh_route *route)
+{
+	if (route->parts->len == 0)
+		return false;
+	for (guint i = 0; i < route->parts->len; i++) {
+		const struct route_part *part =
+		    &g_array_index(route->parts, struct route_part, i);
+
+		if (mesh_config_service(config, part->service) == NULL)
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Index the routes. False when a route leads to no service, or to one that
+ * the configuration lacks: such a configuration must not be put in force.
+ */
+bool
+mesh_config_seal(struct mesh_config *config)
+{
+	GHashTableIter iter;
+	void *routes;
+
+	for (guint i = 0; i < config->routes->len; i++) {
+		struct mesh_route *route = config->routes->pdata[i];
+
+		if (!route_is_complete(config, route))
+			return false;
+		routes = g_hash_table_lookup(
+		    config->by_authority, route->authority);
+		if (routes == NULL) {
+			routes = g_ptr_array_new();
+			g_hash_table_insert(
+			    config->by_authority, route->authority, routes);
+		}
+		g_ptr_array_add(routes, route);
+	}
+	g_hash_table_iter_init(&iter, config->by_authority);
+	while (g_hash_table_iter_next(&iter, NULL, &routes))
+		g_ptr_array_sort(routes, compare_prefix_len);
+	return true;
+}
+
+/*
+ * Find a service by name; NULL when there is none.
+ */
+const struct mesh_service *
+mesh_config_service(const struct mesh_config *config, const char *name)
+{
+	return g_hash_table_lookup(config->services, name);
+}
+
+/* Copy an authority in lower case and without its port. */
+static bool
+authority_copy(struct str authority, char *out, size_t out_max)
+{
+	size_t len = 0;
+
+	for (; len < authority.len && authority.ptr[len] != ':'; len++) {
+		if (len + 1 >= out_max)
+			return false;
+		out[len] = g_ascii_tolower(authority.ptr[len]);
+	}
+	out[len] = '\0';
+	return true;
+}
+
+/*
+ * Find the route with the longest prefix that begins the target's path. The
+ * target may be in absolute form only if the authority was taken from it.
+ */
+const struct mesh_route *
+mesh_config_match(
+    const struct mesh_config *config, struct str authority, struct str target)
+{
+	const char *query = memchr(target.ptr, '?', target.len);
+	struct str path = str_make(target.ptr,
+	    query == NULL ? target.len : (size_t)(query - target.ptr));
+	const GPtrArray *routes;
+	char name[AUTHORITY_MAX];
+
+	if (!authority_copy(authority, name, sizeof(name)))
+		return NULL;
+	routes = g_hash_table_lookup(config->by_authority, name);
+	if (routes == NULL)
+		return NULL;
+	for (guint i = 0; i < routes->len; i++) {
+		const struct mesh_route *route = routes->pdata[i];
+
+		if (str_has_prefix(path, str_from(route->prefix)))
+			return route;
+	}
+	return NULL;
+}
--- /dev/null
+++ b/fleet/source.c
@@ -0,0 +1,46 @@
+#include "fleet/source.h"
+
+static const char *const end_names[] = {
+	[SOURCE_OK] = "ok",
+	[SOURCE_COMPACTED] = "compacted",
+	[SOURCE_BUSY] = "busy",
+	[SOURCE_LOST] = "lost",
+	[SOURCE_INVALID] = "invalid",
+};
+
+/*
+ * Return the name of an end, as logs show it.
+ */
+const char *
+source_end_name(enum source_end end)
+{
+	return end_names[end];
+}
+
+/*
+ * Return an item; a value of NULL makes it a deletion.
+ */
+struct replica_item *
+replica_item_new(const char *key, GBytes *value, uint64_t revision)
+{
+	struct replica_item *item = g_new0(struct replica_item, 1);
+
+	item->key = g_strdup(key);
+	item->value = value == NULL ? NULL : g_bytes_ref(value);
+	item->revision = revision;
+	return item;
+}
+
+/*
+ * Free an item.
+ */
+void
+replica_item_free(void *data)
+{
+	struct replica_item *item = data;
+
+	g_free(item->key);
+	if (item->value != NULL)
+		g_bytes_unref(item->value);
+	g_free(item);
+}
--- /dev/null
+++ b/guard/admission.c
@@ -0,0 +1,455 @@
+#include <string.h>
+
+#include "guard/admission.h"
+
+enum {
+	COLD_WINDOW_MS = 1000, /* cold rates are given a second */
+	COLD_STARTS_MAX = 4096,
+	LATENCY_PRIOR_US = 100000, /* until an answer has been seen */
+	LATENCY_WEIGHT = 8,        /* a new answer counts one part in so many */
+	FAILING_WEIGHT = 16,
+	FAILING_SCALE = 1000,
+	LIMIT_SCALE = 16, /* the limit moves in sixteenths */
+};
+
+struct admission {
+	struct admission_bounds settings;
+	bool open;
+	uint32_t slots;
+	uint32_t limit;     /* in parts of LIMIT_SCALE */
+	uint32_t in_flight;
+	GQueue queue;       /* struct admission_waiter, next first */
+	int64_t cold_until_ms;
+	double cold_per_s;
+	GQueue starts;      /* times of recent starts, oldest first */
+	uint32_t latency_us;
+	uint32_t failing;
+	uint32_t pause_ms;  /* length of the last pause; 0: reachable */
+	int64_t paused_until_ms;
+	bool returned;
+};
+
+static const char *const reason_names[] = {
+	[ADMISSION_OK] = "ok",
+	[ADMISSION_FULL] = "full",
+	[ADMISSION_TOO_LATE] = "too_late",
+	[ADMISSION_EXPIRED] = "expired",
+	[ADMISSION_DISPLACED] = "displaced",
+	[ADMISSION_CLOSED] = "closed",
+	[ADMISSION_UNREACHABLE] = "unreachable",
+};
+
+/*
+ * Return the name of a reason, as logs and peers see it.
+ */
+const char *
+admission_reason_name(enum admission_reason reason)
+{
+	return reason_names[reason];
+}
+
+/*
+ * Return a closed admission that knows no upstream yet.
+ */
+struct admission *
+admission_new(const struct admission_bounds *settings)
+{
+	struct admission *admission = g_new0(struct admission, 1);
+
+	admission->settings = *settings;
+	admission->latency_us = LATENCY_PRIOR_US;
+	g_queue_init(&admission->queue);
+	g_queue_init(&admission->starts);
+	return admission;
+}
+
+/*
+ * Free an admission; queued requests are forgotten. NULL is allowed.
+ */
+void
+admission_free(struct admission *admission)
+{
+	if (admission == NULL)
+		return;
+	g_queue_clear_full(&admission->starts, g_free);
+	g_free(admission);
+}
+
+static void
+turn_give(struct admission *admission, struct admission_waiter *waiter,
+    enum admission_reason reason)
+{
+	g_queue_unlink(&admission->queue, &waiter->link);
+	waiter->queued = false;
+	waiter->handle_turn(waiter, reason);
+}
+
+static void
+queue_refuse_all(struct admission *admission, enum admission_reason reason)
+{
+	while (!g_queue_is_empty(&admission->queue))
+		turn_give(admission, g_queue_peek_head(&admission->queue),
+		    reason);
+}
+
+/*
+ * Set how many requests at once the upstream works on.
+ */
+void
+admission_set_slots(struct admission *admission, uint32_t slots)
+{
+	if (slots == admission->slots)
+		return;
+	admission->slots = slots;
+	admission->limit = slots * LIMIT_SCALE;
+}
+
+/*
+ * Let the upstream count as cold until a time, with a rate of its own.
+ */
+void
+admission_set_cold(
+    struct admission *admission, int64_t until_ms, double per_s)
+{
+	admission->cold_until_ms = until_ms;
+	admission->cold_per_s = per_s;
+}
+
+/*
+ * Open or close the gate.
+ */
+void
+admission_set_open(struct admission *admission, bool open)
+{
+	admission->open = open;
+	if (!open)
+		queue_refuse_all(admission, ADMISSION_CLOSED);
+}
+
+/*
+ * Forget what was learned of the upstream, but not what runs there.
+ */
+void
+admission_reset(struct admission *admission)
+{
+	admission->latency_us = LATENCY_PRIOR_US;
+	admission->failing = 0;
+	admission->pause_ms = 0;
+	admission->paused_until_ms = 0;
+	admission->limit = admission->slots * LIMIT_SCALE;
+	admission->returned = false;
+}
+
+static uint32_t
+limit_now(const struct admission *admission)
+{
+	/* After a pause one request tries whether the upstream is back. */
+	if (admission->pause_ms > 0)
+		return 1;
+	return MAX(1, admission->limit / LIMIT_SCALE);
+}
+
+static bool
+is_cold(const struct admission *admission, int64_t now_ms)
+{
+	return admission->cold_until_ms > now_ms;
+}
+
+static void
+starts_prune(struct admission *admission, int64_t now_ms)
+{
+	while (!g_queue_is_empty(&admission->starts)) {
+		const int64_t *oldest = g_queue_peek_head(&admission->starts);
+
+		if (now_ms - *oldest < COLD_WINDOW_MS &&
+		    g_queue_get_length(&admission->starts) < COLD_STARTS_MAX)
+			return;
+		g_free(g_queue_pop_head(&admission->starts));
+	}
+}
+
+static void
+start_note(struct admission *admission, int64_t now_ms)
+{
+	int64_t *at = g_new(int64_t, 1);
+
+	*at = now_ms;
+	g_queue_push_tail(&admission->starts, at);
+	admission->in_flight++;
+}
+
+/* When the next request may start; now_ms or earlier: at once. */
+static int64_t
+start_allowed_ms(struct admission *admission, int64_t now_ms)
+{
+	const int64_t *oldest;
+	uint32_t most;
+
+	if (admission->paused_until_ms > now_ms)
+		return admission->paused_until_ms;
+	starts_prune(admission, now_ms);
+	if (!is_cold(admission, now_ms))
+		return now_ms;
+	most = MAX(1, (uint32_t)admission->cold_per_s);
+	if (g_queue_get_length(&admission->starts) < most)
+		return now_ms;
+	oldest = g_queue_peek_nth(&admission->starts,
+	    g_queue_get_length(&admission->starts) - most);
+	return MIN(*oldest + COLD_WINDOW_MS, admission->cold_until_ms);
+}
+
+/* Time until the turn of one that has so many before it. */
+static int64_t
+wait_expected_ms(const struct admission *admission, uint32_t ahead,
+    int64_t now_ms)
+{
+	double by_limit = (double)(ahead + 1) * admission->latency_us / 1000 /
+	    limit_now(admission);
+	double by_rate = 0;
+
+	if (is_cold(admission, now_ms) && admission->cold_per_s > 0)
+		by_rate = (double)(ahead + 1) * 1000 / admission->cold_per_s;
+	return (int64_t)MAX(by_limit, by_rate);
+}
+
+/* Place behind all that are as urgent; returns how many stand before it. */
+static uint32_t
+queue_insert(struct admission *admission, struct admission_waiter *waiter)
+{
+	GList *before = admission->queue.head;
+	uint32_t ahead = 0;
+
+	for (; before != NULL; before = before->next, ahead++) {
+		const struct admission_waiter *other = before->data;
+
+		if (other->priority > waiter->priority)
+			break;
+	}
+	waiter->link.data = waiter;
+	g_queue_insert_before_link(&admission->queue, before, &waiter->link);
+	waiter->queued = true;
+	return ahead;
+}
+
+/*
+ * Offer a request. A queued one is told later; a refused one was never
+ * started.
+ */
+enum admission_verdict
+admission_offer(struct admission *admission, struct admission_waiter *waiter,
+    int64_t now_ms, enum admission_reason *reason)
+{
+	uint32_t ahead;
+
+	waiter->since_ms = now_ms;
+	waiter->queued = false;
+	*reason = ADMISSION_OK;
+	if (!admission->open) {
+		*reason = ADMISSION_CLOSED;
+		return ADMISSION_REFUSED;
+	}
+	if (admission->paused_until_ms > now_ms ||
+	    (admission->pause_ms > 0 && admission->in_flight > 0)) {
+		*reason = ADMISSION_UNREACHABLE;
+		return ADMISSION_REFUSED;
+	}
+	if (g_queue_is_empty(&admission->queue) &&
+	    admission->in_flight < limit_now(admission) &&
+	    start_allowed_ms(admission, now_ms) <= now_ms) {
+		start_note(admission, now_ms);
+		return ADMISSION_RUN;
+	}
+	ahead = queue_insert(admission, waiter);
+	if (now_ms + wait_expected_ms(admission, ahead, now_ms) >
+	    waiter->latest_start_ms)
+		*reason = ADMISSION_TOO_LATE;
+	else if (g_queue_get_length(&admission->queue) >
+	    admission->settings.queue_max)
+		*reason = ADMISSION_FULL;
+	if (*reason == ADMISSION_OK)
+		return ADMISSION_QUEUED;
+	if (*reason == ADMISSION_FULL &&
+	    g_queue_peek_tail(&admission->queue) != waiter) {
+		*reason = ADMISSION_OK;
+		turn_give(admission, g_queue_peek_tail(&admission->queue),
+		    ADMISSION_DISPLACED);
+		return ADMISSION_QUEUED;
+	}
+	admission_withdraw(admission, waiter);
+	return ADMISSION_REFUSED;
+}
+
+/*
+ * Take a request out of the queue. Nothing happens if it is not there.
+ */
+void
+admission_withdraw(
+    struct admission *admission, struct admission_waiter *waiter)
+{
+	if (!waiter->queued)
+		return;
+	g_queue_unlink(&admission->queue, &waiter->link);
+	waiter->queued = false;
+}
+
+static void
+learn_good(struct admission *admission, uint32_t latency_us)
+{
+	int64_t change =
+	    ((int64_t)latency_us - admission->latency_us) / LATENCY_WEIGHT;
+
+	admission->latency_us =
+	    (uint32_t)((int64_t)admission->latency_us + change);
+	if (admission->limit < admission->slots * LIMIT_SCALE)
+		admission->limit++;
+	if (admission->pause_ms > 0) {
+		admission->pause_ms = 0;
+		admission->returned = true;
+	}
+}
+
+static void
+learn_refused(struct admission *admission, int64_t now_ms)
+{
+	uint32_t next = admission->pause_ms == 0
+	    ? admission->settings.pause_first_ms
+	    : admission->pause_ms * 2;
+
+	admission->pause_ms = MIN(next, admission->settings.pause_max_ms);
+	admission->paused_until_ms = now_ms + admission->pause_ms;
+	queue_refuse_all(admission, ADMISSION_UNREACHABLE);
+}
+
+static void
+learn_failing(struct admission *admission, bool failed)
+{
+	int32_t target = failed ? FAILING_SCALE : 0;
+	int32_t change = target - (int32_t)admission->failing;
+
+	/* Rounding away from zero, so that both ends are reached. */
+	if (change > 0)
+		change = (change + FAILING_WEIGHT - 1) / FAILING_WEIGHT;
+	else
+		change = (change - FAILING_WEIGHT + 1) / FAILING_WEIGHT;
+	admission->failing = (uint32_t)((int32_t)admission->failing + change);
+}
+
+/*
+ * Note how a started request ended.
+ */
+void
+admission_finish(struct admission *admission, enum admission_outcome outcome,
+    uint32_t latency_us, int64_t now_ms)
+{
+	admission->in_flight--;
+	switch (outcome) {
+	case ADMISSION_GOOD:
+		learn_good(admission, latency_us);
+		learn_failing(admission, false);
+		break;
+	case ADMISSION_SHED:
+		/* Some work goes on there that nobody here waits for. */
+		admission->limit = MAX(LIMIT_SCALE,
+		    MIN(admission->limit, admission->in_flight * LIMIT_SCALE));
+		learn_failing(admission, true);
+		break;
+	case ADMISSION_FAILED:
+	case ADMISSION_BROKEN:
+		learn_failing(admission, true);
+		if (outcome == ADMISSION_FAILED && admission->pause_ms > 0)
+			admission->pause_ms = 0;
+		break;
+	case ADMISSION_REFUSED_CONNECTION:
+		learn_refused(admission, now_ms);
+		break;
+	case ADMISSION_MISSED:
+		learn_good(admission, latency_us);
+		break;
+	case ADMISSION_CANCELLED:
+		break;
+	}
+	admission_poll(admission, now_ms);
+}
+
+/*
+ * Let queued requests have their turn, and expire those whose time is up.
+ * Returns when it has to be called again at the latest; 0 when only the end
+ * of a request can change anything.
+ */
+int64_t
+admission_poll(struct admission *admission, int64_t now_ms)
+{
+	GList *link, *next;
+	int64_t wake_ms = 0;
+
+	for (link = admission->queue.head; link != NULL; link = next) {
+		struct admission_waiter *waiter = link->data;
+
+		next = link->next;
+		if (waiter->latest_start_ms < now_ms) {
+			turn_give(admission, waiter, ADMISSION_EXPIRED);
+			next = admission->queue.head;
+		} else if (wake_ms == 0 || waiter->latest_start_ms < wake_ms) {
+			wake_ms = waiter->latest_start_ms + 1;
+		}
+	}
+	while (!g_queue_is_empty(&admission->queue) &&
+	    admission->in_flight < limit_now(admission)) {
+		int64_t allowed_ms = start_allowed_ms(admission, now_ms);
+
+		if (allowed_ms > now_ms)
+			return wake_ms == 0 ? allowed_ms
+					    : MIN(wake_ms, allowed_ms);
+		start_note(admission, now_ms);
+		turn_give(admission, g_queue_peek_head(&admission->queue),
+		    ADMISSION_OK);
+	}
+	return g_queue_is_empty(&admission->queue) ? 0 : wake_ms;
+}
+
+/*
+ * Tell, once, that the upstream came back after it took no connections: it
+ * has probably started anew and is cold.
+ */
+bool
+admission_take_returned(struct admission *admission)
+{
+	bool returned = admission->returned;
+
+	admission->returned = false;
+	return returned;
+}
+
+/*
+ * Return what peers may know of the load here.
+ */
+struct load_report
+admission_report(const struct admission *admission, int64_t now_ms)
+{
+	uint32_t limit = limit_now(admission);
+
+	if (is_cold(admission, now_ms)) {
+		double rate = admission->cold_per_s * admission->latency_us / 1e6;
+
+		limit = MIN(limit, MAX(1, (uint32_t)rate));
+	}
+	return (struct load_report){
+		.limit = limit,
+		.in_flight = admission->in_flight,
+		.queued = g_queue_get_length((GQueue *)&admission->queue),
+		.latency_us = admission->latency_us,
+		.failing = admission->failing,
+		.accepting = admission->open &&
+		    admission->paused_until_ms <= now_ms,
+	};
+}
+
+/*
+ * Tell whether nothing runs and nothing is queued.
+ */
+bool
+admission_is_idle(const struct admission *admission)
+{
+	return admission->in_flight == 0 &&
+	    g_queue_is_empty((GQueue *)&admission->queue);
+}
--- /dev/null
+++ b/http/call.c
@@ -0,0 +1,194 @@
+#include "http/call.h"
+
+struct http_call {
+	uv_timer_t timer; /* first */
+	struct http_pool *pool;
+	struct http_call_settings settings;
+	GString *request;
+	GByteArray *body;
+	struct http_stream *stream; /* NULL: none, or closed */
+	bool connected;
+	bool reused;  /* a kept connection: one more try on a fresh one */
+	bool ended;
+};
+
+static const char *const end_names[] = {
+	[HTTP_CALL_ANSWERED] = "answered",
+	[HTTP_CALL_UNCONNECTED] = "unconnected",
+	[HTTP_CALL_LOST] = "lost",
+	[HTTP_CALL_TIMEOUT] = "timeout",
+	[HTTP_CALL_TOO_LARGE] = "too_large",
+};
+
+static const struct http_stream_ops call_ops;
+
+/*
+ * Return the name of an end, as logs show it.
+ */
+const char *
+http_call_end_name(enum http_call_end end)
+{
+	return end_names[end];
+}
+
+static void
+handle_timer_closed(uv_handle_t *handle)
+{
+	struct http_call *call = (struct http_call *)handle;
+
+	g_string_free(call->request, TRUE);
+	g_byte_array_free(call->body, TRUE);
+	g_free(call);
+}
+
+static void
+call_release(struct http_call *call)
+{
+	call->ended = true;
+	if (call->stream != NULL)
+		http_stream_abort(call->stream);
+	call->stream = NULL;
+	uv_close((uv_handle_t *)&call->timer, handle_timer_closed);
+}
+
+static void
+call_end(struct http_call *call, enum http_call_end end)
+{
+	struct http_stream *stream = call->stream;
+	struct http_call_result result = {
+		.end = end,
+		.body = str_make(call->body->data, call->body->len),
+	};
+
+	if (call->ended)
+		return;
+	call->ended = true;
+	if (end == HTTP_CALL_ANSWERED) {
+		result.status = stream->head->status;
+		result.head = stream->head;
+	}
+	call->settings.handle_result(call->settings.arg, &result);
+	if (end == HTTP_CALL_ANSWERED) {
+		call->stream = NULL;
+		http_pool_give(call->pool, stream);
+	}
+	call_release(call);
+}
+
+static void
+handle_timeout(uv_timer_t *timer)
+{
+	call_end((struct http_call *)timer, HTTP_CALL_TIMEOUT);
+}
+
+static void
+handle_head(struct http_stream *stream)
+{
+}
+
+static void
+handle_body(struct http_stream *stream, struct str bytes)
+{
+	struct http_call *call = stream->owner;
+
+	if (call->body->len + bytes.len > call->settings.body_max) {
+		call_end(call, HTTP_CALL_TOO_LARGE);
+		return;
+	}
+	g_byte_array_append(
+	    call->body, (const guint8 *)bytes.ptr, (guint)bytes.len);
+}
+
+static void
+handle_message(struct http_stream *stream)
+{
+	call_end(stream->owner, HTTP_CALL_ANSWERED);
+}
+
+static void
+call_send(struct http_call *call)
+{
+	call->connected = true;
+	http_stream_write(
+	    call->stream, str_make(call->request->str, call->request->len));
+}
+
+static void
+handle_connect(struct http_stream *stream)
+{
+	call_send(stream->owner);
+}
+
+static void
+call_dial(struct http_call *call)
+{
+	call->connected = false;
+	call->stream = http_pool_dial(call->pool, &call_ops, call);
+}
+
+static void
+handle_end(struct http_stream *stream, enum http_end end)
+{
+	struct http_call *call = stream->owner;
+
+	if (call->reused && call->body->len == 0 && !stream->head_done) {
+		/* The peer had closed the kept connection. */
+		call->reused = false;
+		http_stream_abort(stream);
+		call_dial(call);
+		if (call->stream != NULL)
+			return;
+	}
+	call_end(call,
+	    call->connected ? HTTP_CALL_LOST : HTTP_CALL_UNCONNECTED);
+}
+
+static const struct http_stream_ops call_ops = {
+	.handle_head = handle_head,
+	.handle_body = handle_body,
+	.handle_message = handle_message,
+	.handle_end = handle_end,
+	.handle_connect = handle_connect,
+};
+
+/*
+ * Send a request and collect the answer. On a kept connection that turns out
+ * to be closed the request is sent once more: use this only for what may be
+ * repeated. handle_result is never called from within this function.
+ */
+struct http_call *
+http_call_start(
+    struct http_pool *pool, const struct http_call_settings *settings)
+{
+	struct http_call *call = g_new0(struct http_call, 1);
+	uint32_t timeout_ms = settings->timeout_ms;
+
+	call->pool = pool;
+	call->settings = *settings;
+	call->request = g_string_new_len(
+	    settings->request.ptr, (gssize)settings->request.len);
+	call->body = g_byte_array_new();
+	if (!settings->fresh)
+		call->stream =
+		    http_pool_take(pool, &call_ops, call, UINT32_MAX);
+	call->reused = call->stream != NULL;
+	if (call->reused)
+		call_send(call);
+	else
+		call_dial(call);
+	if (call->stream == NULL)
+		timeout_ms = 1; /* no socket to be had: fail soon, not now */
+	uv_timer_init(http_pool_loop(pool), &call->timer);
+	uv_timer_start(&call->timer, handle_timeout, timeout_ms, 0);
+	return call;
+}
+
+/*
+ * Give a call up; handle_result is not called.
+ */
+void
+http_call_cancel(struct http_call *call)
+{
+	if (!call->ended)
+		call_release(call);
+}
--- /dev/null
+++ b/http/head.c
@@ -0,0 +1,191 @@
+#include <string.h>
+
+#include "http/head.h"
+
+/*
+ * Return an empty head. Free it with http_head_free.
+ */
+struct http_head *
+http_head_new(void)
+{
+	struct http_head *head = g_new0(struct http_head, 1);
+
+	head->text = g_string_sized_new(512);
+	return head;
+}
+
+/*
+ * Free a head. NULL is allowed.
+ */
+void
+http_head_free(struct http_head *head)
+{
+	if (head == NULL)
+		return;
+	g_string_free(head->text, TRUE);
+	g_free(head);
+}
+
+/*
+ * Forget everything, so that the head can take the next message.
+ */
+void
+http_head_clear(struct http_head *head)
+{
+	g_string_truncate(head->text, 0);
+	head->method = (struct http_span){ 0 };
+	head->target = (struct http_span){ 0 };
+	head->status = 0;
+	head->field_count = 0;
+}
+
+/*
+ * Return the bytes of a span.
+ */
+struct str
+http_head_span(const struct http_head *head, struct http_span span)
+{
+	return str_make(head->text->str + span.offset, span.len);
+}
+
+/*
+ * Return the name of a field by its place.
+ */
+struct str
+http_head_name(const struct http_head *head, size_t index)
+{
+	return http_head_span(head, head->fields[index].name);
+}
+
+/*
+ * Return the value of a field by its place.
+ */
+struct str
+http_head_value(const struct http_head *head, size_t index)
+{
+	return http_head_span(head, head->fields[index].value);
+}
+
+/*
+ * Compare without regard to the case of ASCII letters.
+ */
+bool
+str_equal_nocase(struct str a, struct str b)
+{
+	return a.len == b.len && g_ascii_strncasecmp(a.ptr, b.ptr, a.len) == 0;
+}
+
+/*
+ * Return the first value of a field; its pointer is NULL when there is none.
+ */
+struct str
+http_head_find(const struct http_head *head, struct str name)
+{
+	for (size_t i = 0; i < head->field_count; i++)
+		if (str_equal_nocase(http_head_name(head, i), name))
+			return http_head_value(head, i);
+	return (struct str){ 0 };
+}
+
+static struct http_span
+head_store(struct http_head *head, struct str bytes)
+{
+	struct http_span span = {
+		.offset = (uint32_t)head->text->len,
+		.len = (uint32_t)bytes.len,
+	};
+
+	g_string_append_len(head->text, bytes.ptr, (gssize)bytes.len);
+	return span;
+}
+
+/*
+ * Append a field; false when the head is full.
+ */
+bool
+http_head_add(struct http_head *head, struct str name, struct str value)
+{
+	struct http_field *field;
+
+	if (head->field_count == HTTP_FIELDS_MAX)
+		return false;
+	field = &head->fields[head->field_count++];
+	field->name = head_store(head, name);
+	field->value = head_store(head, value);
+	return true;
+}
+
+/*
+ * Set the start line of a request.
+ */
+void
+http_head_set_request(
+    struct http_head *head, struct str method, struct str target)
+{
+	head->method = head_store(head, method);
+	head->target = head_store(head, target);
+}
+
+/*
+ * Tell whether a comma-separated list holds a token, in any case.
+ */
+bool
+http_list_has(struct str list, struct str token)
+{
+	size_t at = 0;
+
+	while (at < list.len) {
+		const char *start = list.ptr + at;
+		const char *comma = memchr(start, ',', list.len - at);
+		size_t len = comma == NULL ? list.len - at
+					   : (size_t)(comma - start);
+		struct str item = str_make(start, len);
+
+		while (item.len > 0 && g_ascii_isspace(item.ptr[0]))
+			item = str_make(item.ptr + 1, item.len - 1);
+		while (item.len > 0 && g_ascii_isspace(item.ptr[item.len - 1]))
+			item.len--;
+		if (str_equal_nocase(item, token))
+			return true;
+		at += len + 1;
+	}
+	return false;
+}
+
+/*
+ * Tell whether a field concerns one connection only: by its name, or because
+ * the Connection field lists it.
+ */
+bool
+http_field_is_hop_by_hop(const struct http_head *head, struct str name)
+{
+	static const char *const hop_by_hop[] = {
+		"connection",
+		"keep-alive",
+		"proxy-authenticate",
+		"proxy-authorization",
+		"proxy-connection",
+		"te",
+		"trailer",
+		"transfer-encoding",
+		"upgrade",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(hop_by_hop); i++)
+		if (str_equal_nocase(name, str_from(hop_by_hop[i])))
+			return true;
+	return http_list_has(
+	    http_head_find(head, str_from("connection")), name);
+}
+
+/*
+ * Append a header field line.
+ */
+void
+http_text_field(GString *text, struct str name, struct str value)
+{
+	g_string_append_len(text, name.ptr, (gssize)name.len);
+	g_string_append_len(text, ": ", 2);
+	g_string_append_len(text, value.ptr, (gssize)value.len);
+	g_string_append_len(text, "\r\n", 2);
+}
--- /dev/null
+++ b/http/listener.c
@@ -0,0 +1,111 @@
+#include <string.h>
+
+#include "http/listener.h"
+
+enum {
+	/* A full queue drops the opening packet, which costs its sender 1 s. */
+	BACKLOG = 511,
+	ADDRESS_TEXT_MAX = 64,
+};
+
+struct http_listener {
+	uv_tcp_t tcp; /* first */
+	http_accept_fn accept;
+	void *arg;
+};
+
+G_DEFINE_QUARK(trefoilhill - http - listen - error, http_listen_error)
+
+/*
+ * Parse "IP:PORT". False when it is anything else.
+ */
+bool
+http_address_parse(struct str text, struct sockaddr_in *address)
+{
+	char copy[ADDRESS_TEXT_MAX];
+	guint64 port;
+	char *colon;
+
+	if (text.len == 0 || text.len >= sizeof(copy))
+		return false;
+	memcpy(copy, text.ptr, text.len);
+	copy[text.len] = '\0';
+	colon = strrchr(copy, ':');
+	if (colon == NULL)
+		return false;
+	*colon = '\0';
+	if (!g_ascii_string_to_unsigned(
+		colon + 1, 10, 1, G_MAXUINT16, &port, NULL))
+		return false;
+	return uv_ip4_addr(copy, (int)port, address) == 0;
+}
+
+static void
+handle_connection(uv_stream_t *server, int status)
+{
+	struct http_listener *listener = (struct http_listener *)server;
+	struct http_stream *stream;
+
+	if (status != 0) {
+		g_warning("accept: %s", uv_strerror(status));
+		return;
+	}
+	stream = http_stream_new(server->loop, HTTP_SIDE_SERVER, NULL, NULL);
+	if (uv_accept(server, (uv_stream_t *)&stream->tcp) != 0) {
+		http_stream_abort(stream);
+		return;
+	}
+	listener->accept(listener->arg, stream);
+}
+
+/*
+ * Listen on an address. Accepted streams go to accept, which sets their ops
+ * and starts them. NULL with error set when the address cannot be had.
+ */
+struct http_listener *
+http_listener_new(uv_loop_t *loop, struct str address, http_accept_fn accept,
+    void *arg, GError **error)
+{
+	struct http_listener *listener;
+	struct sockaddr_in bind_to;
+	int status;
+
+	if (!http_address_parse(address, &bind_to)) {
+		g_set_error(error, HTTP_LISTEN_ERROR,
+		    HTTP_LISTEN_ERROR_ADDRESS, "%.*s: not IP:PORT",
+		    STR_ARG(address));
+		return NULL;
+	}
+	listener = g_new0(struct http_listener, 1);
+	listener->accept = accept;
+	listener->arg = arg;
+	uv_tcp_init(loop, &listener->tcp);
+	status = uv_tcp_bind(
+	    &listener->tcp, (const struct sockaddr *)&bind_to, 0);
+	if (status == 0)
+		status = uv_listen((uv_stream_t *)&listener->tcp, BACKLOG,
+		    handle_connection);
+	if (status != 0) {
+		g_set_error(error, HTTP_LISTEN_ERROR, HTTP_LISTEN_ERROR_BIND,
+		    "%.*s: %s", STR_ARG(address), uv_strerror(status));
+		http_listener_close(listener);
+		return NULL;
+	}
+	return listener;
+}
+
+static void
+handle_closed(uv_handle_t *handle)
+{
+	g_free(handle);
+}
+
+/*
+ * Stop accepting.
+ */
+void
+http_listener_close(struct http_listener *listener)
+{
+	if (listener != NULL)
+		uv_close((uv_handle_t *)&listener->tcp, handle_closed);
+}
--- /dev/null
+++ b/http/pool.c
@@ -0,0 +1,308 @@
+#include <string.h>
+
+#include "http/pool.h"
+
+enum {
+	SWEEP_MS = 500,         /* how often old connections are looked for */
+	EARLY_MARGIN_MS = 1000, /* closed this long before the peer would */
+	DRAIN_MAX_MS = 500,     /* for the rest of an answer to come */
+};
+
+struct idle_stream {
+	struct http_stream *stream;
+	uint64_t since_ms;
+	uint64_t until_ms;
+	bool draining; /* the rest of an answer is still coming */
+};
+
+struct http_pool {
+	uv_loop_t *loop;
+	struct http_pool_settings settings;
+	GArray *idle; /* struct idle_stream, oldest first */
+	uv_timer_t *sweep;
+};
+
+static void handle_idle_end(struct http_stream *stream, enum http_end end);
+
+static void
+handle_idle_bytes(struct http_stream *stream)
+{
+	handle_idle_end(stream, HTTP_END_MALFORMED);
+}
+
+static void
+handle_idle_body(struct http_stream *stream, struct str bytes)
+{
+	handle_idle_end(stream, HTTP_END_MALFORMED);
+}
+
+/* Nothing is expected on an idle connection: whatever comes ends it. */
+static const struct http_stream_ops idle_ops = {
+	.handle_head = handle_idle_bytes,
+	.handle_body = handle_idle_body,
+	.handle_message = handle_idle_bytes,
+	.handle_end = handle_idle_end,
+	.handle_first_byte = handle_idle_bytes,
+};
+
+static void
+pool_forget(struct http_pool *pool, const struct http_stream *stream)
+{
+	for (guint i = 0; i < pool->idle->len; i++) {
+		if (g_array_index(pool->idle, struct idle_stream, i).stream ==
+		    stream) {
+			g_array_remove_index(pool->idle, i);
+			return;
+		}
+	}
+}
+
+static void
+handle_idle_end(struct http_stream *stream, enum http_end end)
+{
+	pool_forget(stream->owner, stream);
+	http_stream_abort(stream);
+}
+
+static void
+handle_drain_head(struct http_stream *stream)
+{
+}
+
+static void
+handle_drain_body(struct http_stream *stream, struct str bytes)
+{
+}
+
+static void
+handle_drain_message(struct http_stream *stream)
+{
+	struct http_pool *pool = stream->owner;
+
+	pool_forget(pool, stream);
+	http_pool_give(pool, stream);
+}
+
+static const struct http_stream_ops drain_ops = {
+	.handle_head = handle_drain_head,
+	.handle_body = handle_drain_body,
+	.handle_message = handle_drain_message,
+	.handle_end = handle_idle_end,
+};
+
+static void
+handle_sweep(uv_timer_t *timer)
+{
+	struct http_pool *pool = timer->data;
+	uint64_t now = uv_now(pool->loop);
+
+	for (guint i = 0; i < pool->idle->len;) {
+		struct idle_stream *idle =
+		    &g_array_index(pool->idle, struct idle_stream, i);
+
+		if (idle->until_ms > now) {
+			i++;
+			continue;
+		}
+		if (idle->draining)
+			http_stream_abort(idle->stream);
+		else
+			http_stream_finish(idle->stream);
+		g_array_remove_index(pool->idle, i);
+	}
+	if (pool->idle->len == 0)
+		uv_timer_stop(timer);
+}
+
+/*
+ * Return a pool for one address, with no connection yet.
+ */
+struct http_pool *
+http_pool_new(uv_loop_t *loop, const struct http_pool_settings *settings)
+{
+	struct http_pool *pool = g_new0(struct http_pool, 1);
+
+	pool->loop = loop;
+	pool->settings = *settings;
+	pool->idle = g_array_new(FALSE, FALSE, sizeof(struct idle_stream));
+	pool->sweep = g_new0(uv_timer_t, 1);
+	uv_timer_init(loop, pool->sweep);
+	pool->sweep->data = pool;
+	return pool;
+}
+
+static void
+handle_timer_closed(uv_handle_t *handle)
+{
+	g_free(handle);
+}
+
+/*
+ * Free a pool and close what is idle.
+ */
+void
+http_pool_free(struct http_pool *pool)
+{
+	if (pool == NULL)
+		return;
+	http_pool_flush(pool);
+	uv_close((uv_handle_t *)pool->sweep, handle_timer_closed);
+	g_array_free(pool->idle, TRUE);
+	g_free(pool);
+}
+
+/*
+ * Close all idle connections.
+ */
+void
+http_pool_flush(struct http_pool *pool)
+{
+	for (guint i = 0; i < pool->idle->len; i++)
+		http_stream_abort(
+		    g_array_index(pool->idle, struct idle_stream, i).stream);
+	g_array_set_size(pool->idle, 0);
+}
+
+/*
+ * Take the connection that was idle for the shortest time; NULL when none is
+ * as young as idle_ms.
+ */
+struct http_stream *
+http_pool_take(struct http_pool *pool, const struct http_stream_ops *ops,
+    void *owner, uint32_t idle_ms)
+{
+	uint64_t now = uv_now(pool->loop);
+
+	for (guint i = pool->idle->len; i > 0; i--) {
+		struct idle_stream *newest =
+		    &g_array_index(pool->idle, struct idle_stream, i - 1);
+		struct http_stream *stream = newest->stream;
+
+		if (newest->draining)
+			continue;
+		if (newest->until_ms <= now ||
+		    now - newest->since_ms > idle_ms)
+			return NULL;
+		g_array_remove_index(pool->idle, i - 1);
+		stream->ops = ops;
+		stream->owner = owner;
+		return stream;
+	}
+	return NULL;
+}
+
+/*
+ * Dial a new connection; NULL when not even a socket could be had.
+ */
+struct http_stream *
+http_pool_dial(struct http_pool *pool, const struct http_stream_ops *ops,
+    void *owner)
+{
+	struct http_stream *stream =
+	    http_stream_new(pool->loop, HTTP_SIDE_CLIENT, ops, owner);
+
+	if (!http_stream_connect(stream, &pool->settings.address)) {
+		http_stream_abort(stream);
+		return NULL;
+	}
+	return stream;
+}
+
+/* How long the peer lets this connection be idle, with some margin. */
+static uint32_t
+idle_ms_allowed(const struct http_pool *pool, const struct http_stream *stream)
+{
+	static const char key[] = "timeout=";
+	struct str field =
+	    http_head_find(stream->head, str_from("keep-alive"));
+	const char *found = field.len == 0
+	    ? NULL
+	    : g_strstr_len(field.ptr, (gssize)field.len, key);
+	uint64_t ms;
+
+	if (found == NULL)
+		return pool->settings.idle_default_ms;
+	ms = g_ascii_strtoull(found + strlen(key), NULL, 10) * 1000;
+	ms = ms > EARLY_MARGIN_MS ? ms - EARLY_MARGIN_MS : 0;
+	return (uint32_t)MIN(ms, pool->settings.idle_max_ms);
+}
+
+/*
+ * Give back a stream after a whole answer. It is closed when the peer wants
+ * that, or when enough are kept.
+ */
+void
+http_pool_give(struct http_pool *pool, struct http_stream *stream)
+{
+	uint32_t idle_ms = idle_ms_allowed(pool, stream);
+	struct idle_stream idle = {
+		.stream = stream,
+		.since_ms = uv_now(pool->loop),
+		.until_ms = uv_now(pool->loop) + idle_ms,
+	};
+
+	if (stream->closing)
+		return;
+	if (!stream->keep_alive || stream->eof || stream->pending != NULL ||
+	    idle_ms == 0 || http_stream_queued(stream) > 0 ||
+	    pool->idle->len >= pool->settings.idle_max) {
+		http_stream_finish(stream);
+		return;
+	}
+	stream->ops = &idle_ops;
+	stream->owner = pool;
+	g_array_append_val(pool->idle, idle);
+	http_stream_next(stream);
+	if (!uv_is_active((uv_handle_t *)pool->sweep))
+		uv_timer_start(pool->sweep, handle_sweep, SWEEP_MS, SWEEP_MS);
+}
+
+/*
+ * Give back a stream in the middle of an answer that nobody wants. It is kept
+ * when the rest comes soon.
+ */
+void
+http_pool_drain(struct http_pool *pool, struct http_stream *stream)
+{
+	struct idle_stream idle = {
+		.stream = stream,
+		.since_ms = uv_now(pool->loop),
+		.until_ms = uv_now(pool->loop) + DRAIN_MAX_MS,
+		.draining = true,
+	};
+
+	if (stream->closing)
+		return;
+	stream->ops = &drain_ops;
+	stream->owner = pool;
+	g_array_append_val(pool->idle, idle);
+	if (!uv_is_active((uv_handle_t *)pool->sweep))
+		uv_timer_start(pool->sweep, handle_sweep, SWEEP_MS, SWEEP_MS);
+}
+
+/*
+ * Return how many connections are idle.
+ */
+size_t
+http_pool_idle(const struct http_pool *pool)
+{
+	return pool->idle->len;
+}
+
+/*
+ * Return the address that the pool dials.
+ */
+const struct sockaddr_in *
+http_pool_address(const struct http_pool *pool)
+{
+	return &pool->settings.address;
+}
+
+/*
+ * Return the event loop that the pool's connections run on.
+ */
+uv_loop_t *
+http_pool_loop(const struct http_pool *pool)
+{
+	return pool->loop;
+}
--- /dev/null
+++ b/include/common/json_log.h
@@ -0,0 +1,57 @@
+#ifndef TREFOILHILL_COMMON_JSON_LOG_H
+#define TREFOILHILL_COMMON_JSON_LOG_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/clock.h"
+#include "common/str.h"
+
+/*
+ * Structured log: one JSON object a line on a file descriptor. Lines go
+ * through a bounded buffer to a writer thread, so that a reader that stands
+ * still never holds up the caller; what finds no room is counted and left
+ * out. One thread writes lines.
+ */
+struct json_log;
+
+/* What is left out first when there are too many lines. */
+enum log_class {
+	LOG_CLASS_STATE,    /* start, stop, what the process believes */
+	LOG_CLASS_FAILURE,  /* a request that was refused or failed */
+	LOG_CLASS_DECISION, /* a step of a request */
+	LOG_CLASS_ANSWERED, /* a request that was answered */
+	LOG_CLASS_COUNT,
+};
+
+struct json_log_settings {
+	int fd;
+	struct str node;
+	uint64_t incarnation;
+	uint32_t lines_per_s;  /* of all classes; LOG_CLASS_STATE has no bound */
+	uint32_t buffer_bytes; /* that may wait for the reader */
+};
+
+struct json_log *json_log_new(
+    const struct json_log_settings *settings, struct clock *clock);
+/* Writes what it can within the time and ends the writer. NULL is allowed. */
+void json_log_free(struct json_log *log, uint32_t flush_ms);
+
+/*
+ * Begin a line; NULL when it is left out. Members follow, then json_log_end,
+ * all of which take NULL.
+ */
+struct json_line;
+struct json_line *json_log_begin(
+    struct json_log *log, enum log_class class, const char *event);
+void json_line_text(struct json_line *line, const char *name, struct str value);
+void json_line_cstr(
+    struct json_line *line, const char *name, const char *value);
+void json_line_int(struct json_line *line, const char *name, int64_t value);
+void json_line_bool(struct json_line *line, const char *name, bool value);
+void json_log_end(struct json_line *line);
+
+uint64_t json_log_left_out(const struct json_log *log);
+
+#endif
--- /dev/null
+++ b/include/http/listener.h
@@ -0,0 +1,26 @@
+#ifndef TREFOILHILL_HTTP_LISTENER_H
+#define TREFOILHILL_HTTP_LISTENER_H
+
+#include "http/stream.h"
+
+#define HTTP_LISTEN_ERROR (http_listen_error_quark())
+
+enum http_listen_error {
+	HTTP_LISTEN_ERROR_ADDRESS, /* not IP:PORT */
+	HTTP_LISTEN_ERROR_BIND,
+};
+
+/* Accepts connections on one address; see http_listener_new. */
+struct http_listener;
+
+/* The stream is the receiver's; it begins to read when started. */
+typedef void (*http_accept_fn)(void *arg, struct http_stream *stream);
+
+GQuark http_listen_error_quark(void);
+bool http_address_parse(struct str text, struct sockaddr_in *address);
+struct http_listener *http_listener_new(uv_loop_t *loop, struct str address,
+    http_accept_fn accept, void *arg, GError **error);
+/* Stop accepting; the listener is gone afterwards. NULL is allowed. */
+void http_listener_close(struct http_listener *listener);
+
+#endif
--- /dev/null
+++ b/include/platform/json_fields.h
@@ -0,0 +1,36 @@
+#ifndef TREFOILHILL_PLATFORM_JSON_FIELDS_H
+#define TREFOILHILL_PLATFORM_JSON_FIELDS_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#define PLATFORM_ERROR (platform_error_quark())
+
+enum platform_error {
+	PLATFORM_ERROR_SYNTAX, /* not JSON, not base64, not a string of text */
+	PLATFORM_ERROR_FIELD,  /* missing, of another type, or out of range */
+	PLATFORM_ERROR_WORD,   /* a word that is not known */
+};
+
+GQuark platform_error_quark(void);
+
+/*
+ * Read one field of an object. Each returns false with error set when the
+ * field is missing, of another type or out of range.
+ */
+bool json_read_object(const json_t *object, const char *name,
+    const json_t **value, GError **error);
+/* Views into the JSON value. */
+bool json_read_text(const json_t *object, const char *name,
+    const char **value, GError **error);
+bool json_read_u64(const json_t *object, const char *name, uint64_t max,
+    uint64_t *value, GError **error);
+bool json_read_u32(const json_t *object, const char *name, uint32_t max,
+    uint32_t *value, GError **error);
+/* A number from 0 up, whole or not. */
+bool json_read_number(const json_t *object, const char *name, double max,
+    double *value, GError **error);
+
+#endif
--- a/include/platform/answer_reader.h
+++ b/include/source/answer_reader.h
@@ -1,7 +1,7 @@
-#ifndef TREFOILHILL_PLATFORM_ANSWER_READER_H
-#define TREFOILHILL_PLATFORM_ANSWER_READER_H
+#ifndef TREFOILHILL_SOURCE_ANSWER_READER_H
+#define TREFOILHILL_SOURCE_ANSWER_READER_H
 
-#include "platform/config_source.h"
+#include "source/config_source.h"
 
 enum {
 	RECORDS_MAX = 1000 * 1000,
--- a/include/platform/transfer.h
+++ b/include/source/transfer.h
@@ -1,9 +1,9 @@
-#ifndef TREFOILHILL_PLATFORM_TRANSFER_H
-#define TREFOILHILL_PLATFORM_TRANSFER_H
+#ifndef TREFOILHILL_SOURCE_TRANSFER_H
+#define TREFOILHILL_SOURCE_TRANSFER_H
 
 #include <curl/curl.h>
 
-#include "platform/answer_reader.h"
+#include "source/answer_reader.h"
 
 /* One request that is open, over one or, for records, several pages. */
 struct transfer {
--- /dev/null
+++ b/include/trefoilhill-proxy/gate.h
@@ -0,0 +1,23 @@
+#ifndef TREFOILHILL_TREFOILHILL_PROXY_GATE_H
+#define TREFOILHILL_TREFOILHILL_PROXY_GATE_H
+
+#include "guard/admission.h"
+#include "http/pool.h"
+#include "trefoilhill-proxy/proxy.h"
+
+/* The one way to the upstream on this host. */
+struct gate;
+
+struct gate *gate_new(struct proxy *proxy, GError **error);
+void gate_free(struct gate *gate);
+struct admission *gate_admission(struct gate *gate);
+struct http_pool *gate_pool(struct gate *gate);
+/* The upstream that is registered at this host's address, or NULL. */
+struct upstream *gate_upstream(struct gate *gate);
+/* Look again which upstream is there, and what state it is in. */
+void gate_refresh(struct gate *gate);
+/* Let queued requests have their turn, and set the timer for the next. */
+void gate_poll(struct gate *gate);
+struct load_report gate_report(struct gate *gate);
+
+#endif
--- /dev/null
+++ b/include/trefoilhill-proxy/hop.h
@@ -0,0 +1,47 @@
+#ifndef TREFOILHILL_TREFOILHILL_PROXY_HOP_H
+#define TREFOILHILL_TREFOILHILL_PROXY_HOP_H
+
+#include "fleet/upstream.h"
+#include "http/head.h"
+
+/*
+ * Header fields that nodes add to the requests and answers which they pass to
+ * each other. They never leave the system: fields of these names that come
+ * from callers or upstreams are dropped.
+ */
+
+/* What an entry asks of the node beside an upstream. */
+struct hop_request {
+	struct str instance;  /* id of the upstream that is meant */
+	struct str caller;    /* service at whose host the request began */
+	int64_t left_ms;      /* until nobody waits any more */
+	int64_t wait_ms;      /* that it may be queued at most */
+	uint32_t priority;
+	bool idempotent;
+};
+
+enum hop_outcome {
+	HOP_ANSWER,  /* an upstream's answer is passed on */
+	HOP_NOT_RUN, /* the request never ran there, and never will */
+	HOP_FAILED,  /* it may have run */
+};
+
+struct hop_answer {
+	enum hop_outcome outcome;
+	struct str reason;
+	bool reached; /* not run, but the upstream itself said so */
+	bool has_load;
+	struct load_report load;
+};
+
+bool hop_field_is_ours(struct str name);
+void hop_write_request(GString *text, const struct hop_request *request);
+/* False: the message bears no such fields, or they can't be read. */
+bool hop_read_request(
+    const struct http_head *head, struct hop_request *request);
+void hop_write_load(GString *text, const struct load_report *load);
+void hop_write_outcome(
+    GString *text, enum hop_outcome outcome, const char *reason, bool reached);
+void hop_read_answer(const struct http_head *head, struct hop_answer *answer);
+
+#endif
--- /dev/null
+++ b/include/trefoilhill-proxy/proxy.h
@@ -0,0 +1,57 @@
+#ifndef TREFOILHILL_TREFOILHILL_PROXY_PROXY_H
+#define TREFOILHILL_TREFOILHILL_PROXY_PROXY_H
+
+#include <uv.h>
+
+#include "common/json_log.h"
+#include "common/rng.h"
+#include "fleet/catalog.h"
+#include "http/listener.h"
+#include "route/repeat_budget.h"
+#include "trefoilhill-proxy/stats.h"
+#include "trefoilhilld/settings.h"
+
+struct follower;
+struct gate;
+struct heartbeat;
+struct ops_listener;
+
+/* One process of the system with all its parts; all run on one loop. */
+struct proxy {
+	uv_loop_t *loop;
+	struct settings *settings;
+	uint64_t incarnation;
+	struct clock *clock;
+	struct rng *rng;
+	struct json_log *log;
+	struct catalog *catalog;
+	struct follower *follower;
+	struct heartbeat *heartbeat;
+	struct gate *gate;
+	struct repeat_budget *repeats;
+	struct ops_listener *ops_listener;
+	struct http_listener *caller_listener;
+	struct http_listener *mesh_listener;
+	struct sockaddr_in mesh_address; /* peers listen on the same port */
+	GHashTable *callers;             /* set of struct caller */
+	uint32_t exchanges;              /* in progress */
+	bool stopping;
+	int64_t stop_ms; /* when stopping began */
+	uv_timer_t tick;
+	struct proxy_stats stats;
+};
+
+struct proxy *proxy_new(
+    uv_loop_t *loop, struct settings *settings, GError **error);
+/* Leave the fleet: not ready at once, gone when all is answered. */
+void proxy_stop(struct proxy *proxy);
+void proxy_free(struct proxy *proxy);
+/* Read the settings again; a bad file changes nothing. */
+void proxy_reload(struct proxy *proxy, const char *path);
+
+int64_t proxy_now_ms(const struct proxy *proxy);
+/* May callers be sent here? */
+bool proxy_is_ready(const struct proxy *proxy);
+void proxy_render_metrics(struct proxy *proxy, GString *out);
+
+#endif
--- /dev/null
+++ b/include/trefoilhill-proxy/stats.h
@@ -0,0 +1,66 @@
+#ifndef TREFOILHILL_TREFOILHILL_PROXY_STATS_H
+#define TREFOILHILL_TREFOILHILL_PROXY_STATS_H
+
+#include <glib.h>
+
+#include "common/counter.h"
+
+enum proxy_counter {
+	STAT_REQUESTS,
+	STAT_PEER_REQUESTS,
+	STAT_ANSWERED,
+	STAT_ANSWERED_FAILURE,
+	STAT_REFUSED,
+	STAT_NO_ROUTE,
+	STAT_FAILED,
+	STAT_CUT,
+	STAT_CALLER_GONE,
+	STAT_BAD_REQUESTS,
+	STAT_ATTEMPTS_LOCAL,
+	STAT_ATTEMPTS_REMOTE,
+	STAT_ATTEMPTS_NOT_RUN,
+	STAT_ATTEMPTS_UNKNOWN,
+	STAT_REPEATS,
+	STAT_REPEATS_DENIED,
+	STAT_HEDGES,
+	STAT_UPSTREAM_CONNECTIONS,
+	STAT_ANSWERS_DISCARDED,
+	STAT_STORE_READS,
+	STAT_STORE_FAILURES,
+	STAT_HEARTBEATS,
+	STAT_HEARTBEATS_LOST,
+	STAT_CALLER_CONNECTIONS,
+	STAT_COUNT,
+};
+
+/* Latencies in powers of two of a millisecond. */
+enum {
+	LATENCY_BUCKETS = 16,
+};
+
+enum latency_part {
+	LATENCY_TOTAL,    /* from the request's head to the answer's end */
+	LATENCY_QUEUE,    /* at the gate */
+	LATENCY_UPSTREAM, /* from sending to the answer's end */
+	LATENCY_PART_COUNT,
+};
+
+struct latency_buckets {
+	uint64_t counts[LATENCY_BUCKETS];
+	uint64_t sum_ms;
+	uint64_t count;
+};
+
+struct proxy_stats {
+	struct counter_set counters;
+	struct latency_buckets latency[LATENCY_PART_COUNT];
+};
+
+void proxy_stats_init(struct proxy_stats *stats);
+void proxy_count(struct proxy_stats *stats, enum proxy_counter counter);
+void proxy_latency(
+    struct proxy_stats *stats, enum latency_part part, int64_t ms);
+/* Prometheus text. */
+void proxy_stats_render(const struct proxy_stats *stats, GString *out);
+
+#endif
--- a/include/trefoilhilld/control_input.h
+++ b/include/trefoilhilld/control_input.h
@@ -3,7 +3,7 @@
 
 #include "mesh/mesh.h"
 #include "mesh/message.h"
-#include "platform/config_source.h"
+#include "source/config_source.h"
 
 /* Something that another thread hands to the control thread. */
 struct control_input {
--- a/include/trefoilhilld/setting_desc.h
+++ b/include/trefoilhilld/setting_desc.h
@@ -8,8 +8,10 @@
 #include "trefoilhilld/settings.h"
 
 enum setting_type {
-	SETTING_NAME,     /* 1 to 63 bytes of a-z 0-9 . - */
-	SETTING_ADDRESS,  /* IP:PORT */
+	SETTING_NAME,
+	SETTING_NAME_OPTIONAL,     /* 1 to 63 bytes of a-z 0-9 . - */
+	SETTING_ADDRESS,
+	SETTING_ADDRESS_OPTIONAL,  /* IP:PORT */
 	SETTING_SEEDS,    /* IP:PORT, comma-separated, may be empty */
 	SETTING_HTTP_URL, /* http://IP:PORT */
 	SETTING_NUMBER,
--- a/include/trefoilhilld/settings.h
+++ b/include/trefoilhilld/settings.h
@@ -36,6 +36,8 @@
 	struct str seeds[SETTINGS_SEEDS_MAX];
 	size_t seed_count;
 	uint32_t caller_threads;
+	uint32_t grace_ms;       /* from a stop signal until it is killed */
+	struct str metrics_listen; /* empty: metrics with readiness only */
 };
 
 struct platform_settings {
@@ -46,6 +48,7 @@
 
 struct upstream_settings {
 	struct str name;
+	struct str service; /* of the upstream on this host */
 	struct str address;
 };
 
@@ -71,12 +74,15 @@
 	uint32_t policy; /* enum choice_policy */
 	uint32_t hint_fresh_ms;
 	uint32_t retry_percent;
+	uint32_t retry_window_ms; /* over which repeats are counted */
+	uint32_t retry_allowance; /* repeats in a window beyond the percentage */
 	uint32_t timeout_ms;
 };
 
 struct log_settings {
 	uint32_t level; /* enum log_threshold */
 	uint32_t event_entries;
+	uint32_t lines_per_s; /* of decisions about requests */
 };
 
 /* One process's settings: parsed, checked, then used as a whole. */
--- a/platform/answer_reader.c
+++ b/source/answer_reader.c
@@ -2,8 +2,8 @@
 #include <string.h>
 
 #include "config/field_reader.h"
-#include "platform/answer_reader.h"
-#include "platform/error.h"
+#include "source/answer_reader.h"
+#include "source/error.h"
 
 /*
  * Read the answer to a request for changes.
--- a/platform/config_answer.c
+++ b/source/config_answer.c
@@ -1,4 +1,4 @@
-#include "platform/answer_reader.h"
+#include "source/answer_reader.h"
 
 /*
  * Return an empty answer to a request.
--- a/platform/config_source.c
+++ b/source/config_source.c
@@ -1,4 +1,4 @@
-#include "platform/config_source.h"
+#include "source/config_source.h"
 
 /*
  * Ask the platform; a request of the same kind that is still open is given
--- a/platform/error.c
+++ b/source/error.c
@@ -1,3 +1,3 @@
-#include "platform/error.h"
+#include "source/error.h"
 
 G_DEFINE_QUARK(trefoilhill - platform - error, platform_error)
--- a/platform/http_config_source.c
+++ b/source/http_config_source.c
@@ -1,7 +1,7 @@
 #include <pthread.h>
 
-#include "platform/error.h"
-#include "platform/transfer.h"
+#include "source/error.h"
+#include "source/transfer.h"
 
 enum {
 	REQUEST_KINDS = PLATFORM_READ_HOSTS + 1,
--- a/platform/record_pages.c
+++ b/source/record_pages.c
@@ -1,7 +1,7 @@
 #include <jansson.h>
 
-#include "platform/answer_reader.h"
-#include "platform/error.h"
+#include "source/answer_reader.h"
+#include "source/error.h"
 
 /*
  * Return a read that has no page yet.
--- a/platform/transfer.c
+++ b/source/transfer.c
@@ -1,7 +1,7 @@
 #include <inttypes.h>
 
-#include "platform/error.h"
-#include "platform/transfer.h"
+#include "source/error.h"
+#include "source/transfer.h"
 
 enum {
 	BODY_BYTES_MAX = 8 * 1024 * 1024,
--- a/tests/platform/test_http_config_source.c
+++ b/tests/source/test_http_config_source.c
@@ -2,9 +2,9 @@
 #include <time.h>
 
 #include "harness.h"
-#include "platform/answer_reader.h"
-#include "platform/config_source.h"
-#include "platform/error.h"
+#include "source/answer_reader.h"
+#include "source/config_source.h"
+#include "source/error.h"
 #include "standin-platform/http.h"
 #include "standin-platform/platform.h"
 #include "standin-platform/serve.h"
--- /dev/null
+++ b/trefoilhill-proxy/attempt_request.c
@@ -0,0 +1,143 @@
+#include "platform/headers.h"
+#include "trefoilhill-proxy/attempt.h"
+#include "trefoilhill-proxy/exchange.h"
+
+enum {
+	CHUNK_HEAD_MAX = 24,
+};
+
+static bool
+field_is_forwarded(const struct http_head *head, struct str name)
+{
+	return !http_field_is_hop_by_hop(head, name) &&
+	    !hop_field_is_ours(name) && !platform_field_is_ours(name) &&
+	    !str_equal_nocase(name, str_from("content-length")) &&
+	    !str_equal_nocase(name, str_from("expect"));
+}
+
+static void
+write_framing(const struct exchange *exchange, GString *text)
+{
+	if (!exchange->has_length)
+		g_string_append(text, "Transfer-Encoding: chunked\r\n");
+	else if (exchange->length > 0 ||
+	    http_head_find(exchange->head, str_from("content-length")).len > 0)
+		g_string_append_printf(text,
+		    "Content-Length: %" G_GUINT64_FORMAT "\r\n",
+		    (guint64)exchange->length);
+}
+
+/* Service at whose host the request began: here, or where a peer says. */
+static struct str
+origin_service(const struct exchange *exchange)
+{
+	if (exchange->origin == CALLER_PEER)
+		return exchange->hop.caller;
+	return exchange->proxy->settings->upstream.service;
+}
+
+static void
+write_marks(struct attempt *attempt, GString *text)
+{
+	const struct exchange *exchange = attempt->exchange;
+	int64_t left_ms = exchange_left_ms(exchange);
+	struct str instance = str_from(attempt->upstream->entry.id);
+	struct forward_marks marks = {
+		.deadline_ms = MAX(left_ms, 1),
+		.instance = instance,
+		.caller = origin_service(exchange),
+	};
+	struct hop_request hop = {
+		.instance = instance,
+		.caller = origin_service(exchange),
+		.left_ms = left_ms,
+		.wait_ms = attempt->wait_ms,
+		.priority = exchange->priority,
+		.idempotent = exchange->idempotent,
+	};
+
+	if (attempt->local)
+		platform_write_forward(text, &marks);
+	else
+		hop_write_request(text, &hop);
+}
+
+/*
+ * Send the request's head and what is there of its body.
+ */
+void
+attempt_write_request(struct attempt *attempt)
+{
+	const struct exchange *exchange = attempt->exchange;
+	const struct http_head *head = exchange->head;
+	GString *text = g_string_sized_new(1024);
+	struct str method = http_head_span(head, head->method);
+	struct str target = http_head_span(head, head->target);
+
+	g_string_append_len(text, method.ptr, (gssize)method.len);
+	g_string_append_c(text, ' ');
+	g_string_append_len(text, target.ptr, (gssize)target.len);
+	g_string_append(text, " HTTP/1.1\r\n");
+	for (size_t i = 0; i < head->field_count; i++) {
+		struct str name = http_head_name(head, i);
+
+		if (field_is_forwarded(head, name))
+			http_text_field(text, name, http_head_value(head, i));
+	}
+	write_framing(exchange, text);
+	write_marks(attempt, text);
+	g_string_append(text, "\r\n");
+	attempt->sent_ms = proxy_now_ms(attempt->proxy);
+	attempt->body_sent = 0;
+	attempt->body_ended = false;
+	attempt->stream->skip_body = exchange->is_head_method;
+	http_stream_write(attempt->stream, str_make(text->str, text->len));
+	g_string_free(text, TRUE);
+	exchange_log(attempt->exchange, LOG_CLASS_DECISION, "sent", attempt,
+	    attempt->reused ? "kept_connection" : "new_connection");
+	attempt_push_body(attempt);
+}
+
+static void
+write_part(struct attempt *attempt, struct str bytes)
+{
+	char head[CHUNK_HEAD_MAX];
+	int len;
+
+	if (attempt->exchange->has_length) {
+		http_stream_write(attempt->stream, bytes);
+		return;
+	}
+	len = g_snprintf(head, sizeof(head), "%zx\r\n", bytes.len);
+	http_stream_write2(
+	    attempt->stream, str_make(head, (size_t)len), bytes);
+	http_stream_write(attempt->stream, str_from("\r\n"));
+}
+
+/*
+ * Send what is there of the request's body and was not sent yet.
+ */
+void
+attempt_push_body(struct attempt *attempt)
+{
+	struct exchange *exchange = attempt->exchange;
+	uint64_t start, available;
+
+	if (attempt->ended || attempt->stream == NULL ||
+	    attempt->sent_ms == 0 || attempt->body_ended)
+		return;
+	if (http_stream_queued(attempt->stream) > HTTP_WRITE_HIGH_BYTES)
+		return;
+	start = attempt->body_sent - exchange->body_dropped;
+	available = exchange->body->len - start;
+	if (available > 0) {
+		write_part(attempt,
+		    str_make(exchange->body->data + start, available));
+		attempt->body_sent += available;
+	}
+	if (!exchange->body_whole)
+		return;
+	attempt->body_ended = true;
+	if (!exchange->has_length)
+		http_stream_write(attempt->stream, str_from("0\r\n\r\n"));
+}
--- /dev/null
+++ b/trefoilhill-proxy/caller.c
@@ -0,0 +1,280 @@
+#include "trefoilhill-proxy/caller.h"
+#include "trefoilhill-proxy/exchange.h"
+
+enum {
+	HEADER_MAX_BYTES = 64 * 1024, /* before the first configuration */
+	HEADER_TIMEOUT_MS = 5000,
+	IDLE_TIMEOUT_MS = 30000,
+	PEER_IDLE_TIMEOUT_MS = 20000, /* longer than peers keep them */
+	LINGER_MS = 1000, /* to let the caller read an early answer */
+};
+
+static void
+handle_timer_closed(uv_handle_t *handle)
+{
+	g_free(handle);
+}
+
+/* The connection is closed or about to be: forget it. */
+static void
+caller_release(struct caller *caller)
+{
+	caller->stream = NULL;
+	g_hash_table_remove(caller->proxy->callers, caller);
+	uv_close((uv_handle_t *)&caller->timer, handle_timer_closed);
+}
+
+static void
+caller_finish(struct caller *caller)
+{
+	http_stream_finish(caller->stream);
+	caller_release(caller);
+}
+
+/*
+ * Cut the connection, so that no answer on it looks whole.
+ */
+void
+caller_cut(struct caller *caller)
+{
+	if (caller == NULL || caller->stream == NULL)
+		return;
+	http_stream_abort(caller->stream);
+	caller_release(caller);
+}
+
+/*
+ * Close the connection unless a request is in progress or about to begin.
+ */
+void
+caller_close_idle(struct caller *caller)
+{
+	if (caller->exchange == NULL && !caller->stream->message_begun)
+		caller_finish(caller);
+}
+
+static struct caller_limits
+limits_now(const struct caller *caller)
+{
+	static const struct caller_limits defaults = {
+		.header_max_bytes = HEADER_MAX_BYTES,
+		.header_timeout_ms = HEADER_TIMEOUT_MS,
+		.idle_timeout_ms = IDLE_TIMEOUT_MS,
+	};
+	const struct mesh_config *config =
+	    catalog_config(caller->proxy->catalog);
+	struct caller_limits limits =
+	    config == NULL ? defaults : config->limits;
+
+	if (caller->origin == CALLER_PEER) {
+		limits = defaults;
+		limits.idle_timeout_ms = PEER_IDLE_TIMEOUT_MS;
+	}
+	return limits;
+}
+
+/* Answer a request that could not be read. Such a one has not run. */
+static void
+answer_unread(struct caller *caller, const char *status_line)
+{
+	char *text = g_strdup_printf("HTTP/1.1 %s\r\nConnection: close\r\n"
+				     "Content-Length: 0\r\n\r\n",
+	    status_line);
+	struct json_line *line = json_log_begin(
+	    caller->proxy->log, LOG_CLASS_FAILURE, "bad_request");
+
+	json_line_cstr(line, "answer", status_line);
+	json_log_end(line);
+	proxy_count(&caller->proxy->stats, STAT_BAD_REQUESTS);
+	http_stream_write(caller->stream, str_from(text));
+	g_free(text);
+	caller_finish(caller);
+}
+
+static void
+handle_idle(uv_timer_t *timer)
+{
+	struct caller *caller = (struct caller *)timer;
+
+	if (caller->stream == NULL || caller->exchange != NULL)
+		return;
+	if (caller->stream->message_begun && !caller->lingering)
+		answer_unread(caller, "408 Request Timeout");
+	else
+		caller_finish(caller);
+}
+
+static void
+handle_slow_body(uv_timer_t *timer)
+{
+	struct caller *caller = (struct caller *)timer;
+
+	if (caller->stream == NULL || caller->exchange == NULL ||
+	    caller->request_whole || caller->exchange->attempt_count > 0)
+		return;
+	exchange_answer_own(caller->exchange, 408, "body_timeout", false);
+}
+
+static void
+wait_for_request(struct caller *caller)
+{
+	struct caller_limits limits = limits_now(caller);
+
+	caller->request_whole = false;
+	caller->stream->head_max_bytes = limits.header_max_bytes;
+	uv_timer_start(
+	    &caller->timer, handle_idle, limits.idle_timeout_ms, 0);
+}
+
+static void
+handle_first_byte(struct http_stream *stream)
+{
+	struct caller *caller = stream->owner;
+	struct caller_limits limits = limits_now(caller);
+
+	stream->head_max_bytes = limits.header_max_bytes;
+	uv_timer_start(
+	    &caller->timer, handle_idle, limits.header_timeout_ms, 0);
+}
+
+static void
+handle_head(struct http_stream *stream)
+{
+	struct caller *caller = stream->owner;
+
+	uv_timer_start(&caller->timer, handle_slow_body,
+	    limits_now(caller).idle_timeout_ms,
+	    limits_now(caller).idle_timeout_ms);
+	if (http_list_has(http_head_find(stream->head, str_from("expect")),
+		str_from("100-continue")))
+		http_stream_write(
+		    stream, str_from("HTTP/1.1 100 Continue\r\n\r\n"));
+	exchange_begin(caller);
+}
+
+static void
+handle_body(struct http_stream *stream, struct str bytes)
+{
+	struct caller *caller = stream->owner;
+
+	uv_timer_again(&caller->timer);
+	if (caller->exchange != NULL)
+		exchange_body(caller->exchange, bytes);
+}
+
+static void
+handle_message(struct http_stream *stream)
+{
+	struct caller *caller = stream->owner;
+
+	uv_timer_stop(&caller->timer);
+	caller->request_whole = true;
+	if (caller->exchange != NULL) {
+		exchange_body_end(caller->exchange);
+		return;
+	}
+	/* It was answered before its end had come. */
+	caller->lingering = false;
+	if (caller->close_after) {
+		caller_finish(caller);
+		return;
+	}
+	wait_for_request(caller);
+	http_stream_next(stream);
+}
+
+static void
+handle_end(struct http_stream *stream, enum http_end end)
+{
+	struct caller *caller = stream->owner;
+
+	if (caller->exchange != NULL) {
+		exchange_abandon(caller->exchange);
+		caller_cut(caller);
+	} else if (end == HTTP_END_MALFORMED) {
+		answer_unread(caller, "400 Bad Request");
+	} else if (end == HTTP_END_TOO_LARGE) {
+		answer_unread(
+		    caller, "431 Request Header Fields Too Large");
+	} else {
+		caller_finish(caller);
+	}
+}
+
+static void
+handle_drain(struct http_stream *stream)
+{
+	struct caller *caller = stream->owner;
+
+	if (caller->exchange != NULL)
+		exchange_drain(caller->exchange);
+}
+
+static const struct http_stream_ops caller_ops = {
+	.handle_head = handle_head,
+	.handle_body = handle_body,
+	.handle_message = handle_message,
+	.handle_end = handle_end,
+	.handle_drain = handle_drain,
+	.handle_first_byte = handle_first_byte,
+};
+
+/*
+ * The whole answer has been written: get ready for the next request, or close
+ * the connection.
+ */
+void
+caller_answered(struct caller *caller)
+{
+	exchange_finish(caller->exchange);
+	if (!caller->request_whole) {
+		/* Closing now would reset the answer under the caller. */
+		caller->lingering = true;
+		uv_timer_start(&caller->timer, handle_idle, LINGER_MS, 0);
+		http_stream_resume(caller->stream);
+		return;
+	}
+	if (caller->close_after) {
+		caller_finish(caller);
+		return;
+	}
+	wait_for_request(caller);
+	http_stream_next(caller->stream);
+}
+
+static void
+caller_accept(
+    struct proxy *proxy, struct http_stream *stream, enum caller_origin origin)
+{
+	struct caller *caller = g_new0(struct caller, 1);
+
+	caller->proxy = proxy;
+	caller->origin = origin;
+	caller->stream = stream;
+	uv_timer_init(proxy->loop, &caller->timer);
+	g_hash_table_add(proxy->callers, caller);
+	stream->ops = &caller_ops;
+	stream->owner = caller;
+	if (origin == CALLER_LOCAL)
+		proxy_count(&proxy->stats, STAT_CALLER_CONNECTIONS);
+	wait_for_request(caller);
+	http_stream_start(stream);
+}
+
+/*
+ * Take a connection of a caller on this host.
+ */
+void
+caller_accept_local(void *proxy, struct http_stream *stream)
+{
+	caller_accept(proxy, stream, CALLER_LOCAL);
+}
+
+/*
+ * Take a connection of another node.
+ */
+void
+caller_accept_peer(void *proxy, struct http_stream *stream)
+{
+	caller_accept(proxy, stream, CALLER_PEER);
+}
--- /dev/null
+++ b/trefoilhill-proxy/exchange.c
@@ -0,0 +1,439 @@
+#include <string.h>
+
+#include "trefoilhill-proxy/exchange.h"
+#include "trefoilhill-proxy/heartbeat.h"
+
+enum {
+	BODY_EARLY_BYTES = 64 * 1024,  /* larger ones are sent while they come */
+	BODY_HIGH_BYTES = 256 * 1024,  /* the caller is paused above this */
+	DEADLINE_DEFAULT_MS = 10000,   /* when nobody names one */
+	HEARTBEAT_BODY_MAX = 16 * 1024 * 1024,
+};
+
+/*
+ * Return how long anybody waits for the answer.
+ */
+int64_t
+exchange_left_ms(const struct exchange *exchange)
+{
+	return exchange->deadline_ms - proxy_now_ms(exchange->proxy);
+}
+
+/*
+ * Return how many attempts are in progress.
+ */
+uint32_t
+exchange_running(const struct exchange *exchange)
+{
+	uint32_t count = 0;
+
+	for (size_t i = 0; i < EXCHANGE_ATTEMPTS_MAX; i++)
+		count += exchange->attempts[i] != NULL;
+	return count;
+}
+
+/*
+ * Log one decision about the request, with what it was decided by.
+ */
+void
+exchange_log(struct exchange *exchange, enum log_class class,
+    const char *event, const struct attempt *attempt, const char *reason)
+{
+	struct proxy *proxy = exchange->proxy;
+	struct json_line *line = json_log_begin(proxy->log, class, event);
+
+	if (line == NULL)
+		return;
+	json_line_text(line, "request", exchange->id);
+	json_line_cstr(line, "from",
+	    exchange->origin == CALLER_PEER ? "peer" : "caller");
+	json_line_cstr(line, "reason", reason);
+	json_line_int(line, "age_ms",
+	    proxy_now_ms(proxy) - exchange->begun_ms);
+	json_line_int(line, "left_ms", exchange_left_ms(exchange));
+	json_line_cstr(line, "route",
+	    exchange->route == NULL ? "" : exchange->route->name);
+	json_line_cstr(line, "config",
+	    exchange->config == NULL ? "" : exchange->config->label);
+	json_line_int(line, "config_age_ms",
+	    proxy_now_ms(proxy) - catalog_config_ms(proxy->catalog));
+	if (attempt != NULL) {
+		const struct upstream *upstream = attempt->upstream;
+
+		json_line_int(line, "attempt", attempt->number);
+		json_line_cstr(line, "upstream", upstream->entry.id);
+		json_line_bool(line, "local", attempt->local);
+		json_line_int(line, "limit", upstream->load.limit);
+		json_line_int(line, "in_flight", upstream->load.in_flight);
+		json_line_int(line, "queued", upstream->load.queued);
+		json_line_int(line, "load_age_ms",
+		    upstream->load_ms == 0
+			? -1
+			: proxy_now_ms(proxy) - upstream->load_ms);
+	}
+	if (exchange->status != 0)
+		json_line_int(line, "status", exchange->status);
+	json_log_end(line);
+}
+
+/*
+ * Give up all attempts but one, which may be NULL.
+ */
+void
+exchange_cancel_attempts(
+    struct exchange *exchange, const struct attempt *but)
+{
+	for (size_t i = 0; i < EXCHANGE_ATTEMPTS_MAX; i++) {
+		struct attempt *attempt = exchange->attempts[i];
+
+		if (attempt == NULL || attempt == but)
+			continue;
+		exchange->attempts[i] = NULL;
+		attempt_cancel(attempt);
+	}
+}
+
+static void
+exchange_free(struct exchange *exchange)
+{
+	for (size_t i = 0; i < exchange->tried_count; i++)
+		upstream_unref(exchange->tried_held[i]);
+	http_head_free(exchange->head);
+	g_byte_array_free(exchange->body, TRUE);
+	g_string_free(exchange->answer_head, TRUE);
+	g_byte_array_free(exchange->held, TRUE);
+	mesh_config_unref(exchange->config);
+	g_free(exchange);
+}
+
+static void
+handle_hedge_closed(uv_handle_t *handle)
+{
+	exchange_free(handle->data);
+}
+
+static void
+handle_timer_closed(uv_handle_t *handle)
+{
+	struct exchange *exchange = (struct exchange *)handle;
+
+	uv_close((uv_handle_t *)&exchange->hedge, handle_hedge_closed);
+}
+
+/*
+ * End the exchange. What is still in progress is given up. It is freed soon,
+ * and calls nobody back.
+ */
+void
+exchange_finish(struct exchange *exchange)
+{
+	if (exchange->ended)
+		return;
+	exchange->ended = true;
+	exchange_cancel_attempts(exchange, NULL);
+	exchange->proxy->exchanges--;
+	if (exchange->caller != NULL)
+		exchange->caller->exchange = NULL;
+	if (exchange->origin == CALLER_LOCAL)
+		proxy_latency(&exchange->proxy->stats, LATENCY_TOTAL,
+		    proxy_now_ms(exchange->proxy) - exchange->begun_ms);
+	uv_close((uv_handle_t *)&exchange->timer, handle_timer_closed);
+}
+
+/*
+ * The caller has gone: nobody wants the answer any more.
+ */
+void
+exchange_abandon(struct exchange *exchange)
+{
+	exchange->caller = NULL;
+	if (exchange->origin == CALLER_LOCAL)
+		proxy_count(&exchange->proxy->stats, STAT_CALLER_GONE);
+	exchange_log(exchange, LOG_CLASS_DECISION, "caller_gone", NULL, "");
+	exchange_finish(exchange);
+}
+
+/* Nothing of an answer came in time. */
+static void
+deadline_answer(struct exchange *exchange)
+{
+	bool sent = exchange->may_have_run;
+
+	for (size_t i = 0; i < EXCHANGE_ATTEMPTS_MAX; i++)
+		sent = sent ||
+		    (exchange->attempts[i] != NULL &&
+			exchange->attempts[i]->sent_ms != 0);
+	exchange->may_have_run = sent;
+	exchange_cancel_attempts(exchange, NULL);
+	exchange_answer_own(exchange, sent ? 504 : 503, "deadline", !sent);
+}
+
+static void
+handle_deadline(uv_timer_t *timer)
+{
+	struct exchange *exchange = (struct exchange *)timer;
+	struct caller *caller = exchange->caller;
+
+	if (exchange->ended)
+		return;
+	if (!exchange->committed) {
+		deadline_answer(exchange);
+		return;
+	}
+	proxy_count(&exchange->proxy->stats, STAT_CUT);
+	exchange_log(exchange, LOG_CLASS_FAILURE, "answer_cut",
+	    exchange->answering, "deadline");
+	exchange_finish(exchange);
+	caller_cut(caller);
+}
+
+static struct exchange *
+exchange_new(struct caller *caller)
+{
+	struct exchange *exchange = g_new0(struct exchange, 1);
+	struct http_stream *stream = caller->stream;
+
+	exchange->caller = caller;
+	exchange->proxy = caller->proxy;
+	exchange->origin = caller->origin;
+	exchange->begun_ms = proxy_now_ms(caller->proxy);
+	exchange->head = stream->head;
+	stream->head = http_head_new();
+	exchange->body = g_byte_array_new();
+	exchange->held = g_byte_array_new();
+	exchange->answer_head = g_string_new(NULL);
+	exchange->has_length = stream->has_length;
+	exchange->length = stream->length;
+	exchange->body_whole = stream->has_length && stream->length == 0;
+	exchange->http_1_0 = stream->parser.http_major < 1 ||
+	    (stream->parser.http_major == 1 && stream->parser.http_minor < 1);
+	exchange->is_head_method =
+	    str_equal(http_head_span(exchange->head, exchange->head->method),
+		str_from("HEAD"));
+	uv_timer_init(exchange->proxy->loop, &exchange->timer);
+	uv_timer_init(exchange->proxy->loop, &exchange->hedge);
+	exchange->hedge.data = exchange;
+	exchange->proxy->exchanges++;
+	caller->exchange = exchange;
+	return exchange;
+}
+
+static void
+deadline_set(struct exchange *exchange, int64_t ms)
+{
+	exchange->deadline_ms = exchange->begun_ms + ms;
+	uv_timer_start(&exchange->timer, handle_deadline,
+	    (uint64_t)MAX(ms, 1), 0);
+}
+
+/* The part of a weighted route that this request goes to. */
+static const char *
+choose_service(struct exchange *exchange)
+{
+	const GArray *parts = exchange->route->parts;
+	uint64_t total = 0, drawn;
+
+	for (guint i = 0; i < parts->len; i++)
+		total += g_array_index(parts, struct route_part, i).weight;
+	if (total == 0)
+		return g_array_index(parts, struct route_part, 0).service;
+	drawn = rng_below(exchange->proxy->rng, total);
+	for (guint i = 0; i < parts->len; i++) {
+		const struct route_part *part =
+		    &g_array_index(parts, struct route_part, i);
+
+		if (drawn < part->weight)
+			return part->service;
+		drawn -= part->weight;
+	}
+	return g_array_index(parts, struct route_part, 0).service;
+}
+
+/* Decide by the configuration in force; false: answered already. */
+static bool
+route_find(struct exchange *exchange, int64_t caller_ms)
+{
+	struct proxy *proxy = exchange->proxy;
+	struct mesh_config *config = catalog_config(proxy->catalog);
+	const struct http_head *head = exchange->head;
+
+	if (config == NULL) {
+		exchange_answer_own(
+		    exchange, 503, "no_configuration", true);
+		return false;
+	}
+	exchange->config = mesh_config_ref(config);
+	exchange->route = mesh_config_match(config,
+	    http_head_find(head, str_from("host")),
+	    http_head_span(head, head->target));
+	if (exchange->route == NULL) {
+		proxy_count(&proxy->stats, STAT_NO_ROUTE);
+		exchange_answer_own(exchange, 404, "no_route", false);
+		return false;
+	}
+	exchange->idempotent = exchange->route->idempotent;
+	exchange->priority = exchange->route->priority;
+	exchange->objective_ms = exchange->route->objective_ms;
+	exchange->service = choose_service(exchange);
+	repeat_budget_fresh(
+	    proxy->repeats, exchange->service, exchange->begun_ms);
+	if (caller_ms < 0 || caller_ms > exchange->route->timeout_ms)
+		caller_ms = exchange->route->timeout_ms;
+	deadline_set(exchange, caller_ms);
+	if (exchange->has_length &&
+	    exchange->length > config->limits.body_max_bytes) {
+		exchange_answer_own(exchange, 413, "body_too_large", false);
+		return false;
+	}
+	return true;
+}
+
+static void
+begin_from_peer(struct exchange *exchange)
+{
+	const struct http_head *head = exchange->head;
+
+	proxy_count(&exchange->proxy->stats, STAT_PEER_REQUESTS);
+	deadline_set(exchange, DEADLINE_DEFAULT_MS);
+	if (heartbeat_is_target(http_head_span(head, head->target)))
+		return;
+	if (!hop_read_request(head, &exchange->hop)) {
+		exchange_answer_own(exchange, 400, "not_from_a_node", false);
+		return;
+	}
+	exchange->idempotent = exchange->hop.idempotent;
+	exchange->priority = exchange->hop.priority;
+	deadline_set(exchange, exchange->hop.left_ms);
+}
+
+/*
+ * Begin the exchange of the request whose head the caller's connection has
+ * just read.
+ */
+void
+exchange_begin(struct caller *caller)
+{
+	struct exchange *exchange = exchange_new(caller);
+	struct request_marks marks;
+
+	platform_read_request(exchange->head, &marks);
+	exchange->id = marks.id;
+	if (exchange->origin == CALLER_PEER) {
+		begin_from_peer(exchange);
+		return;
+	}
+	proxy_count(&exchange->proxy->stats, STAT_REQUESTS);
+	deadline_set(exchange,
+	    marks.deadline_ms < 0 ? DEADLINE_DEFAULT_MS : marks.deadline_ms);
+	route_find(exchange, marks.deadline_ms);
+}
+
+/*
+ * Let the attempts send what they have not sent yet, and drop what is no
+ * longer needed.
+ */
+void
+exchange_push_body(struct exchange *exchange)
+{
+	uint64_t least = UINT64_MAX;
+	uint64_t end = exchange->body_dropped + exchange->body->len;
+
+	for (size_t i = 0; i < EXCHANGE_ATTEMPTS_MAX; i++) {
+		struct attempt *attempt = exchange->attempts[i];
+
+		if (attempt == NULL)
+			continue;
+		attempt_push_body(attempt);
+		least = MIN(least, attempt->body_sent);
+	}
+	/* A large body is not kept for a repeat. */
+	if (least != UINT64_MAX && end > BODY_EARLY_BYTES &&
+	    least > exchange->body_dropped) {
+		g_byte_array_remove_range(exchange->body, 0,
+		    (guint)(least - exchange->body_dropped));
+		exchange->body_dropped = least;
+	}
+	if (exchange->body->len <= BODY_HIGH_BYTES && exchange->caller != NULL)
+		http_stream_resume(exchange->caller->stream);
+}
+
+/*
+ * More of the request's body has come.
+ */
+void
+exchange_body(struct exchange *exchange, struct str bytes)
+{
+	uint64_t max = exchange->config == NULL
+	    ? HEARTBEAT_BODY_MAX
+	    : exchange->config->limits.body_max_bytes;
+	uint64_t total;
+
+	g_byte_array_append(
+	    exchange->body, (const guint8 *)bytes.ptr, (guint)bytes.len);
+	total = exchange->body_dropped + exchange->body->len;
+	if (total > max && exchange->origin == CALLER_LOCAL) {
+		exchange_cancel_attempts(exchange, NULL);
+		if (exchange->committed)
+			return;
+		exchange_answer_own(exchange, 413, "body_too_large", false);
+		return;
+	}
+	if (total > BODY_EARLY_BYTES && exchange->attempt_count == 0 &&
+	    !heartbeat_is_target(
+		http_head_span(exchange->head, exchange->head->target)))
+		exchange_dispatch(exchange);
+	if (exchange->ended)
+		return;
+	exchange_push_body(exchange);
+	if (exchange->body->len > BODY_HIGH_BYTES && exchange->caller != NULL &&
+	    exchange->attempt_count > 0)
+		http_stream_pause(exchange->caller->stream);
+}
+
+/*
+ * The whole request is there.
+ */
+void
+exchange_body_end(struct exchange *exchange)
+{
+	char *answer;
+
+	exchange->body_whole = true;
+	if (exchange->attempt_count > 0) {
+		exchange_push_body(exchange);
+		return;
+	}
+	if (!exchange->has_length) {
+		exchange->has_length = true;
+		exchange->length = exchange->body->len;
+	}
+	if (exchange->origin == CALLER_LOCAL ||
+	    !heartbeat_is_target(http_head_span(
+		exchange->head, exchange->head->target))) {
+		exchange_dispatch(exchange);
+		return;
+	}
+	answer = heartbeat_answer(exchange->proxy->heartbeat,
+	    str_make(exchange->body->data, exchange->body->len));
+	if (answer == NULL) {
+		exchange_answer_own(exchange, 400, "bad_heartbeat", false);
+		return;
+	}
+	g_string_printf(exchange->answer_head,
+	    "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n", strlen(answer));
+	http_stream_write2(exchange->caller->stream,
+	    str_make(exchange->answer_head->str, exchange->answer_head->len),
+	    str_from(answer));
+	g_free(answer);
+	caller_answered(exchange->caller);
+}
+
+/*
+ * The caller's connection has room for more of the answer.
+ */
+void
+exchange_drain(struct exchange *exchange)
+{
+	if (exchange->answering != NULL && exchange->answering->stream != NULL)
+		http_stream_resume(exchange->answering->stream);
+}
--- /dev/null
+++ b/trefoilhill-proxy/exchange_answer.c
@@ -0,0 +1,249 @@
+#include <string.h>
+
+#include "trefoilhill-proxy/exchange.h"
+#include "trefoilhill-proxy/gate.h"
+
+enum {
+	/*
+	 * An answer up to this size is passed on when it is whole, so that one
+	 * which breaks off can still be asked of another upstream.
+	 */
+	HOLD_MAX_BYTES = 128 * 1024,
+	RETRY_AFTER_MIN_MS = 120,
+	RETRY_AFTER_SPREAD_MS = 200, /* callers must not come back together */
+	RETRY_AFTER_SHARE = 3, /* at most this part of the time that is left */
+	CHUNK_HEAD_MAX = 24,
+};
+
+static const char *
+status_text(unsigned status)
+{
+	const char *text = http_status_str((enum http_status)status);
+
+	return text == NULL ? "Unknown" : text;
+}
+
+static bool
+field_is_relayed(
+    const struct exchange *exchange, const struct http_head *head,
+    struct str name)
+{
+	return !http_field_is_hop_by_hop(head, name) &&
+	    !hop_field_is_ours(name) &&
+	    !str_equal_nocase(name, str_from("content-length"));
+}
+
+/* May the connection carry another request after this answer? */
+static bool
+keeps_connection(const struct exchange *exchange)
+{
+	const struct caller *caller = exchange->caller;
+
+	return caller->stream->keep_alive && !exchange->proxy->stopping &&
+	    exchange->body_whole;
+}
+
+static void
+write_connection(struct exchange *exchange)
+{
+	if (keeps_connection(exchange))
+		return;
+	exchange->caller->close_after = true;
+	g_string_append(exchange->answer_head, "Connection: close\r\n");
+}
+
+static void
+write_load(struct exchange *exchange)
+{
+	struct load_report load;
+
+	if (exchange->origin != CALLER_PEER)
+		return;
+	load = gate_report(exchange->proxy->gate);
+	hop_write_load(exchange->answer_head, &load);
+}
+
+static bool
+has_no_body(const struct exchange *exchange)
+{
+	return exchange->is_head_method || exchange->status == 204 ||
+	    exchange->status == 304;
+}
+
+/* Send the answer's head and what is held of its body. */
+static void
+commit(struct exchange *exchange, bool has_length, uint64_t length)
+{
+	GString *text = exchange->answer_head;
+
+	exchange->committed = true;
+	if (has_length)
+		g_string_append_printf(text,
+		    "Content-Length: %" G_GUINT64_FORMAT "\r\n",
+		    (guint64)length);
+	else if (exchange->http_1_0)
+		exchange->caller->close_after = true;
+	else if (!has_no_body(exchange))
+		exchange->chunked = true;
+	if (exchange->chunked)
+		g_string_append(text, "Transfer-Encoding: chunked\r\n");
+	g_string_append(text, "\r\n");
+	if (!exchange->chunked || exchange->held->len == 0) {
+		http_stream_write2(exchange->caller->stream,
+		    str_make(text->str, text->len),
+		    str_make(exchange->held->data, exchange->held->len));
+	} else {
+		http_stream_write(exchange->caller->stream,
+		    str_make(text->str, text->len));
+		exchange_relay_body(exchange,
+		    str_make(exchange->held->data, exchange->held->len));
+	}
+	g_byte_array_set_size(exchange->held, 0);
+}
+
+/*
+ * Take the head of an upstream's answer.
+ */
+void
+exchange_relay_head(struct exchange *exchange, struct attempt *attempt)
+{
+	const struct http_stream *from = attempt->stream;
+	GString *text = exchange->answer_head;
+
+	exchange->status = attempt->status;
+	g_string_printf(text, "HTTP/1.1 %u %s\r\n", exchange->status,
+	    status_text(exchange->status));
+	for (size_t i = 0; i < from->head->field_count; i++) {
+		struct str name = http_head_name(from->head, i);
+
+		if (field_is_relayed(exchange, from->head, name))
+			http_text_field(
+			    text, name, http_head_value(from->head, i));
+	}
+	write_connection(exchange);
+	write_load(exchange);
+	if (exchange->origin == CALLER_PEER ||
+	    (from->has_length && from->length > HOLD_MAX_BYTES))
+		commit(exchange, from->has_length, from->length);
+}
+
+/*
+ * Take a part of the answer's body.
+ */
+void
+exchange_relay_body(struct exchange *exchange, struct str bytes)
+{
+	struct http_stream *to = exchange->caller->stream;
+	char head[CHUNK_HEAD_MAX];
+	int len;
+
+	if (!exchange->committed) {
+		g_byte_array_append(exchange->held, (const guint8 *)bytes.ptr,
+		    (guint)bytes.len);
+		if (exchange->held->len > HOLD_MAX_BYTES)
+			commit(exchange, false, 0);
+		return;
+	}
+	if (exchange->chunked) {
+		len = g_snprintf(head, sizeof(head), "%zx\r\n", bytes.len);
+		http_stream_write2(to, str_make(head, (size_t)len), bytes);
+		http_stream_write(to, str_from("\r\n"));
+	} else {
+		http_stream_write(to, bytes);
+	}
+	if (http_stream_queued(to) > HTTP_WRITE_HIGH_BYTES &&
+	    exchange->answering != NULL)
+		http_stream_pause(exchange->answering->stream);
+}
+
+static void
+count_answer(struct exchange *exchange)
+{
+	if (exchange->origin == CALLER_PEER)
+		return;
+	proxy_count(&exchange->proxy->stats,
+	    exchange->status < 500 ? STAT_ANSWERED : STAT_ANSWERED_FAILURE);
+}
+
+/*
+ * The answer is whole.
+ */
+void
+exchange_relay_end(struct exchange *exchange)
+{
+	struct attempt *attempt = exchange->answering;
+
+	if (!exchange->committed)
+		commit(exchange, !has_no_body(exchange), exchange->held->len);
+	if (exchange->chunked)
+		http_stream_write(
+		    exchange->caller->stream, str_from("0\r\n\r\n"));
+	count_answer(exchange);
+	exchange_log(exchange,
+	    exchange->status < 500 ? LOG_CLASS_ANSWERED : LOG_CLASS_FAILURE,
+	    "answered", attempt, "");
+	caller_answered(exchange->caller);
+}
+
+/* When a refused caller should come back. */
+static void
+write_retry_after(struct exchange *exchange)
+{
+	int64_t most_ms = exchange_left_ms(exchange) / RETRY_AFTER_SHARE;
+	int64_t ms = RETRY_AFTER_MIN_MS +
+	    (int64_t)rng_below(exchange->proxy->rng, RETRY_AFTER_SPREAD_MS);
+
+	ms = CLAMP(ms, 1, MAX(most_ms, 1));
+	g_string_append_printf(exchange->answer_head,
+	    "Retry-After: %d.%03d\r\n", (int)(ms / 1000), (int)(ms % 1000));
+}
+
+static void
+log_own(struct exchange *exchange, const char *reason)
+{
+	struct proxy_stats *stats = &exchange->proxy->stats;
+	bool refused = exchange->status == 503 || exchange->status == 429 ||
+	    exchange->status == 408;
+
+	if (exchange->origin == CALLER_LOCAL && exchange->status != 404)
+		proxy_count(stats,
+		    refused ? STAT_REFUSED
+			: exchange->status < 500 ? STAT_BAD_REQUESTS
+						 : STAT_FAILED);
+	exchange_log(exchange, LOG_CLASS_FAILURE,
+	    refused ? "refused" : "failed", NULL, reason);
+}
+
+/*
+ * Answer without an upstream's answer: a refusal, which promises that the
+ * request has not run and never will, or a failure, which promises nothing.
+ */
+void
+exchange_answer_own(struct exchange *exchange, unsigned status,
+    const char *reason, bool retry)
+{
+	GString *text = exchange->answer_head;
+
+	if (exchange->ended || exchange->committed)
+		return;
+	exchange->committed = true;
+	exchange->status = status;
+	log_own(exchange, reason);
+	g_string_printf(
+	    text, "HTTP/1.1 %u %s\r\n", status, status_text(status));
+	platform_write_own_answer(text, exchange->id);
+	if (exchange->origin == CALLER_PEER)
+		hop_write_outcome(text,
+		    exchange->may_have_run ? HOP_FAILED : HOP_NOT_RUN, reason,
+		    exchange->reaches > 0);
+	else if (retry)
+		write_retry_after(exchange);
+	write_connection(exchange);
+	write_load(exchange);
+	g_string_append_printf(text, "Content-Length: %zu\r\n\r\n",
+	    exchange->is_head_method ? 0 : strlen(reason));
+	http_stream_write2(exchange->caller->stream,
+	    str_make(text->str, text->len),
+	    str_from(exchange->is_head_method ? "" : reason));
+	caller_answered(exchange->caller);
+}
--- /dev/null
+++ b/trefoilhill-proxy/gate.c
@@ -0,0 +1,229 @@
+#include <string.h>
+
+#include "trefoilhill-proxy/gate.h"
+
+enum {
+	QUEUE_MAX = 256,        /* requests; their bodies are small or paused */
+	PAUSE_FIRST_MS = 50,    /* after a refused connection */
+	PAUSE_MAX_MS = 400,
+	IDLE_CONNECTIONS_MAX = 32,
+	IDLE_DEFAULT_MS = 600,  /* when the upstream names no time of its own */
+	IDLE_MAX_MS = 5000,
+	PERCENT = 100,
+	/* Of the rate that a cold upstream bears; arrivals may bunch. */
+	COLD_RATE_PERCENT = 110,
+};
+
+struct gate {
+	uv_timer_t *timer;
+	struct proxy *proxy;
+	struct admission *admission;
+	struct http_pool *pool;
+	struct sockaddr_in address;
+	struct upstream *upstream; /* counted; NULL: none is registered */
+	char *upstream_id;
+	uint64_t started_ms;
+	bool zone_out;
+	int64_t assumed_cold_until_ms; /* not told, but to be expected */
+};
+
+/*
+ * Return the gate to the upstream that the settings name.
+ */
+struct gate *
+gate_new(struct proxy *proxy, GError **error)
+{
+	struct admission_bounds settings = {
+		.queue_max = QUEUE_MAX,
+		.pause_first_ms = PAUSE_FIRST_MS,
+		.pause_max_ms = PAUSE_MAX_MS,
+	};
+	struct http_pool_settings pool = {
+		.idle_max = IDLE_CONNECTIONS_MAX,
+		.idle_default_ms = IDLE_DEFAULT_MS,
+		.idle_max_ms = IDLE_MAX_MS,
+	};
+	struct str address = proxy->settings->upstream.address;
+	struct gate *gate;
+
+	if (!http_address_parse(address, &pool.address)) {
+		g_set_error(error, HTTP_LISTEN_ERROR,
+		    HTTP_LISTEN_ERROR_ADDRESS, "%.*s: not IP:PORT",
+		    STR_ARG(address));
+		return NULL;
+	}
+	gate = g_new0(struct gate, 1);
+	gate->proxy = proxy;
+	gate->address = pool.address;
+	gate->admission = admission_new(&settings);
+	gate->pool = http_pool_new(proxy->loop, &pool);
+	gate->timer = g_new0(uv_timer_t, 1);
+	uv_timer_init(proxy->loop, gate->timer);
+	gate->timer->data = gate;
+	return gate;
+}
+
+static void
+handle_timer_closed(uv_handle_t *handle)
+{
+	g_free(handle);
+}
+
+/*
+ * Free a gate. NULL is allowed.
+ */
+void
+gate_free(struct gate *gate)
+{
+	if (gate == NULL)
+		return;
+	uv_close((uv_handle_t *)gate->timer, handle_timer_closed);
+	upstream_unref(gate->upstream);
+	admission_free(gate->admission);
+	http_pool_free(gate->pool);
+	g_free(gate->upstream_id);
+	g_free(gate);
+}
+
+/*
+ * Return the admission of the gate.
+ */
+struct admission *
+gate_admission(struct gate *gate)
+{
+	return gate->admission;
+}
+
+/*
+ * Return the connections to the upstream.
+ */
+struct http_pool *
+gate_pool(struct gate *gate)
+{
+	return gate->pool;
+}
+
+/*
+ * Return the upstream that is registered here; NULL when there is none.
+ */
+struct upstream *
+gate_upstream(struct gate *gate)
+{
+	return gate->upstream;
+}
+
+static void
+log_state(struct gate *gate, const char *event, bool open, int64_t cold_ms)
+{
+	struct json_line *line =
+	    json_log_begin(gate->proxy->log, LOG_CLASS_STATE, event);
+
+	json_line_cstr(line, "upstream", gate->upstream_id);
+	json_line_bool(line, "open", open);
+	json_line_int(line, "cold_ms", cold_ms);
+	json_log_end(line);
+}
+
+/* Another upstream, or a new start of the same, is at the address now. */
+static void
+take_upstream(struct gate *gate, struct upstream *upstream)
+{
+	upstream_unref(gate->upstream);
+	gate->upstream = upstream == NULL ? NULL : upstream_ref(upstream);
+	if (upstream == NULL)
+		return;
+	if (g_strcmp0(gate->upstream_id, upstream->entry.id) == 0 &&
+	    gate->started_ms == upstream->entry.started_ms)
+		return;
+	g_free(gate->upstream_id);
+	gate->upstream_id = g_strdup(upstream->entry.id);
+	gate->started_ms = upstream->entry.started_ms;
+	admission_reset(gate->admission);
+	http_pool_flush(gate->pool);
+	log_state(gate, "gate_upstream", true, upstream->entry.cold_ms);
+}
+
+/* How long the upstream is to be treated as cold, and at what rate. */
+static void
+refresh_cold(struct gate *gate, int64_t now_ms)
+{
+	const struct mesh_config *config = catalog_config(gate->proxy->catalog);
+	const struct mesh_service *service = config == NULL
+	    ? NULL
+	    : mesh_config_service(config, gate->upstream->entry.service);
+	bool zone_out = catalog_zone_is_out(
+	    gate->proxy->catalog, gate->upstream->entry.zone);
+
+	if (service == NULL)
+		return;
+	/* Back in service, or back after a crash: it may have turned cold. */
+	if ((gate->zone_out && !zone_out) ||
+	    admission_take_returned(gate->admission)) {
+		gate->assumed_cold_until_ms = now_ms + service->cold_ms;
+		log_state(gate, "gate_assumed_cold", true, service->cold_ms);
+	}
+	gate->zone_out = zone_out;
+	admission_set_cold(gate->admission,
+	    MAX(gate->upstream->cold_until_ms, gate->assumed_cold_until_ms),
+	    service->cold_per_s * COLD_RATE_PERCENT / PERCENT);
+}
+
+/*
+ * Look again which upstream is registered here and in what state it is.
+ */
+void
+gate_refresh(struct gate *gate)
+{
+	struct upstream *upstream =
+	    catalog_upstream_at(gate->proxy->catalog, &gate->address);
+	int64_t now_ms = proxy_now_ms(gate->proxy);
+
+	if (upstream != gate->upstream ||
+	    (upstream != NULL &&
+		upstream->entry.started_ms != gate->started_ms))
+		take_upstream(gate, upstream);
+	if (gate->upstream == NULL || gate->upstream->entry.draining) {
+		admission_set_open(gate->admission, false);
+		return;
+	}
+	admission_set_slots(gate->admission, gate->upstream->entry.slots);
+	refresh_cold(gate, now_ms);
+	admission_set_open(gate->admission, !gate->zone_out);
+	gate_poll(gate);
+}
+
+static void
+handle_timer(uv_timer_t *timer)
+{
+	gate_poll(timer->data);
+}
+
+/*
+ * Let queued requests have their turn.
+ */
+void
+gate_poll(struct gate *gate)
+{
+	int64_t now_ms = proxy_now_ms(gate->proxy);
+	int64_t wake_ms = admission_poll(gate->admission, now_ms);
+
+	if (wake_ms == 0)
+		uv_timer_stop(gate->timer);
+	else
+		uv_timer_start(gate->timer, handle_timer,
+		    (uint64_t)MAX(wake_ms - now_ms, 1), 0);
+}
+
+/*
+ * Return what peers may know of the load here.
+ */
+struct load_report
+gate_report(struct gate *gate)
+{
+	struct load_report report =
+	    admission_report(gate->admission, proxy_now_ms(gate->proxy));
+
+	if (gate->proxy->stopping)
+		report.accepting = false;
+	return report;
+}
--- /dev/null
+++ b/trefoilhill-proxy/hop.c
@@ -0,0 +1,142 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "trefoilhill-proxy/hop.h"
+
+#define NAME(text) { sizeof(text) - 1, text }
+
+static const struct str request_field = NAME("X-Trefoilhill-Hop");
+static const struct str caller_field = NAME("X-Trefoilhill-Caller");
+static const struct str instance_field = NAME("X-Trefoilhill-Instance");
+static const struct str load_field = NAME("X-Trefoilhill-Load");
+static const struct str refused_field = NAME("X-Trefoilhill-Not-Run");
+static const struct str failed_field = NAME("X-Trefoilhill-Failed");
+static const struct str reached_field = NAME("X-Trefoilhill-Reached");
+
+enum {
+	FIELD_TEXT_MAX = 128,
+};
+
+/*
+ * Tell whether a field is one of those between nodes.
+ */
+bool
+hop_field_is_ours(struct str name)
+{
+	static const char prefix[] = "x-trefoilhill-";
+
+	return name.len >= strlen(prefix) &&
+	    g_ascii_strncasecmp(name.ptr, prefix, strlen(prefix)) == 0;
+}
+
+/*
+ * Append what an entry asks of the node beside an upstream.
+ */
+void
+hop_write_request(GString *text, const struct hop_request *request)
+{
+	char value[FIELD_TEXT_MAX];
+	int len = g_snprintf(value, sizeof(value),
+	    "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %u %d",
+	    (gint64)request->left_ms, (gint64)request->wait_ms,
+	    request->priority, request->idempotent ? 1 : 0);
+
+	http_text_field(text, request_field, str_make(value, (size_t)len));
+	http_text_field(text, instance_field, request->instance);
+	http_text_field(text, caller_field, request->caller);
+}
+
+/* Copy a short value so that it ends with NUL; false: it is too long. */
+static bool
+value_copy(const struct http_head *head, struct str name, char *out,
+    size_t out_max)
+{
+	struct str value = http_head_find(head, name);
+
+	if (value.len == 0 || value.len >= out_max)
+		return false;
+	memcpy(out, value.ptr, value.len);
+	out[value.len] = '\0';
+	return true;
+}
+
+/*
+ * Read what an entry asks. Views point into the head.
+ */
+bool
+hop_read_request(const struct http_head *head, struct hop_request *request)
+{
+	char value[FIELD_TEXT_MAX];
+	gint64 left_ms, wait_ms;
+	int idempotent;
+
+	if (!value_copy(head, request_field, value, sizeof(value)) ||
+	    sscanf(value, "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %u %d",
+		&left_ms, &wait_ms, &request->priority, &idempotent) != 4)
+		return false;
+	request->left_ms = left_ms;
+	request->wait_ms = wait_ms;
+	request->idempotent = idempotent != 0;
+	request->instance = http_head_find(head, instance_field);
+	request->caller = http_head_find(head, caller_field);
+	return request->instance.len > 0;
+}
+
+/*
+ * Append the load of this node's upstream.
+ */
+void
+hop_write_load(GString *text, const struct load_report *load)
+{
+	char value[FIELD_TEXT_MAX];
+	int len = g_snprintf(value, sizeof(value), "%u %u %u %u %u %d",
+	    load->limit, load->in_flight, load->queued, load->latency_us,
+	    load->failing, load->accepting ? 1 : 0);
+
+	http_text_field(text, load_field, str_make(value, (size_t)len));
+}
+
+/*
+ * Append that there is no answer, and what that means.
+ */
+void
+hop_write_outcome(
+    GString *text, enum hop_outcome outcome, const char *reason, bool reached)
+{
+	if (outcome == HOP_ANSWER)
+		return;
+	http_text_field(text,
+	    outcome == HOP_NOT_RUN ? refused_field : failed_field,
+	    str_from(reason));
+	if (reached)
+		http_text_field(text, reached_field, str_from("1"));
+}
+
+/*
+ * Read what a node says with its answer.
+ */
+void
+hop_read_answer(const struct http_head *head, struct hop_answer *answer)
+{
+	char value[FIELD_TEXT_MAX];
+	struct load_report *load = &answer->load;
+	int accepting;
+
+	*answer = (struct hop_answer){ .outcome = HOP_ANSWER };
+	answer->reason = http_head_find(head, refused_field);
+	if (answer->reason.ptr != NULL) {
+		answer->outcome = HOP_NOT_RUN;
+	} else {
+		answer->reason = http_head_find(head, failed_field);
+		if (answer->reason.ptr != NULL)
+			answer->outcome = HOP_FAILED;
+	}
+	answer->reached = http_head_find(head, reached_field).ptr != NULL;
+	if (!value_copy(head, load_field, value, sizeof(value)) ||
+	    sscanf(value, "%u %u %u %u %u %d", &load->limit, &load->in_flight,
+		&load->queued, &load->latency_us, &load->failing,
+		&accepting) != 6)
+		return;
+	load->accepting = accepting != 0;
+	answer->has_load = true;
+}
--- /dev/null
+++ b/trefoilhill-proxy/ops_listener.c
@@ -0,0 +1,122 @@
+#include <string.h>
+
+#include "platform/headers.h"
+#include "trefoilhill-proxy/ops_listener.h"
+
+struct ops_listener {
+	struct proxy *proxy;
+	struct http_listener *listener;
+	struct http_listener *metrics_listener;
+};
+
+static void
+answer(struct http_stream *stream, const char *status, const char *body)
+{
+	struct proxy *proxy = stream->owner;
+	char *text = g_strdup_printf("HTTP/1.1 %s\r\n"
+				     "Content-Type: text/plain\r\n"
+				     "Content-Length: %zu\r\n%s\r\n%s",
+	    status, strlen(body), proxy->stopping ? "Connection: close\r\n" : "",
+	    body);
+
+	http_stream_write(stream, str_from(text));
+	g_free(text);
+}
+
+static void
+handle_head(struct http_stream *stream)
+{
+}
+
+static void
+handle_body(struct http_stream *stream, struct str bytes)
+{
+}
+
+static void
+handle_message(struct http_stream *stream)
+{
+	struct proxy *proxy = stream->owner;
+	struct str target =
+	    http_head_span(stream->head, stream->head->target);
+	GString *metrics;
+
+	if (platform_is_readiness(target)) {
+		bool ready = proxy_is_ready(proxy);
+
+		answer(stream, ready ? "200 OK" : "503 Service Unavailable",
+		    ready ? "ready\n" : "not ready\n");
+	} else if (str_equal(target, str_from("/metrics"))) {
+		metrics = g_string_new(NULL);
+		proxy_render_metrics(proxy, metrics);
+		answer(stream, "200 OK", metrics->str);
+		g_string_free(metrics, TRUE);
+	} else {
+		answer(stream, "404 Not Found", "no such page\n");
+	}
+	if (proxy->stopping || !stream->keep_alive)
+		http_stream_finish(stream);
+	else
+		http_stream_next(stream);
+}
+
+static void
+handle_end(struct http_stream *stream, enum http_end end)
+{
+	http_stream_finish(stream);
+}
+
+static const struct http_stream_ops ops = {
+	.handle_head = handle_head,
+	.handle_body = handle_body,
+	.handle_message = handle_message,
+	.handle_end = handle_end,
+};
+
+static void
+handle_accept(void *arg, struct http_stream *stream)
+{
+	stream->ops = &ops;
+	stream->owner = arg;
+	http_stream_start(stream);
+}
+
+/*
+ * Listen for questions about readiness, and for metrics. NULL with error set
+ * when an address can't be had.
+ */
+struct ops_listener *
+ops_listener_new(struct proxy *proxy, GError **error)
+{
+	struct ops_listener *listener = g_new0(struct ops_listener, 1);
+	struct str metrics = proxy->settings->node.metrics_listen;
+
+	listener->proxy = proxy;
+	listener->listener = http_listener_new(proxy->loop,
+	    proxy->settings->node.operator_listen, handle_accept, proxy,
+	    error);
+	if (listener->listener == NULL)
+		goto fail;
+	if (metrics.len == 0)
+		return listener;
+	listener->metrics_listener = http_listener_new(
+	    proxy->loop, metrics, handle_accept, proxy, error);
+	if (listener->metrics_listener != NULL)
+		return listener;
+fail:
+	ops_listener_free(listener);
+	return NULL;
+}
+
+/*
+ * Stop listening. NULL is allowed.
+ */
+void
+ops_listener_free(struct ops_listener *listener)
+{
+	if (listener == NULL)
+		return;
+	http_listener_close(listener->listener);
+	http_listener_close(listener->metrics_listener);
+	g_free(listener);
+}
--- /dev/null
+++ b/trefoilhill-proxy/proxy.c
@@ -0,0 +1,294 @@
+#include <unistd.h>
+
+#include "platform/store_client.h"
+#include "trefoilhill-proxy/caller.h"
+#include "trefoilhill-proxy/follower.h"
+#include "trefoilhill-proxy/gate.h"
+#include "trefoilhill-proxy/heartbeat.h"
+#include "trefoilhill-proxy/ops_listener.h"
+#include "trefoilhill-proxy/proxy.h"
+
+enum {
+	TICK_MS = 100,
+	LOG_BUFFER_BYTES = 256 * 1024,
+	LOG_FLUSH_MS = 300,
+	PERCENT = 100,
+	/*
+	 * Of the time that a stopping process is given: until then it serves
+	 * the connections that it has, and later only what is in progress.
+	 */
+	SERVE_PERCENT = 80,
+	FINISH_PERCENT = 95,
+	/* Callers are told of it by readiness, which is asked each second. */
+	STOP_MIN_MS = 2500,
+};
+
+static const char *const event_names[] = {
+	[CATALOG_EVENT_CONFIG] = "config_taken",
+	[CATALOG_EVENT_UPSTREAM_IN] = "upstream_in",
+	[CATALOG_EVENT_UPSTREAM_DRAINING] = "upstream_draining",
+	[CATALOG_EVENT_UPSTREAM_COLD] = "upstream_cold",
+	[CATALOG_EVENT_UPSTREAM_DOUBTED] = "upstream_missing",
+	[CATALOG_EVENT_UPSTREAM_GONE] = "upstream_gone",
+	[CATALOG_EVENT_STALE] = "registration_stale",
+	[CATALOG_EVENT_ZONE_OUT] = "zone_out",
+	[CATALOG_EVENT_ZONE_IN] = "zone_in",
+	[CATALOG_EVENT_INVALID] = "item_refused",
+};
+
+/*
+ * Return the loop's steady time.
+ */
+int64_t
+proxy_now_ms(const struct proxy *proxy)
+{
+	return (int64_t)uv_now(proxy->loop);
+}
+
+/*
+ * Tell whether callers may be sent here.
+ */
+bool
+proxy_is_ready(const struct proxy *proxy)
+{
+	return !proxy->stopping && catalog_config(proxy->catalog) != NULL;
+}
+
+static void
+handle_catalog_event(void *arg, enum catalog_event event, const char *subject,
+    const char *detail, uint64_t revision)
+{
+	struct proxy *proxy = arg;
+	struct json_line *line = json_log_begin(
+	    proxy->log, LOG_CLASS_STATE, event_names[event]);
+
+	json_line_cstr(line, "subject", subject);
+	json_line_cstr(line, "detail", detail);
+	json_line_int(line, "revision", (int64_t)revision);
+	json_log_end(line);
+}
+
+static void
+log_process(struct proxy *proxy, const char *event)
+{
+	struct json_line *line =
+	    json_log_begin(proxy->log, LOG_CLASS_STATE, event);
+
+	json_line_text(line, "zone", proxy->settings->node.zone);
+	json_line_text(line, "service", proxy->settings->upstream.service);
+	json_line_int(line, "in_progress", proxy->exchanges);
+	json_log_end(line);
+}
+
+static void
+close_idle_callers(struct proxy *proxy)
+{
+	GList *callers = g_hash_table_get_keys(proxy->callers);
+
+	for (GList *link = callers; link != NULL; link = link->next)
+		caller_close_idle(link->data);
+	g_list_free(callers);
+}
+
+/* How far the shutdown is: see SERVE_PERCENT. */
+static void
+stop_advance(struct proxy *proxy)
+{
+	int64_t gone_ms = proxy_now_ms(proxy) - proxy->stop_ms;
+	int64_t grace_ms = proxy->settings->node.grace_ms;
+	bool idle = proxy->exchanges == 0 &&
+	    g_hash_table_size(proxy->callers) == 0;
+
+	if (gone_ms >= grace_ms * SERVE_PERCENT / PERCENT) {
+		http_listener_close(
+		    g_steal_pointer(&proxy->caller_listener));
+		http_listener_close(g_steal_pointer(&proxy->mesh_listener));
+		close_idle_callers(proxy);
+	}
+	if ((idle && gone_ms >= STOP_MIN_MS) ||
+	    gone_ms >= grace_ms * FINISH_PERCENT / PERCENT)
+		uv_stop(proxy->loop);
+}
+
+static void
+handle_tick(uv_timer_t *timer)
+{
+	struct proxy *proxy = timer->data;
+
+	catalog_expire(proxy->catalog, proxy_now_ms(proxy));
+	gate_refresh(proxy->gate);
+	if (proxy->stopping)
+		stop_advance(proxy);
+}
+
+/*
+ * Begin a graceful shutdown.
+ */
+void
+proxy_stop(struct proxy *proxy)
+{
+	if (proxy->stopping)
+		return;
+	proxy->stopping = true;
+	proxy->stop_ms = proxy_now_ms(proxy);
+	log_process(proxy, "stopping");
+}
+
+static bool
+listeners_open(struct proxy *proxy, GError **error)
+{
+	const struct node_settings *node = &proxy->settings->node;
+
+	proxy->ops_listener = ops_listener_new(proxy, error);
+	if (proxy->ops_listener == NULL)
+		return false;
+	proxy->mesh_listener = http_listener_new(
+	    proxy->loop, node->mesh_listen, caller_accept_peer, proxy, error);
+	if (proxy->mesh_listener == NULL)
+		return false;
+	proxy->caller_listener = http_listener_new(proxy->loop,
+	    node->caller_listen, caller_accept_local, proxy, error);
+	return proxy->caller_listener != NULL;
+}
+
+static void
+parts_new(struct proxy *proxy)
+{
+	const struct settings *settings = proxy->settings;
+	struct repeat_budget_settings repeats = {
+		.window_ms = settings->route.retry_window_ms,
+		.ratio = settings->route.retry_percent / 100.0,
+		.allowance = settings->route.retry_allowance,
+	};
+	struct catalog_ops ops = {
+		.handle_event = handle_catalog_event,
+		.arg = proxy,
+	};
+	struct json_log_settings log = {
+		.fd = STDOUT_FILENO,
+		.node = settings->node.host,
+		.incarnation = proxy->incarnation,
+		.lines_per_s = settings->log.lines_per_s,
+		.buffer_bytes = LOG_BUFFER_BYTES,
+	};
+
+	proxy->log = json_log_new(&log, proxy->clock);
+	proxy->catalog = catalog_new(ops);
+	proxy->repeats = repeat_budget_new(&repeats);
+	proxy->callers = g_hash_table_new(g_direct_hash, g_direct_equal);
+	proxy->heartbeat = heartbeat_new(proxy);
+}
+
+/* The platform's address without the scheme, which the settings check. */
+static struct str
+store_address(const struct settings *settings)
+{
+	static const size_t scheme_len = sizeof("http://") - 1;
+	struct str url = settings->platform.url;
+
+	return str_make(url.ptr + scheme_len, url.len - scheme_len);
+}
+
+/*
+ * Build and start every part. The settings are taken over. NULL with error set when a part can't be made.
+ */
+struct proxy *
+proxy_new(uv_loop_t *loop, struct settings *settings, GError **error)
+{
+	struct proxy *proxy = g_new0(struct proxy, 1);
+	struct item_source *source;
+
+	proxy->loop = loop;
+	proxy->settings = settings;
+	proxy->clock = clock_system();
+	proxy->rng = rng_system_new();
+	proxy->incarnation = rng_next(proxy->rng) >> 16;
+	proxy_stats_init(&proxy->stats);
+	uv_timer_init(loop, &proxy->tick);
+	proxy->tick.data = proxy;
+	parts_new(proxy);
+	if (!http_address_parse(
+		settings->node.mesh_listen, &proxy->mesh_address))
+		goto fail;
+	proxy->gate = gate_new(proxy, error);
+	source = store_client_new(loop, store_address(settings), error);
+	if (proxy->gate == NULL || source == NULL)
+		goto fail;
+	proxy->follower = follower_new(proxy, source);
+	if (!listeners_open(proxy, error))
+		goto fail;
+	log_process(proxy, "started");
+	follower_start(proxy->follower);
+	heartbeat_start(proxy->heartbeat);
+	uv_timer_start(&proxy->tick, handle_tick, TICK_MS, TICK_MS);
+	return proxy;
+fail:
+	proxy_free(proxy);
+	return NULL;
+}
+
+/*
+ * End the process's parts. What is in progress is cut; the loop must not run
+ * any more.
+ */
+void
+proxy_free(struct proxy *proxy)
+{
+	if (proxy == NULL)
+		return;
+	log_process(proxy, "stopped");
+	json_log_free(proxy->log, LOG_FLUSH_MS);
+	rng_free(proxy->rng);
+	g_free(proxy);
+}
+
+/*
+ * Read the settings again and swap them whole. Addresses in use stay as they
+ * are until the next start.
+ */
+void
+proxy_reload(struct proxy *proxy, const char *path)
+{
+	GError *error = NULL;
+	struct settings *settings = settings_load(path, &error);
+
+	if (settings == NULL) {
+		struct json_line *line = json_log_begin(
+		    proxy->log, LOG_CLASS_STATE, "settings_refused");
+
+		json_line_cstr(line, "reason", error->message);
+		json_log_end(line);
+		g_error_free(error);
+		return;
+	}
+	settings_free(proxy->settings);
+	proxy->settings = settings;
+	log_process(proxy, "settings_taken");
+}
+
+/*
+ * Append all figures in the Prometheus text format.
+ */
+void
+proxy_render_metrics(struct proxy *proxy, GString *out)
+{
+	struct load_report load = gate_report(proxy->gate);
+
+	proxy_stats_render(&proxy->stats, out);
+	g_string_append_printf(out,
+	    "trefoilhill_gate_limit %u\ntrefoilhill_gate_in_flight %u\n"
+	    "trefoilhill_gate_queued %u\ntrefoilhill_gate_latency_us %u\n"
+	    "trefoilhill_gate_failing_per_mille %u\n"
+	    "trefoilhill_gate_accepting %d\n",
+	    load.limit, load.in_flight, load.queued, load.latency_us,
+	    load.failing, load.accepting);
+	g_string_append_printf(out,
+	    "trefoilhill_config_revision %" G_GUINT64_FORMAT "\n"
+	    "trefoilhill_replica_revision %" G_GUINT64_FORMAT "\n"
+	    "trefoilhill_upstreams %zu\ntrefoilhill_exchanges %u\n"
+	    "trefoilhill_log_lines_left_out_total %" G_GUINT64_FORMAT "\n",
+	    (guint64)catalog_config_revision(proxy->catalog),
+	    (guint64)replica_revision(follower_replica(proxy->follower)),
+	    catalog_upstream_count(proxy->catalog), proxy->exchanges,
+	    (guint64)json_log_left_out(proxy->log));
+}
--- /dev/null
+++ b/trefoilhill-proxy/stats.c
@@ -0,0 +1,133 @@
+#include "trefoilhill-proxy/stats.h"
+
+static const struct counter_desc descs[STAT_COUNT] = {
+	[STAT_REQUESTS] = { "trefoilhill_requests_total{from=\"caller\"}",
+	    "Requests by where they came from" },
+	[STAT_PEER_REQUESTS] = { "trefoilhill_requests_total{from=\"peer\"}",
+	    "Requests by where they came from" },
+	[STAT_ANSWERED] = { "trefoilhill_ended_total{outcome=\"answered\"}",
+	    "Callers' requests by how they ended" },
+	[STAT_ANSWERED_FAILURE] = {
+	    "trefoilhill_ended_total{outcome=\"upstream_failure\"}",
+	    "Callers' requests by how they ended" },
+	[STAT_REFUSED] = { "trefoilhill_ended_total{outcome=\"refused\"}",
+	    "Callers' requests by how they ended" },
+	[STAT_NO_ROUTE] = { "trefoilhill_ended_total{outcome=\"no_route\"}",
+	    "Callers' requests by how they ended" },
+	[STAT_FAILED] = { "trefoilhill_ended_total{outcome=\"failed\"}",
+	    "Callers' requests by how they ended" },
+	[STAT_CUT] = { "trefoilhill_ended_total{outcome=\"cut\"}",
+	    "Callers' requests by how they ended" },
+	[STAT_CALLER_GONE] = {
+	    "trefoilhill_ended_total{outcome=\"caller_gone\"}",
+	    "Callers' requests by how they ended" },
+	[STAT_BAD_REQUESTS] = {
+	    "trefoilhill_ended_total{outcome=\"bad_request\"}",
+	    "Callers' requests by how they ended" },
+	[STAT_ATTEMPTS_LOCAL] = { "trefoilhill_attempts_total{to=\"local\"}",
+	    "Sends by where the upstream is" },
+	[STAT_ATTEMPTS_REMOTE] = { "trefoilhill_attempts_total{to=\"peer\"}",
+	    "Sends by where the upstream is" },
+	[STAT_ATTEMPTS_NOT_RUN] = {
+	    "trefoilhill_attempts_failed_total{fate=\"not_run\"}",
+	    "Sends without an answer by what is known of them" },
+	[STAT_ATTEMPTS_UNKNOWN] = {
+	    "trefoilhill_attempts_failed_total{fate=\"unknown\"}",
+	    "Sends without an answer by what is known of them" },
+	[STAT_REPEATS] = { "trefoilhill_repeats_total",
+	    "Requests sent to one more upstream" },
+	[STAT_REPEATS_DENIED] = { "trefoilhill_repeats_denied_total",
+	    "Repeats that the budget did not allow" },
+	[STAT_HEDGES] = { "trefoilhill_hedges_total",
+	    "Repeats beside an attempt that had not answered" },
+	[STAT_UPSTREAM_CONNECTIONS] = {
+	    "trefoilhill_upstream_connections_total",
+	    "Connections opened to the upstream" },
+	[STAT_ANSWERS_DISCARDED] = { "trefoilhill_answers_discarded_total",
+	    "Upstream answers that belonged to no request in progress" },
+	[STAT_STORE_READS] = { "trefoilhill_store_reads_total",
+	    "Reads of the platform" },
+	[STAT_STORE_FAILURES] = { "trefoilhill_store_failures_total",
+	    "Reads of the platform without a useful answer" },
+	[STAT_HEARTBEATS] = { "trefoilhill_heartbeats_total",
+	    "Heartbeats sent" },
+	[STAT_HEARTBEATS_LOST] = { "trefoilhill_heartbeats_lost_total",
+	    "Heartbeats without an answer" },
+	[STAT_CALLER_CONNECTIONS] = {
+	    "trefoilhill_caller_connections_total",
+	    "Connections accepted from callers" },
+};
+
+static const char *const part_names[] = {
+	[LATENCY_TOTAL] = "total",
+	[LATENCY_QUEUE] = "queue",
+	[LATENCY_UPSTREAM] = "upstream",
+};
+
+/*
+ * Set all figures to zero.
+ */
+void
+proxy_stats_init(struct proxy_stats *stats)
+{
+	*stats = (struct proxy_stats){ 0 };
+	counter_set_init(&stats->counters, descs, STAT_COUNT);
+}
+
+/*
+ * Count one event.
+ */
+void
+proxy_count(struct proxy_stats *stats, enum proxy_counter counter)
+{
+	counter_add(&stats->counters, counter, 1);
+}
+
+/*
+ * Record a time in milliseconds.
+ */
+void
+proxy_latency(struct proxy_stats *stats, enum latency_part part, int64_t ms)
+{
+	struct latency_buckets *buckets = &stats->latency[part];
+	size_t index = 0;
+
+	ms = MAX(ms, 0);
+	while (index + 1 < LATENCY_BUCKETS && ms >= (int64_t)1 << index)
+		index++;
+	buckets->counts[index]++;
+	buckets->sum_ms += (uint64_t)ms;
+	buckets->count++;
+}
+
+static void
+render_latency(
+    const struct latency_buckets *buckets, const char *part, GString *out)
+{
+	static const char name[] = "trefoilhill_latency_ms";
+	uint64_t below = 0;
+
+	for (size_t i = 0; i + 1 < LATENCY_BUCKETS; i++) {
+		below += buckets->counts[i];
+		g_string_append_printf(out,
+		    "%s_bucket{part=\"%s\",le=\"%u\"} %" G_GUINT64_FORMAT "\n",
+		    name, part, 1u << i, (guint64)below);
+	}
+	g_string_append_printf(out,
+	    "%s_bucket{part=\"%s\",le=\"+Inf\"} %" G_GUINT64_FORMAT "\n"
+	    "%s_sum{part=\"%s\"} %" G_GUINT64_FORMAT "\n"
+	    "%s_count{part=\"%s\"} %" G_GUINT64_FORMAT "\n",
+	    name, part, (guint64)buckets->count, name, part,
+	    (guint64)buckets->sum_ms, name, part, (guint64)buckets->count);
+}
+
+/*
+ * Append all figures in the Prometheus text format.
+ */
+void
+proxy_stats_render(const struct proxy_stats *stats, GString *out)
+{
+	counter_set_render(&stats->counters, out);
+	for (size_t i = 0; i < LATENCY_PART_COUNT; i++)
+		render_latency(&stats->latency[i], part_names[i], out);
+}
--- a/trefoilhilld/control.c
+++ b/trefoilhilld/control.c
@@ -1,7 +1,7 @@
 #include <string.h>
 
 #include "mesh/message.h"
-#include "platform/config_source.h"
+#include "source/config_source.h"
 #include "wire/mesh_codec.h"
 #include "trefoilhilld/control.h"
 #include "trefoilhilld/control_input.h"
--- a/trefoilhilld/setting_desc.c
+++ b/trefoilhilld/setting_desc.c
@@ -46,6 +46,10 @@
 	{ "node", "seeds", "", SETTING_SEEDS, AT(node.seeds), 0, 0, NULL },
 	{ "node", "caller_threads", "32", SETTING_NUMBER,
 	    AT(node.caller_threads), 2, 1024, NULL },
+	{ "node", "grace_ms", "10000", SETTING_NUMBER, AT(node.grace_ms), 100,
+	    60 * MINUTE_MS, NULL },
+	{ "node", "metrics_listen", "", SETTING_ADDRESS_OPTIONAL,
+	    AT(node.metrics_listen), 0, 0, NULL },
 	{ "platform", "url", NULL, SETTING_HTTP_URL, AT(platform.url), 0, 0,
 	    NULL },
 	{ "platform", "timeout_ms", "2000", SETTING_NUMBER,
@@ -56,6 +60,8 @@
 	    NULL },
 	{ "upstream", "address", NULL, SETTING_ADDRESS, AT(upstream.address), 0,
 	    0, NULL },
+	{ "upstream", "service", "", SETTING_NAME_OPTIONAL,
+	    AT(upstream.service), 0, 0, NULL },
 	{ "mesh", "policy", "tree", SETTING_CHOICE, AT(mesh.policy), 0, 0,
 	    spread_names },
 	{ "mesh", "heartbeat_ms", "500", SETTING_NUMBER, AT(mesh.heartbeat_ms),
@@ -85,10 +91,16 @@
 	    AT(route.hint_fresh_ms), 10, MINUTE_MS, NULL },
 	{ "route", "retry_percent", "20", SETTING_NUMBER,
 	    AT(route.retry_percent), 0, 100, NULL },
+	{ "route", "retry_window_ms", "10000", SETTING_NUMBER,
+	    AT(route.retry_window_ms), 100, 60 * MINUTE_MS, NULL },
+	{ "route", "retry_allowance", "50", SETTING_NUMBER,
+	    AT(route.retry_allowance), 0, 1000000, NULL },
 	{ "route", "timeout_ms", "10000", SETTING_NUMBER, AT(route.timeout_ms),
 	    1, 60 * MINUTE_MS, NULL },
 	{ "log", "level", "info", SETTING_CHOICE, AT(log.level), 0, 0,
 	    level_names },
+	{ "log", "lines_per_s", "200", SETTING_NUMBER, AT(log.lines_per_s), 0,
+	    100000, NULL },
 	{ "log", "event_entries", "4096", SETTING_NUMBER, AT(log.event_entries),
 	    16, 65536, NULL },
 };
@@ -132,8 +144,13 @@
 	switch (desc->type) {
 	case SETTING_NAME:
 		return g_strdup("a name of 1 to 63 bytes of a-z 0-9 . -");
+	case SETTING_NAME_OPTIONAL:
+		return g_strdup("nothing, or a name of 1 to 63 bytes of "
+				"a-z 0-9 . -");
 	case SETTING_ADDRESS:
 		return g_strdup("IP:PORT");
+	case SETTING_ADDRESS_OPTIONAL:
+		return g_strdup("nothing, or IP:PORT");
 	case SETTING_SEEDS:
 		return g_strdup_printf(
 		    "at most %d addresses IP:PORT, separated by commas",
@@ -229,9 +246,15 @@
 	case SETTING_NAME:
 		valid = name_is_valid(text);
 		break;
+	case SETTING_NAME_OPTIONAL:
+		valid = *text == '\0' || name_is_valid(text);
+		break;
 	case SETTING_ADDRESS:
 		valid = address_is_valid(text);
 		break;
+	case SETTING_ADDRESS_OPTIONAL:
+		valid = *text == '\0' || address_is_valid(text);
+		break;
 	case SETTING_HTTP_URL:
 		valid = g_str_has_prefix(text, scheme) &&
 		    address_is_valid(text + strlen(scheme));
--- a/trefoilhilld/settings.c
+++ b/trefoilhilld/settings.c
@@ -129,5 +129,7 @@
 	str_release(&settings->platform.url);
 	str_release(&settings->upstream.name);
 	str_release(&settings->upstream.address);
+	str_release(&settings->upstream.service);
+	str_release(&settings->node.metrics_listen);
 	g_free(settings);
 }
