http, follower: tell a reset from a close, ask anew when a watch is silent

Ruled out: the chunked hop (its end mark was written by the guard). The socket is asked before the end is believed.

--- a/http/stream.c
+++ b/http/stream.c
@@ -88,10 +88,25 @@
 	stream->reading = false;
 }
 
+/*
+ * libuv reports a hang-up after a short read as the end of the stream without
+ * another read, so that a reset looks like an orderly close. Ask the socket.
+ */
+static bool
+closed_in_order(const struct http_stream *stream)
+{
+	char byte;
+	int fd;
+
+	if (uv_fileno((const uv_handle_t *)&stream->tcp, &fd) != 0)
+		return false;
+	return recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 static void
 stream_handle_eof(struct http_stream *stream, ssize_t status)
 {
-	bool in_order = status == UV_EOF;
+	bool in_order = status == UV_EOF && closed_in_order(stream);
 
 	stream->eof = true;
 	stream_read_stop(stream);
--- a/trefoilhill-proxy/exchange_dispatch.c
+++ b/trefoilhill-proxy/exchange_dispatch.c
@@ -266,7 +266,9 @@
 		return;
 	exchange->attempts[index] = NULL;
 	g_strlcpy(exchange->reason, reason, sizeof(exchange->reason));
-	exchange_log(exchange, LOG_CLASS_DECISION,
+	exchange_log(exchange,
+	    fate == ATTEMPT_FATE_NOT_RUN ? LOG_CLASS_DECISION
+					 : LOG_CLASS_FAILURE,
 	    fate == ATTEMPT_FATE_NOT_RUN ? "not_run" : "unknown", attempt,
 	    reason);
 	if (attempt == exchange->answering &&
--- a/trefoilhill-proxy/follower.c
+++ b/trefoilhill-proxy/follower.c
@@ -6,7 +6,13 @@
 
 enum {
 	READ_TIMEOUT_MS = 2500,  /* for a page of a slow store */
-	WATCH_WAIT_MS = 20000,
+	/*
+	 * A watch may go silent without being closed. All nodes together ask
+	 * anew about this often, and tell each other what they find.
+	 */
+	FLEET_ASKS_EACH_MS = 400,
+	WATCH_WAIT_MIN_MS = 1500,
+	WATCH_WAIT_MAX_MS = 20000,
 	RETRY_FIRST_MS = 150,
 	RETRY_MAX_MS = 1500,
 	/*
@@ -206,6 +212,18 @@
 	}
 }
 
+/* Drawn at random, since a change lets all nodes ask at the same time. */
+static uint32_t
+watch_wait_ms(const struct follower *follower)
+{
+	const struct proxy *proxy = follower->proxy;
+	uint32_t nodes = g_hash_table_size(catalog_peers(proxy->catalog));
+	uint32_t most = CLAMP(nodes * FLEET_ASKS_EACH_MS, WATCH_WAIT_MIN_MS,
+	    WATCH_WAIT_MAX_MS);
+
+	return most / 4 + (uint32_t)rng_below(proxy->rng, most * 3 / 4);
+}
+
 static void
 follower_next(struct follower *follower)
 {
@@ -220,8 +238,8 @@
 	if (revision == 0 || follower->whole_needed)
 		ops->read_whole(follower->source, READ_TIMEOUT_MS, handler);
 	else
-		ops->read_changes(
-		    follower->source, revision, WATCH_WAIT_MS, handler);
+		ops->read_changes(follower->source, revision,
+		    watch_wait_ms(follower), handler);
 }
 
 /*
