--- a/guard/admission.c
+++ b/guard/admission.c
@@ -9,7 +9,9 @@
 	LATENCY_WEIGHT = 8,        /* a new answer counts one part in so many */
 	FAILING_WEIGHT = 16,
 	FAILING_SCALE = 1000,
+	FAILING_HALF_LIFE_MS = 1500, /* old failures say little */
 	LIMIT_SCALE = 16, /* the limit moves in sixteenths */
+	LIMIT_FLOOR_DIVISOR = 2, /* sheds take it down to this part of it */
 };
 
 struct admission {
@@ -24,6 +26,7 @@
 	GQueue starts;      /* times of recent starts, oldest first */
 	uint32_t latency_us;
 	uint32_t failing;
+	int64_t failing_ms; /* when it was learned */
 	uint32_t pause_ms;  /* length of the last pause; 0: reachable */
 	int64_t paused_until_ms;
 	bool returned;
@@ -320,11 +323,25 @@
 	queue_refuse_all(admission, ADMISSION_UNREACHABLE);
 }
 
+/* Failures in a thousand, fading while no answers come. */
+static uint32_t
+failing_now(const struct admission *admission, int64_t now_ms)
+{
+	int64_t halvings =
+	    (now_ms - admission->failing_ms) / FAILING_HALF_LIFE_MS;
+
+	return halvings >= 16 ? 0 : admission->failing >> halvings;
+}
+
 static void
-learn_failing(struct admission *admission, bool failed)
+learn_failing(struct admission *admission, bool failed, int64_t now_ms)
 {
 	int32_t target = failed ? FAILING_SCALE : 0;
-	int32_t change = target - (int32_t)admission->failing;
+	int32_t change;
+
+	admission->failing = failing_now(admission, now_ms);
+	admission->failing_ms = now_ms;
+	change = target - (int32_t)admission->failing;
 
 	/* Rounding away from zero, so that both ends are reached. */
 	if (change > 0)
@@ -334,6 +351,20 @@
 	admission->failing = (uint32_t)((int32_t)admission->failing + change);
 }
 
+/*
+ * No more run there than it has slots. So it either still works on something
+ * that was given up, or sheds for reasons of its own: step down a little.
+ */
+static void
+learn_shed(struct admission *admission)
+{
+	uint32_t least =
+	    admission->slots * LIMIT_SCALE / LIMIT_FLOOR_DIVISOR;
+
+	if (admission->limit >= least + LIMIT_SCALE)
+		admission->limit -= LIMIT_SCALE;
+}
+
 /*
  * Note how a started request ended.
  */
@@ -345,17 +376,15 @@
 	switch (outcome) {
 	case ADMISSION_GOOD:
 		learn_good(admission, latency_us);
-		learn_failing(admission, false);
+		learn_failing(admission, false, now_ms);
 		break;
 	case ADMISSION_SHED:
-		/* Some work goes on there that nobody here waits for. */
-		admission->limit = MAX(LIMIT_SCALE,
-		    MIN(admission->limit, admission->in_flight * LIMIT_SCALE));
-		learn_failing(admission, true);
+		learn_shed(admission);
+		learn_failing(admission, true, now_ms);
 		break;
 	case ADMISSION_FAILED:
 	case ADMISSION_BROKEN:
-		learn_failing(admission, true);
+		learn_failing(admission, true, now_ms);
 		if (outcome == ADMISSION_FAILED && admission->pause_ms > 0)
 			admission->pause_ms = 0;
 		break;
@@ -438,7 +467,7 @@
 		.in_flight = admission->in_flight,
 		.queued = g_queue_get_length((GQueue *)&admission->queue),
 		.latency_us = admission->latency_us,
-		.failing = admission->failing,
+		.failing = failing_now(admission, now_ms),
 		.accepting = admission->open &&
 		    admission->paused_until_ms <= now_ms,
 	};
--- a/trefoilhill-proxy/follower.c
+++ b/trefoilhill-proxy/follower.c
@@ -16,8 +16,8 @@
 	RETRY_FIRST_MS = 150,
 	RETRY_MAX_MS = 1500,
 	/*
-	 * After an outage of this length, registrations that ran out meanwhile
-	 * come back within the grace; those that don't are gone.
+	 * Registrations that ran out in an outage of this length come back
+	 * within the grace; those that don't are gone.
 	 */
 	OUTAGE_MIN_MS = 1000,
 	OUTAGE_GRACE_MS = 2200,
@@ -34,24 +34,25 @@
 	bool whole_needed;
 	uint32_t failures;       /* in a row */
 	int64_t lost_since_ms;   /* 0: the store answers */
-	int64_t outage_end_ms;   /* of the last outage; 0: none */
+	bool catching_up;        /* the first answer after an outage */
 };
 
 static void follower_next(struct follower *follower);
 
+static bool
+in_outage(const struct follower *follower)
+{
+	return follower->lost_since_ms != 0 &&
+	    proxy_now_ms(follower->proxy) - follower->lost_since_ms >=
+	    OUTAGE_MIN_MS;
+}
+
 /* Time for which a registration that goes missing is kept. */
 static uint32_t
 grace_ms(const struct follower *follower)
 {
-	int64_t now_ms = proxy_now_ms(follower->proxy);
-
-	if (follower->lost_since_ms != 0 &&
-	    now_ms - follower->lost_since_ms >= OUTAGE_MIN_MS)
-		return OUTAGE_GRACE_MS;
-	if (follower->outage_end_ms != 0 &&
-	    now_ms - follower->outage_end_ms < OUTAGE_GRACE_MS)
-		return OUTAGE_GRACE_MS;
-	return 0;
+	return follower->catching_up || in_outage(follower) ? OUTAGE_GRACE_MS
+							    : 0;
 }
 
 static void
@@ -158,8 +159,7 @@
 	follower->failures = 0;
 	if (follower->lost_since_ms == 0)
 		return;
-	if (now_ms - follower->lost_since_ms >= OUTAGE_MIN_MS)
-		follower->outage_end_ms = now_ms;
+	follower->catching_up = in_outage(follower);
 	log_store(follower, "store_back", "",
 	    now_ms - follower->lost_since_ms);
 	follower->lost_since_ms = 0;
@@ -197,6 +197,7 @@
 			follower->whole_needed = false;
 		items_put(follower, result->whole, result->items,
 		    result->revision);
+		follower->catching_up = false;
 		follower_next(follower);
 		break;
 	case SOURCE_COMPACTED:
