attempt: send again on an upstream's reset connection only within the budget

Such a reset is now a failure like others; only a peer's kept connection is dialled anew. Ruled out: hedges and repeats, which are paid.

--- /dev/null
+++ b/tests/common/test_json_log.c
@@ -0,0 +1,138 @@
+#include <fcntl.h>
+#include <glib.h>
+#include <jansson.h>
+#include <unistd.h>
+
+#include "common/json_log.h"
+#include "harness.h"
+
+enum {
+	FLOOD_LINES = 200000,
+	BUFFER_BYTES = 64 * 1024,
+};
+
+struct fixture {
+	int pipe[2];
+	struct fake_clock clock;
+	struct json_log *log;
+};
+
+static void
+fixture_init(struct fixture *f, uint32_t lines_per_s)
+{
+	struct json_log_settings settings = {
+		.node = str_from("node-1"),
+		.incarnation = 7,
+		.lines_per_s = lines_per_s,
+		.buffer_bytes = BUFFER_BYTES,
+	};
+
+	CU_ASSERT_EQUAL_FATAL(pipe(f->pipe), 0);
+	fake_clock_init(&f->clock);
+	settings.fd = f->pipe[1];
+	f->log = json_log_new(&settings, &f->clock.base);
+}
+
+/* End the log and return all that it wrote. */
+static char *
+fixture_read(struct fixture *f)
+{
+	GString *text = g_string_new(NULL);
+	char part[4096];
+	ssize_t count;
+
+	json_log_free(f->log, 2000);
+	close(f->pipe[1]);
+	while ((count = read(f->pipe[0], part, sizeof(part))) > 0)
+		g_string_append_len(text, part, count);
+	close(f->pipe[0]);
+	return g_string_free(text, FALSE);
+}
+
+static void
+line(struct fixture *f, enum log_class class, const char *event)
+{
+	struct json_line *made = json_log_begin(f->log, class, event);
+
+	json_line_int(made, "number", -5);
+	json_log_end(made);
+}
+
+static void
+test_lines_are_json(void)
+{
+	struct fixture f;
+	struct json_line *made;
+	char *text;
+	json_t *json;
+
+	fixture_init(&f, 100);
+	made = json_log_begin(f.log, LOG_CLASS_STATE, "started");
+	json_line_text(made, "id", str_make("a\"\\\n\0\xff", 6));
+	json_line_bool(made, "open", true);
+	json_line_cstr(made, "none", NULL);
+	json_log_end(made);
+	text = fixture_read(&f);
+	json = json_loads(text, JSON_ALLOW_NUL, NULL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(json);
+	CU_ASSERT_STRING_EQUAL(
+	    json_string_value(json_object_get(json, "event")), "started");
+	CU_ASSERT_STRING_EQUAL(
+	    json_string_value(json_object_get(json, "node")), "node-1");
+	CU_ASSERT_EQUAL(json_string_length(json_object_get(json, "id")), 7);
+	CU_ASSERT_TRUE(json_is_true(json_object_get(json, "open")));
+	json_decref(json);
+	g_free(text);
+}
+
+/* Answered requests are left out first, beliefs and failures last. */
+static void
+test_thinned_by_class(void)
+{
+	struct fixture f;
+	char *text;
+
+	fixture_init(&f, 10);
+	for (int i = 0; i < 20; i++)
+		line(&f, LOG_CLASS_ANSWERED, "answered");
+	for (int i = 0; i < 20; i++)
+		line(&f, LOG_CLASS_FAILURE, "refused");
+	for (int i = 0; i < 20; i++)
+		line(&f, LOG_CLASS_STATE, "upstream_in");
+	fake_clock_advance_ms(&f.clock, 1000);
+	line(&f, LOG_CLASS_ANSWERED, "answered");
+	CU_ASSERT_EQUAL(json_log_left_out(f.log), 17 + 13);
+	text = fixture_read(&f);
+	CU_ASSERT_PTR_NOT_NULL(g_strstr_len(text, -1, "\"left_out\":30"));
+	g_free(text);
+}
+
+/* A reader that stands still costs the writer of lines nothing but lines. */
+static void
+test_stopped_reader(void)
+{
+	struct fixture f;
+	char *text;
+
+	fixture_init(&f, UINT32_MAX);
+	for (int i = 0; i < FLOOD_LINES; i++)
+		line(&f, LOG_CLASS_STATE, "flood");
+	CU_ASSERT_TRUE(json_log_left_out(f.log) > FLOOD_LINES / 2);
+	fcntl(f.pipe[0], F_SETPIPE_SZ, 1024 * 1024);
+	text = fixture_read(&f);
+	CU_ASSERT_TRUE(strlen(text) > 0);
+	g_free(text);
+}
+
+static const struct test_case cases[] = {
+	{ "lines are JSON", test_lines_are_json },
+	{ "thinned by class", test_thinned_by_class },
+	{ "a stopped reader", test_stopped_reader },
+	{ NULL, NULL },
+};
+
+int
+main(void)
+{
+	return harness_run("json log", cases);
+}
--- /dev/null
+++ b/tests/fleet/test_catalog.c
@@ -0,0 +1,180 @@
+#include <arpa/inet.h>
+#include <glib.h>
+
+#include "fleet/catalog.h"
+#include "harness.h"
+
+struct fixture {
+	struct catalog *catalog;
+	enum catalog_event last;
+	uint32_t events;
+};
+
+static void
+handle_event(void *arg, enum catalog_event event, const char *subject,
+    const char *detail, uint64_t revision)
+{
+	struct fixture *f = arg;
+
+	f->last = event;
+	f->events++;
+}
+
+static void
+fixture_init(struct fixture *f)
+{
+	struct catalog_ops ops = { .handle_event = handle_event, .arg = f };
+
+	*f = (struct fixture){ .catalog = catalog_new(ops) };
+}
+
+static struct upstream_entry
+entry(const char *id, const char *ip, uint64_t started_ms, uint64_t sequence)
+{
+	struct upstream_entry made = {
+		.id = g_strdup(id),
+		.service = g_strdup("orders"),
+		.zone = g_strdup("a"),
+		.slots = 12,
+		.started_ms = started_ms,
+		.sequence = sequence,
+	};
+
+	made.address.sin_port = htons(80);
+	inet_pton(AF_INET, ip, &made.address.sin_addr);
+	return made;
+}
+
+static void
+apply(struct fixture *f, struct upstream_entry made, bool draining)
+{
+	struct catalog_change change = {
+		.kind = CATALOG_UPSTREAM,
+		.entry = made,
+	};
+
+	change.entry.draining = draining;
+	catalog_apply(f->catalog, &change, 1, 0, 0);
+	catalog_change_clear(&change);
+}
+
+static void
+remove_upstream(
+    struct fixture *f, const char *id, int64_t now_ms, uint32_t grace_ms)
+{
+	struct catalog_change change = {
+		.kind = CATALOG_UPSTREAM_GONE,
+		.subject = g_strdup(id),
+	};
+
+	catalog_apply(f->catalog, &change, 1, now_ms, grace_ms);
+	catalog_change_clear(&change);
+}
+
+static struct upstream *
+find(struct fixture *f, const char *id)
+{
+	return catalog_upstream(f->catalog, str_from(id));
+}
+
+static void
+test_reports_of_an_earlier_start_are_stale(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	apply(&f, entry("i-1", "10.0.0.1", 2000, 1), false);
+	apply(&f, entry("i-1", "10.0.0.1", 1000, 9), true);
+	CU_ASSERT_EQUAL(f.last, CATALOG_EVENT_STALE);
+	CU_ASSERT_FALSE(find(&f, "i-1")->entry.draining);
+	apply(&f, entry("i-1", "10.0.0.1", 2000, 2), true);
+	CU_ASSERT_TRUE(find(&f, "i-1")->entry.draining);
+	apply(&f, entry("i-1", "10.0.0.1", 2000, 1), false);
+	CU_ASSERT_TRUE(find(&f, "i-1")->entry.draining);
+	catalog_free(f.catalog);
+}
+
+static void
+test_grace_of_a_missing_upstream(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	apply(&f, entry("i-1", "10.0.0.1", 1, 1), false);
+	remove_upstream(&f, "i-1", 100, 500);
+	catalog_expire(f.catalog, 599);
+	CU_ASSERT_PTR_NOT_NULL(find(&f, "i-1"));
+	catalog_expire(f.catalog, 600);
+	CU_ASSERT_PTR_NULL(find(&f, "i-1"));
+	/* Back in time: it stays. */
+	apply(&f, entry("i-1", "10.0.0.1", 1, 1), false);
+	remove_upstream(&f, "i-1", 100, 500);
+	apply(&f, entry("i-1", "10.0.0.1", 1, 2), false);
+	catalog_expire(f.catalog, 10000);
+	CU_ASSERT_PTR_NOT_NULL(find(&f, "i-1"));
+	/* One that was leaving is gone at once. */
+	apply(&f, entry("i-1", "10.0.0.1", 1, 3), true);
+	remove_upstream(&f, "i-1", 100, 500);
+	CU_ASSERT_PTR_NULL(find(&f, "i-1"));
+	/* So is one without a grace. */
+	apply(&f, entry("i-2", "10.0.0.2", 1, 1), false);
+	remove_upstream(&f, "i-2", 100, 0);
+	CU_ASSERT_PTR_NULL(find(&f, "i-2"));
+	catalog_free(f.catalog);
+}
+
+static void
+test_reused_address_names_the_newest(void)
+{
+	struct upstream_entry first = entry("i-1", "10.0.0.1", 1000, 1);
+	struct sockaddr_in address = first.address;
+	struct fixture f;
+
+	fixture_init(&f);
+	apply(&f, first, false);
+	apply(&f, entry("i-2", "10.0.0.1", 5000, 1), false);
+	CU_ASSERT_STRING_EQUAL(
+	    catalog_upstream_at(f.catalog, &address)->entry.id, "i-2");
+	CU_ASSERT_EQUAL(g_hash_table_size(catalog_peers(f.catalog)), 1);
+	remove_upstream(&f, "i-1", 0, 0);
+	CU_ASSERT_EQUAL(g_hash_table_size(catalog_peers(f.catalog)), 1);
+	remove_upstream(&f, "i-2", 0, 0);
+	CU_ASSERT_EQUAL(g_hash_table_size(catalog_peers(f.catalog)), 0);
+	catalog_free(f.catalog);
+}
+
+static void
+test_older_configuration_never_returns(void)
+{
+	struct catalog_change change = { .kind = CATALOG_CONFIG };
+	struct fixture f;
+
+	fixture_init(&f);
+	change.config = mesh_config_new();
+	change.config->label = g_strdup("r9");
+	catalog_apply(f.catalog, &change, 9, 0, 0);
+	catalog_change_clear(&change);
+	change.config = mesh_config_new();
+	change.config->label = g_strdup("r8");
+	catalog_apply(f.catalog, &change, 8, 0, 0);
+	catalog_change_clear(&change);
+	CU_ASSERT_STRING_EQUAL(catalog_config(f.catalog)->label, "r9");
+	catalog_free(f.catalog);
+}
+
+static const struct test_case cases[] = {
+	{ "reports of an earlier start are stale",
+	    test_reports_of_an_earlier_start_are_stale },
+	{ "grace of a missing upstream", test_grace_of_a_missing_upstream },
+	{ "a reused address names the newest",
+	    test_reused_address_names_the_newest },
+	{ "an older configuration never returns",
+	    test_older_configuration_never_returns },
+	{ NULL, NULL },
+};
+
+int
+main(void)
+{
+	return harness_run("catalog", cases);
+}
--- /dev/null
+++ b/tests/fleet/test_replica.c
@@ -0,0 +1,208 @@
+#include <glib.h>
+
+#include "fleet/replica.h"
+#include "fleet/source.h"
+#include "harness.h"
+
+/* A replica with a copy of what it told: key to value, as a reader sees it. */
+struct fixture {
+	struct replica *replica;
+	GHashTable *seen;
+	uint32_t changes;
+};
+
+static void
+handle_change(void *arg, const struct replica_item *item)
+{
+	struct fixture *f = arg;
+
+	f->changes++;
+	if (item->value == NULL)
+		g_hash_table_remove(f->seen, item->key);
+	else
+		g_hash_table_replace(f->seen, g_strdup(item->key),
+		    g_strndup(g_bytes_get_data(item->value, NULL),
+			g_bytes_get_size(item->value)));
+}
+
+static void
+fixture_init(struct fixture *f)
+{
+	struct replica_ops ops = { .handle_change = handle_change, .arg = f };
+
+	*f = (struct fixture){ .replica = replica_new(ops) };
+	f->seen =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+static void
+fixture_clear(struct fixture *f)
+{
+	replica_free(f->replica);
+	g_hash_table_destroy(f->seen);
+}
+
+static void
+put(struct fixture *f, const char *key, const char *value, uint64_t revision)
+{
+	GBytes *bytes =
+	    value == NULL ? NULL : g_bytes_new(value, strlen(value));
+
+	replica_put(f->replica, str_from(key), bytes, revision);
+	if (bytes != NULL)
+		g_bytes_unref(bytes);
+}
+
+/* Bring one replica up with what another has, as peers do. */
+static void
+sync_from(struct fixture *to, struct fixture *from)
+{
+	uint64_t revision = replica_revision(from->replica);
+	GPtrArray *items =
+	    replica_since(from->replica, replica_revision(to->replica));
+	bool whole = items == NULL;
+
+	if (whole) {
+		items = replica_whole(from->replica);
+		replica_whole_begin(to->replica);
+	}
+	for (guint i = 0; i < items->len; i++) {
+		const struct replica_item *item = items->pdata[i];
+
+		replica_put(to->replica, str_from(item->key), item->value,
+		    item->revision);
+	}
+	g_ptr_array_unref(items);
+	if (whole)
+		replica_whole_end(to->replica, revision);
+	else
+		replica_advance(to->replica, revision);
+}
+
+static bool
+is_same(struct fixture *a, struct fixture *b)
+{
+	GHashTableIter iter;
+	void *key, *value;
+
+	if (g_hash_table_size(a->seen) != g_hash_table_size(b->seen))
+		return false;
+	g_hash_table_iter_init(&iter, a->seen);
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		if (g_strcmp0(g_hash_table_lookup(b->seen, key), value) != 0)
+			return false;
+	return true;
+}
+
+static void
+test_older_changes_are_ignored(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	put(&f, "a", "new", 5);
+	put(&f, "a", "old", 4);
+	CU_ASSERT_STRING_EQUAL(g_hash_table_lookup(f.seen, "a"), "new");
+	put(&f, "a", NULL, 3);
+	CU_ASSERT_PTR_NOT_NULL(g_hash_table_lookup(f.seen, "a"));
+	replica_advance(f.replica, 6);
+	put(&f, "b", "known to be deleted", 4);
+	CU_ASSERT_PTR_NULL(g_hash_table_lookup(f.seen, "b"));
+	fixture_clear(&f);
+}
+
+static void
+test_whole_copy_deletes_what_it_lacks(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	put(&f, "a", "1", 1);
+	put(&f, "b", "1", 2);
+	replica_advance(f.replica, 2);
+	replica_whole_begin(f.replica);
+	put(&f, "b", "1", 2);
+	put(&f, "c", "1", 7);
+	replica_whole_end(f.replica, 9);
+	CU_ASSERT_PTR_NULL(g_hash_table_lookup(f.seen, "a"));
+	CU_ASSERT_PTR_NOT_NULL(g_hash_table_lookup(f.seen, "b"));
+	CU_ASSERT_PTR_NOT_NULL(g_hash_table_lookup(f.seen, "c"));
+	/* A peer from before the copy can't be told of changes alone. */
+	CU_ASSERT_PTR_NULL(replica_since(f.replica, 2));
+	fixture_clear(&f);
+}
+
+static void
+test_late_page_does_not_bring_back_a_deletion(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	put(&f, "a", "1", 1);
+	replica_advance(f.replica, 1);
+	put(&f, "a", NULL, 5);
+	replica_advance(f.replica, 5);
+	replica_whole_begin(f.replica);
+	put(&f, "a", "1", 1);
+	replica_whole_end(f.replica, 3);
+	CU_ASSERT_PTR_NULL(g_hash_table_lookup(f.seen, "a"));
+	fixture_clear(&f);
+}
+
+/* Two replicas that follow by turns and sync at random end the same. */
+static void
+test_random_sync(void)
+{
+	enum { STEPS = 4000, KEYS = 12, SEEDS = 20 };
+
+	for (guint32 seed = 1; seed <= SEEDS; seed++) {
+		GRand *rand = g_rand_new_with_seed(seed);
+		struct fixture store, a, b;
+		uint64_t revision = 1;
+
+		fixture_init(&store);
+		fixture_init(&a);
+		fixture_init(&b);
+		for (int i = 0; i < STEPS; i++) {
+			char *key = g_strdup_printf(
+			    "k%d", g_rand_int_range(rand, 0, KEYS));
+			char *value = g_strdup_printf("%d", i);
+
+			revision++;
+			put(&store, key,
+			    g_rand_int_range(rand, 0, 3) == 0 ? NULL : value,
+			    revision);
+			replica_advance(store.replica, revision);
+			if (g_rand_int_range(rand, 0, 5) == 0)
+				sync_from(&a, &store);
+			if (g_rand_int_range(rand, 0, 50) == 0)
+				sync_from(&b, &a);
+			g_free(key);
+			g_free(value);
+		}
+		sync_from(&a, &store);
+		sync_from(&b, &a);
+		CU_ASSERT_TRUE(is_same(&a, &store));
+		CU_ASSERT_TRUE(is_same(&b, &store));
+		fixture_clear(&store);
+		fixture_clear(&a);
+		fixture_clear(&b);
+		g_rand_free(rand);
+	}
+}
+
+static const struct test_case cases[] = {
+	{ "older changes are ignored", test_older_changes_are_ignored },
+	{ "a whole copy deletes what it lacks",
+	    test_whole_copy_deletes_what_it_lacks },
+	{ "a late page does not bring back a deletion",
+	    test_late_page_does_not_bring_back_a_deletion },
+	{ "random changes and syncs end the same", test_random_sync },
+	{ NULL, NULL },
+};
+
+int
+main(void)
+{
+	return harness_run("replica", cases);
+}
--- /dev/null
+++ b/tests/guard/test_admission.c
@@ -0,0 +1,265 @@
+#include <glib.h>
+
+#include "guard/admission.h"
+#include "harness.h"
+
+enum {
+	SLOTS = 4,
+	QUEUE_MAX = 3,
+	FOREVER_MS = 1000000,
+	WAITERS_MAX = 64,
+};
+
+/* A request that notes its turn. */
+struct noted {
+	struct admission_waiter waiter; /* first */
+	bool told;
+	enum admission_reason reason;
+};
+
+struct fixture {
+	struct admission *admission;
+	struct noted noted[WAITERS_MAX];
+	size_t used;
+};
+
+static void
+handle_turn(struct admission_waiter *waiter, enum admission_reason reason)
+{
+	struct noted *noted = (struct noted *)waiter;
+
+	noted->told = true;
+	noted->reason = reason;
+}
+
+static void
+fixture_init(struct fixture *f)
+{
+	struct admission_bounds bounds = {
+		.queue_max = QUEUE_MAX,
+		.pause_first_ms = 50,
+		.pause_max_ms = 400,
+	};
+
+	*f = (struct fixture){ .admission = admission_new(&bounds) };
+	admission_set_slots(f->admission, SLOTS);
+	admission_set_open(f->admission, true);
+}
+
+static enum admission_verdict
+offer(struct fixture *f, uint32_t priority, int64_t latest_ms, int64_t now_ms,
+    struct noted **out)
+{
+	struct noted *noted = &f->noted[f->used++];
+	enum admission_reason reason;
+
+	noted->waiter.priority = priority;
+	noted->waiter.latest_start_ms = latest_ms;
+	noted->waiter.handle_turn = handle_turn;
+	*out = noted;
+	return admission_offer(f->admission, &noted->waiter, now_ms, &reason);
+}
+
+static void
+fill(struct fixture *f, int64_t now_ms)
+{
+	struct noted *noted;
+
+	for (int i = 0; i < SLOTS; i++)
+		CU_ASSERT_EQUAL(
+		    offer(f, 1, FOREVER_MS, now_ms, &noted), ADMISSION_RUN);
+}
+
+static void
+test_limit_and_order(void)
+{
+	struct noted *late, *urgent;
+	struct fixture f;
+
+	fixture_init(&f);
+	fill(&f, 0);
+	CU_ASSERT_EQUAL(offer(&f, 2, FOREVER_MS, 0, &late), ADMISSION_QUEUED);
+	CU_ASSERT_EQUAL(
+	    offer(&f, 0, FOREVER_MS, 0, &urgent), ADMISSION_QUEUED);
+	admission_finish(f.admission, ADMISSION_GOOD, 1000, 10);
+	CU_ASSERT_TRUE(urgent->told);
+	CU_ASSERT_EQUAL(urgent->reason, ADMISSION_OK);
+	CU_ASSERT_FALSE(late->told);
+	CU_ASSERT_EQUAL(admission_report(f.admission, 10).in_flight, SLOTS);
+	admission_withdraw(f.admission, &late->waiter);
+	admission_finish(f.admission, ADMISSION_GOOD, 1000, 20);
+	CU_ASSERT_FALSE(late->told);
+	admission_free(f.admission);
+}
+
+static void
+test_full_queue_displaces_less_urgent(void)
+{
+	struct noted *queued[QUEUE_MAX], *urgent, *refused;
+	struct fixture f;
+
+	fixture_init(&f);
+	fill(&f, 0);
+	for (int i = 0; i < QUEUE_MAX; i++)
+		CU_ASSERT_EQUAL(offer(&f, 5, FOREVER_MS, 0, &queued[i]),
+		    ADMISSION_QUEUED);
+	CU_ASSERT_EQUAL(
+	    offer(&f, 9, FOREVER_MS, 0, &refused), ADMISSION_REFUSED);
+	CU_ASSERT_EQUAL(
+	    offer(&f, 0, FOREVER_MS, 0, &urgent), ADMISSION_QUEUED);
+	CU_ASSERT_TRUE(queued[QUEUE_MAX - 1]->told);
+	CU_ASSERT_EQUAL(
+	    queued[QUEUE_MAX - 1]->reason, ADMISSION_DISPLACED);
+	CU_ASSERT_FALSE(queued[0]->told);
+	admission_free(f.admission);
+}
+
+static void
+test_refuses_what_would_come_too_late(void)
+{
+	struct noted *noted;
+	struct fixture f;
+
+	fixture_init(&f);
+	fill(&f, 0);
+	/* The prior latency is 100 ms: a turn comes after 25 ms. */
+	CU_ASSERT_EQUAL(offer(&f, 1, 10, 0, &noted), ADMISSION_REFUSED);
+	CU_ASSERT_EQUAL(offer(&f, 1, 60, 0, &noted), ADMISSION_QUEUED);
+	CU_ASSERT_TRUE(admission_poll(f.admission, 30) > 0);
+	CU_ASSERT_FALSE(noted->told);
+	admission_poll(f.admission, 61);
+	CU_ASSERT_TRUE(noted->told);
+	CU_ASSERT_EQUAL(noted->reason, ADMISSION_EXPIRED);
+	admission_free(f.admission);
+}
+
+/* Starts in every span of a second while cold, whatever comes. */
+static void
+test_cold_rate_holds_in_every_second(void)
+{
+	enum { RATE = 10, OFFERS = 40, STEP_MS = 37 };
+	int64_t starts[OFFERS];
+	size_t count = 0;
+	struct noted *noted;
+	struct fixture f;
+
+	fixture_init(&f);
+	admission_set_slots(f.admission, 1000);
+	admission_set_cold(f.admission, FOREVER_MS, RATE);
+	for (int i = 0; i < OFFERS; i++) {
+		int64_t now_ms = (int64_t)i * STEP_MS;
+
+		if (offer(&f, 1, now_ms, now_ms, &noted) == ADMISSION_RUN) {
+			starts[count++] = now_ms;
+			admission_finish(
+			    f.admission, ADMISSION_GOOD, 1000, now_ms);
+		}
+	}
+	CU_ASSERT_TRUE(count >= RATE);
+	for (size_t i = RATE; i < count; i++)
+		CU_ASSERT_TRUE(starts[i] - starts[i - RATE] >= 1000);
+	admission_set_cold(f.admission, 0, RATE);
+	for (int i = 0; i < RATE * 2; i++)
+		CU_ASSERT_EQUAL(offer(&f, 1, FOREVER_MS, OFFERS * STEP_MS,
+				    &noted),
+		    ADMISSION_RUN);
+	admission_free(f.admission);
+}
+
+static void
+test_refused_connections_pause_and_return(void)
+{
+	struct noted *noted, *queued;
+	struct fixture f;
+
+	fixture_init(&f);
+	fill(&f, 0);
+	offer(&f, 1, FOREVER_MS, 0, &queued);
+	admission_finish(f.admission, ADMISSION_REFUSED_CONNECTION, 0, 5);
+	CU_ASSERT_TRUE(queued->told);
+	CU_ASSERT_EQUAL(queued->reason, ADMISSION_UNREACHABLE);
+	CU_ASSERT_FALSE(admission_report(f.admission, 10).accepting);
+	CU_ASSERT_EQUAL(
+	    offer(&f, 1, FOREVER_MS, 10, &noted), ADMISSION_REFUSED);
+	for (int i = 1; i < SLOTS; i++)
+		admission_finish(f.admission, ADMISSION_BROKEN, 0, 20);
+	/* After the pause one request alone tries. */
+	CU_ASSERT_EQUAL(
+	    offer(&f, 1, FOREVER_MS, 100, &noted), ADMISSION_RUN);
+	CU_ASSERT_EQUAL(
+	    offer(&f, 1, FOREVER_MS, 100, &noted), ADMISSION_REFUSED);
+	CU_ASSERT_FALSE(admission_take_returned(f.admission));
+	admission_finish(f.admission, ADMISSION_GOOD, 1000, 120);
+	CU_ASSERT_TRUE(admission_take_returned(f.admission));
+	CU_ASSERT_FALSE(admission_take_returned(f.admission));
+	CU_ASSERT_EQUAL(
+	    offer(&f, 1, FOREVER_MS, 130, &noted), ADMISSION_RUN);
+	admission_free(f.admission);
+}
+
+/*
+ * An upstream that sheds more than half of what it gets, with slots free,
+ * still gets several requests at once.
+ */
+static void
+test_sheds_leave_half_of_the_slots(void)
+{
+	struct noted *noted;
+	struct fixture f;
+
+	fixture_init(&f);
+	for (int i = 0; i < 40; i++) {
+		f.used = 0;
+		CU_ASSERT_EQUAL(
+		    offer(&f, 1, FOREVER_MS, i, &noted), ADMISSION_RUN);
+		admission_finish(f.admission, ADMISSION_SHED, 1000, i);
+	}
+	CU_ASSERT_TRUE(admission_report(f.admission, 40).limit >= SLOTS / 2);
+	CU_ASSERT_TRUE(admission_report(f.admission, 40).failing > 800);
+	/* Old failures fade, so that it is tried again. */
+	CU_ASSERT_TRUE(admission_report(f.admission, 8000).failing < 100);
+	admission_free(f.admission);
+}
+
+static void
+test_closing_refuses_all(void)
+{
+	struct noted *queued, *noted;
+	struct fixture f;
+
+	fixture_init(&f);
+	fill(&f, 0);
+	offer(&f, 1, FOREVER_MS, 0, &queued);
+	admission_set_open(f.admission, false);
+	CU_ASSERT_TRUE(queued->told);
+	CU_ASSERT_EQUAL(queued->reason, ADMISSION_CLOSED);
+	CU_ASSERT_EQUAL(
+	    offer(&f, 1, FOREVER_MS, 0, &noted), ADMISSION_REFUSED);
+	CU_ASSERT_FALSE(admission_is_idle(f.admission));
+	for (int i = 0; i < SLOTS; i++)
+		admission_finish(f.admission, ADMISSION_GOOD, 1, 1);
+	CU_ASSERT_TRUE(admission_is_idle(f.admission));
+	admission_free(f.admission);
+}
+
+static const struct test_case cases[] = {
+	{ "limit and order", test_limit_and_order },
+	{ "a full queue displaces what is less urgent",
+	    test_full_queue_displaces_less_urgent },
+	{ "what would come too late is refused",
+	    test_refuses_what_would_come_too_late },
+	{ "the cold rate holds in every second",
+	    test_cold_rate_holds_in_every_second },
+	{ "refused connections pause, one request tries",
+	    test_refused_connections_pause_and_return },
+	{ "sheds leave half of the slots",
+	    test_sheds_leave_half_of_the_slots },
+	{ "closing refuses all", test_closing_refuses_all },
+	{ NULL, NULL },
+};
+
+int
+main(void)
+{
+	return harness_run("admission", cases);
+}
--- /dev/null
+++ b/tests/http/test_stream.c
@@ -0,0 +1,280 @@
+#include <arpa/inet.h>
+#include <glib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "harness.h"
+#include "http/pool.h"
+
+enum {
+	WAIT_MAX_MS = 3000,
+};
+
+/* A client stream under test, and the raw socket at its other end. */
+struct fixture {
+	uv_loop_t loop;
+	int listener;
+	int raw;
+	struct sockaddr_in address;
+	struct http_stream *stream;
+	GString *log; /* what was called back, a word each */
+	GString *body;
+	enum http_end end;
+	bool auto_next;
+};
+
+static void
+handle_head(struct http_stream *stream)
+{
+	struct fixture *f = stream->owner;
+
+	g_string_append_printf(f->log, "head:%u ", stream->head->status);
+}
+
+static void
+handle_body(struct http_stream *stream, struct str bytes)
+{
+	struct fixture *f = stream->owner;
+
+	g_string_append_len(f->body, bytes.ptr, (gssize)bytes.len);
+}
+
+static void
+handle_message(struct http_stream *stream)
+{
+	struct fixture *f = stream->owner;
+
+	g_string_append(f->log, "message ");
+	if (f->auto_next)
+		http_stream_next(stream);
+}
+
+static void
+handle_end(struct http_stream *stream, enum http_end end)
+{
+	struct fixture *f = stream->owner;
+
+	f->end = end;
+	g_string_append(f->log, "end ");
+	http_stream_abort(stream);
+	f->stream = NULL;
+}
+
+static const struct http_stream_ops ops = {
+	.handle_head = handle_head,
+	.handle_body = handle_body,
+	.handle_message = handle_message,
+	.handle_end = handle_end,
+};
+
+/* Run the loop until the log holds a word; false: it took too long. */
+static bool
+wait_for(struct fixture *f, const char *word)
+{
+	gint64 until = g_get_monotonic_time() + WAIT_MAX_MS * 1000L;
+
+	while (strstr(f->log->str, word) == NULL) {
+		if (g_get_monotonic_time() > until)
+			return false;
+		uv_run(&f->loop, UV_RUN_NOWAIT);
+		g_usleep(500);
+	}
+	return true;
+}
+
+static void
+fixture_init(struct fixture *f)
+{
+	socklen_t len = sizeof(f->address);
+
+	*f = (struct fixture){ .raw = -1 };
+	uv_loop_init(&f->loop);
+	f->log = g_string_new(NULL);
+	f->body = g_string_new(NULL);
+	f->listener = socket(AF_INET, SOCK_STREAM, 0);
+	f->address.sin_family = AF_INET;
+	f->address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	CU_ASSERT_EQUAL_FATAL(bind(f->listener, (void *)&f->address, len), 0);
+	CU_ASSERT_EQUAL_FATAL(listen(f->listener, 8), 0);
+	getsockname(f->listener, (void *)&f->address, &len);
+	f->stream =
+	    http_stream_new(&f->loop, HTTP_SIDE_CLIENT, &ops, f);
+	CU_ASSERT_TRUE_FATAL(http_stream_connect(f->stream, &f->address));
+	f->raw = accept(f->listener, NULL, NULL);
+	while (!f->stream->connected)
+		uv_run(&f->loop, UV_RUN_ONCE);
+}
+
+static void
+fixture_clear(struct fixture *f)
+{
+	if (f->stream != NULL)
+		http_stream_abort(f->stream);
+	close(f->listener);
+	if (f->raw >= 0)
+		close(f->raw);
+	while (uv_run(&f->loop, UV_RUN_NOWAIT) != 0)
+		;
+	uv_loop_close(&f->loop);
+	g_string_free(f->log, TRUE);
+	g_string_free(f->body, TRUE);
+}
+
+static void
+raw_send(struct fixture *f, const char *text)
+{
+	CU_ASSERT_EQUAL(write(f->raw, text, strlen(text)),
+	    (ssize_t)strlen(text));
+}
+
+/* Close with a reset, as a process that crashes does. */
+static void
+raw_reset(struct fixture *f)
+{
+	struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+
+	setsockopt(f->raw, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+	close(f->raw);
+	f->raw = -1;
+}
+
+static const char no_length[] = "HTTP/1.1 200 OK\r\n\r\nhalf a body";
+
+static void
+test_close_ends_a_body_without_length(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	raw_send(&f, no_length);
+	shutdown(f.raw, SHUT_WR);
+	CU_ASSERT_TRUE(wait_for(&f, "message"));
+	CU_ASSERT_STRING_EQUAL(f.body->str, "half a body");
+	CU_ASSERT_FALSE(f.stream->keep_alive);
+	fixture_clear(&f);
+}
+
+static void
+test_reset_does_not_end_a_body(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	raw_send(&f, no_length);
+	CU_ASSERT_TRUE(wait_for(&f, "head"));
+	raw_reset(&f);
+	CU_ASSERT_TRUE(wait_for(&f, "end"));
+	CU_ASSERT_PTR_NULL(strstr(f.log->str, "message"));
+	CU_ASSERT_EQUAL(f.end, HTTP_END_RESET);
+	fixture_clear(&f);
+}
+
+static void
+test_short_body_is_no_message(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	raw_send(&f, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n12345");
+	shutdown(f.raw, SHUT_WR);
+	CU_ASSERT_TRUE(wait_for(&f, "end"));
+	CU_ASSERT_PTR_NULL(strstr(f.log->str, "message"));
+	fixture_clear(&f);
+}
+
+static void
+test_two_answers_in_one_segment(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	f.auto_next = true;
+	raw_send(&f,
+	    "HTTP/1.1 500 No\r\nContent-Length: 3\r\n\r\nold"
+	    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	    "3\r\nnew\r\n0\r\n\r\n");
+	CU_ASSERT_TRUE(
+	    wait_for(&f, "head:500 message head:200 message "));
+	CU_ASSERT_STRING_EQUAL(f.body->str, "oldnew");
+	fixture_clear(&f);
+}
+
+static void
+test_bytes_that_are_no_answer(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	raw_send(&f, "\x01\x02 nonsense\r\n\r\n");
+	CU_ASSERT_TRUE(wait_for(&f, "end"));
+	CU_ASSERT_EQUAL(f.end, HTTP_END_MALFORMED);
+	fixture_clear(&f);
+}
+
+static void
+test_large_head_is_refused(void)
+{
+	struct fixture f;
+	char *filler = g_strnfill(2000, 'x');
+	char *text = g_strdup_printf("HTTP/1.1 200 OK\r\nA: %s\r\n\r\n", filler);
+
+	fixture_init(&f);
+	f.stream->head_max_bytes = 1000;
+	raw_send(&f, text);
+	CU_ASSERT_TRUE(wait_for(&f, "end"));
+	CU_ASSERT_EQUAL(f.end, HTTP_END_TOO_LARGE);
+	fixture_clear(&f);
+	g_free(text);
+	g_free(filler);
+}
+
+/* What comes on an idle connection must not answer the next request. */
+static void
+test_pool_drops_a_connection_with_late_bytes(void)
+{
+	struct http_pool_settings settings = {
+		.idle_max = 4,
+		.idle_default_ms = 10000,
+		.idle_max_ms = 10000,
+	};
+	struct http_pool *pool;
+	struct fixture f;
+
+	fixture_init(&f);
+	settings.address = f.address;
+	pool = http_pool_new(&f.loop, &settings);
+	raw_send(&f, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1");
+	CU_ASSERT_TRUE(wait_for(&f, "message"));
+	http_pool_give(pool, f.stream);
+	f.stream = NULL;
+	CU_ASSERT_EQUAL(http_pool_idle(pool), 1);
+	raw_send(&f, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n2");
+	for (int i = 0; i < 200 && http_pool_idle(pool) > 0; i++) {
+		uv_run(&f.loop, UV_RUN_NOWAIT);
+		g_usleep(1000);
+	}
+	CU_ASSERT_EQUAL(http_pool_idle(pool), 0);
+	CU_ASSERT_PTR_NULL(http_pool_take(pool, &ops, &f, UINT32_MAX));
+	http_pool_free(pool);
+	fixture_clear(&f);
+}
+
+static const struct test_case cases[] = {
+	{ "a close ends a body without a length",
+	    test_close_ends_a_body_without_length },
+	{ "a reset does not", test_reset_does_not_end_a_body },
+	{ "a short body is no message", test_short_body_is_no_message },
+	{ "two answers in one segment", test_two_answers_in_one_segment },
+	{ "bytes that are no answer", test_bytes_that_are_no_answer },
+	{ "a large head is refused", test_large_head_is_refused },
+	{ "the pool drops a connection with late bytes",
+	    test_pool_drops_a_connection_with_late_bytes },
+	{ NULL, NULL },
+};
+
+int
+main(void)
+{
+	return harness_run("http stream", cases);
+}
--- /dev/null
+++ b/tests/platform/test_codec.c
@@ -0,0 +1,240 @@
+#include <glib.h>
+#include <string.h>
+
+#include "harness.h"
+#include "platform/codec.h"
+#include "platform/headers.h"
+
+static const char good_config[] =
+    "{\"version\":\"r7\",\"routes\":{"
+    "\"r-1\":{\"host\":\"Orders.example\",\"prefix\":\"/a/\","
+    "\"kind\":\"unsafe\",\"timeoutMs\":1200,\"targetLatencyMs\":400,"
+    "\"priority\":1,\"service\":\"orders\",\"maxAttempts\":2},"
+    "\"r-2\":{\"host\":\"orders.example\",\"prefix\":\"/a/b/\","
+    "\"kind\":\"download\",\"timeoutMs\":1000,\"targetLatencyMs\":300,"
+    "\"priority\":2,\"maxAttempts\":2,\"weightedServices\":["
+    "{\"service\":\"orders\",\"weight\":90},"
+    "{\"service\":\"drafts\",\"weight\":10}]}},"
+    "\"services\":{"
+    "\"orders\":{\"healthPath\":\"/h\",\"maxConnections\":120,"
+    "\"protocol\":\"h1\",\"tls\":false,\"coldStartS\":3.5,"
+    "\"coldPerS\":26.0},"
+    "\"drafts\":{\"healthPath\":\"/h\",\"maxConnections\":120,"
+    "\"coldStartS\":3,\"coldPerS\":26}},"
+    "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,"
+    "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}";
+
+static const char good_upstream[] =
+    "{\"address\":\"10.1.0.9:8080\",\"born\":1700000000000,"
+    "\"info\":{\"service\":\"orders\",\"version\":\"v1\",\"zone\":\"a\","
+    "\"slots\":12},"
+    "\"status\":{\"state\":\"ready\",\"seq\":4,\"coldRemainingMs\":250.5}}";
+
+/* Replace one text by another; the caller frees the result. */
+static char *
+replaced(const char *text, const char *old, const char *new)
+{
+	char **parts = g_strsplit(text, old, 2);
+	char *joined;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(parts[1]);
+	joined = g_strjoinv(new, parts);
+	g_strfreev(parts);
+	return joined;
+}
+
+static enum catalog_change_kind
+decode(const char *key, const char *text, struct catalog_change *change)
+{
+	GBytes *value = text == NULL ? NULL : g_bytes_new(text, strlen(text));
+
+	platform_decode(key, value, change);
+	if (value != NULL)
+		g_bytes_unref(value);
+	return change->kind;
+}
+
+static void
+test_config(void)
+{
+	struct catalog_change change;
+	const struct mesh_route *route;
+	const struct mesh_service *service;
+
+	CU_ASSERT_EQUAL_FATAL(
+	    decode("op/config", good_config, &change), CATALOG_CONFIG);
+	route = mesh_config_match(change.config,
+	    str_from("ORDERS.example:80"), str_from("/a/x?q=/a/b/"));
+	CU_ASSERT_STRING_EQUAL(route->name, "r-1");
+	CU_ASSERT_FALSE(route->idempotent);
+	CU_ASSERT_EQUAL(route->timeout_ms, 1200);
+	CU_ASSERT_EQUAL(route->objective_ms, 400);
+	route = mesh_config_match(
+	    change.config, str_from("orders.example"), str_from("/a/b/"));
+	CU_ASSERT_STRING_EQUAL(route->name, "r-2");
+	CU_ASSERT_TRUE(route->idempotent && route->bulk);
+	CU_ASSERT_EQUAL(route->parts->len, 2);
+	CU_ASSERT_PTR_NULL(mesh_config_match(
+	    change.config, str_from("orders.example"), str_from("/a")));
+	CU_ASSERT_PTR_NULL(mesh_config_match(
+	    change.config, str_from("other.example"), str_from("/a/")));
+	service = mesh_config_service(change.config, "orders");
+	CU_ASSERT_EQUAL(service->cold_ms, 3500);
+	CU_ASSERT_EQUAL(change.config->limits.idle_timeout_ms, 15000);
+	catalog_change_clear(&change);
+}
+
+static void
+test_config_is_refused_whole(void)
+{
+	static const char *const spoiled[][2] = {
+		{ "\"unsafe\"", "\"fast\"" },
+		{ "\"prefix\":\"/a/\"", "\"prefix\":\"/a\"" },
+		{ "\"prefix\":\"/a/\"", "\"prefix\":\"a/\"" },
+		{ "\"maxAttempts\":2},", "\"maxAttempts\":-1}," },
+		{ "\"service\":\"orders\",\"maxA", "\"service\":\"x\",\"maxA" },
+		{ "\"weight\":90", "\"weight\":\"90\"" },
+		{ "\"limits\"", "\"bounds\"" },
+		{ "\"version\":\"r7\"", "\"version\":7" },
+		{ "\"coldPerS\":26.0", "\"coldPerS\":-1" },
+		{ "15000}}", "15000}" },
+	};
+	struct catalog_change change;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(spoiled); i++) {
+		char *text =
+		    replaced(good_config, spoiled[i][0], spoiled[i][1]);
+
+		CU_ASSERT_EQUAL(
+		    decode("op/config", text, &change), CATALOG_INVALID);
+		CU_ASSERT_PTR_NOT_NULL(change.reason);
+		CU_ASSERT_PTR_NULL(change.config);
+		catalog_change_clear(&change);
+		g_free(text);
+	}
+}
+
+static void
+test_upstream(void)
+{
+	struct catalog_change change;
+
+	CU_ASSERT_EQUAL_FATAL(
+	    decode("servers/i-1", good_upstream, &change), CATALOG_UPSTREAM);
+	CU_ASSERT_STRING_EQUAL(change.entry.id, "i-1");
+	CU_ASSERT_STRING_EQUAL(change.entry.service, "orders");
+	CU_ASSERT_EQUAL(change.entry.slots, 12);
+	CU_ASSERT_EQUAL(change.entry.sequence, 4);
+	CU_ASSERT_EQUAL(change.entry.cold_ms, 250);
+	CU_ASSERT_EQUAL(change.entry.started_ms, 1700000000000);
+	CU_ASSERT_EQUAL(ntohs(change.entry.address.sin_port), 8080);
+	catalog_change_clear(&change);
+}
+
+static void
+test_foreign_upstreams_are_refused(void)
+{
+	static const char *const spoiled[][2] = {
+		{ "\"ready\"", "\"resting\"" },
+		{ "\"slots\":12", "\"slots\":\"12\"" },
+		{ "\"slots\":12", "\"slots\":0" },
+		{ "\"seq\":4", "\"seq\":4.5" },
+		{ "\"seq\":4,", "" },
+		{ "10.1.0.9:8080", "10.1.0.9" },
+		{ "10.1.0.9:8080", "10.1.0.9:99999" },
+		{ "1700000000000", "1700000000000.5" },
+		{ "1700000000000", "\"now\"" },
+		{ "250.5", "-1" },
+		{ "\"zone\":\"a\",", "" },
+		{ "}}", "}" },
+	};
+	struct catalog_change change;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(spoiled); i++) {
+		char *text =
+		    replaced(good_upstream, spoiled[i][0], spoiled[i][1]);
+
+		CU_ASSERT_EQUAL(
+		    decode("servers/i-1", text, &change), CATALOG_INVALID);
+		CU_ASSERT_STRING_EQUAL(change.subject, "i-1");
+		CU_ASSERT_PTR_NULL(change.entry.id);
+		catalog_change_clear(&change);
+		g_free(text);
+	}
+	CU_ASSERT_EQUAL(
+	    decode("servers/i-1", "\xff\xfe{", &change), CATALOG_INVALID);
+	catalog_change_clear(&change);
+}
+
+static void
+test_other_keys(void)
+{
+	struct catalog_change change;
+
+	CU_ASSERT_EQUAL(
+	    decode("servers/i-1", NULL, &change), CATALOG_UPSTREAM_GONE);
+	CU_ASSERT_STRING_EQUAL(change.subject, "i-1");
+	catalog_change_clear(&change);
+	CU_ASSERT_EQUAL(
+	    decode("op/evacuate/a", "{}", &change), CATALOG_ZONE_OUT);
+	CU_ASSERT_STRING_EQUAL(change.subject, "a");
+	catalog_change_clear(&change);
+	CU_ASSERT_EQUAL(
+	    decode("op/evacuate/a", NULL, &change), CATALOG_ZONE_IN);
+	catalog_change_clear(&change);
+	CU_ASSERT_EQUAL(decode("my/leader", "x", &change), CATALOG_OTHER);
+	catalog_change_clear(&change);
+}
+
+static void
+test_headers(void)
+{
+	struct http_head *head = http_head_new();
+	struct request_marks request;
+	struct answer_marks answer;
+	GString *text = g_string_new(NULL);
+	struct forward_marks forward = {
+		.deadline_ms = 1500,
+		.instance = str_from("i-1"),
+		.caller = str_from("orders"),
+	};
+
+	platform_read_request(head, &request);
+	CU_ASSERT_EQUAL(request.deadline_ms, -1);
+	CU_ASSERT_EQUAL(request.id.len, 0);
+	http_head_add(head, str_from("x-attempt-id"), str_from("9c41"));
+	http_head_add(head, str_from("X-DEADLINE"), str_from("250.75"));
+	platform_read_request(head, &request);
+	CU_ASSERT_EQUAL(request.deadline_ms, 250);
+	CU_ASSERT_TRUE(str_equal(request.id, str_from("9c41")));
+	platform_read_answer(head, &answer);
+	CU_ASSERT_FALSE(answer.is_signed || answer.not_run);
+	http_head_add(head, str_from("X-Not-Executed"), str_from(""));
+	platform_read_answer(head, &answer);
+	CU_ASSERT_TRUE(answer.not_run);
+	platform_write_forward(text, &forward);
+	CU_ASSERT_STRING_EQUAL(text->str,
+	    "X-Deadline: 1500\r\nX-Expected-Instance: i-1\r\n"
+	    "X-Caller-Service: orders\r\n");
+	CU_ASSERT_TRUE(platform_field_is_ours(str_from("x-caller-service")));
+	g_string_free(text, TRUE);
+	http_head_free(head);
+}
+
+static const struct test_case cases[] = {
+	{ "configuration", test_config },
+	{ "a bad configuration is refused whole",
+	    test_config_is_refused_whole },
+	{ "upstream", test_upstream },
+	{ "foreign upstreams are refused",
+	    test_foreign_upstreams_are_refused },
+	{ "other keys", test_other_keys },
+	{ "headers", test_headers },
+	{ NULL, NULL },
+};
+
+int
+main(void)
+{
+	return harness_run("platform codec", cases);
+}
--- /dev/null
+++ b/tests/route/test_balance.c
@@ -0,0 +1,215 @@
+#include <arpa/inet.h>
+#include <glib.h>
+
+#include "harness.h"
+#include "route/balance.h"
+#include "route/repeat_budget.h"
+
+enum {
+	DRAWS = 400,
+	NOW_MS = 100000,
+};
+
+struct fixture {
+	struct catalog *catalog;
+	struct rng *rng;
+	struct balance_request request;
+};
+
+static void
+handle_event(void *arg, enum catalog_event event, const char *subject,
+    const char *detail, uint64_t revision)
+{
+}
+
+static struct upstream *
+add(struct fixture *f, const char *id, const char *zone, const char *ip)
+{
+	struct catalog_change change = {
+		.kind = CATALOG_UPSTREAM,
+		.entry = {
+			.id = g_strdup(id),
+			.service = g_strdup("orders"),
+			.zone = g_strdup(zone),
+			.slots = 10,
+		},
+	};
+
+	change.entry.address.sin_port = htons(80);
+	inet_pton(AF_INET, ip, &change.entry.address.sin_addr);
+	catalog_apply(f->catalog, &change, 1, 0, 0);
+	return catalog_upstream(f->catalog, str_from(id));
+}
+
+static void
+report(struct upstream *upstream, uint32_t in_flight, uint32_t latency_ms)
+{
+	struct load_report load = {
+		.limit = 10,
+		.in_flight = in_flight,
+		.latency_us = latency_ms * 1000,
+		.accepting = true,
+	};
+
+	upstream_learn(upstream, &load, NOW_MS);
+}
+
+static void
+fixture_init(struct fixture *f)
+{
+	struct catalog_ops ops = { .handle_event = handle_event };
+
+	f->catalog = catalog_new(ops);
+	f->rng = rng_seeded_new(7);
+	f->request = (struct balance_request){
+		.catalog = f->catalog,
+		.service = "orders",
+		.zone = "a",
+		.objective_ms = 300,
+		.now_ms = NOW_MS,
+	};
+}
+
+static void
+fixture_clear(struct fixture *f)
+{
+	catalog_free(f->catalog);
+	rng_free(f->rng);
+}
+
+/* How many of the draws choose this upstream. */
+static int
+chosen(struct fixture *f, const struct upstream *upstream)
+{
+	int count = 0;
+
+	for (int i = 0; i < DRAWS; i++)
+		count += balance_pick(&f->request, f->rng).upstream == upstream;
+	return count;
+}
+
+static void
+test_own_zone_until_it_is_slow(void)
+{
+	struct upstream *near, *far;
+	struct fixture f;
+
+	fixture_init(&f);
+	near = add(&f, "i-1", "a", "10.0.0.1");
+	far = add(&f, "i-2", "b", "10.0.0.2");
+	report(near, 5, 100);
+	report(far, 0, 100);
+	CU_ASSERT_EQUAL(chosen(&f, near), DRAWS);
+	report(near, 40, 100);
+	CU_ASSERT_EQUAL(chosen(&f, far), DRAWS);
+	f.request.tried[0] = far;
+	f.request.tried_count = 1;
+	CU_ASSERT_EQUAL(chosen(&f, near), DRAWS);
+	fixture_clear(&f);
+}
+
+static void
+test_unusable_ones_are_never_chosen(void)
+{
+	struct catalog_change out = {
+		.kind = CATALOG_ZONE_OUT,
+		.subject = g_strdup("b"),
+	};
+	struct upstream *draining;
+	struct fixture f;
+
+	fixture_init(&f);
+	draining = add(&f, "i-1", "a", "10.0.0.1");
+	draining->entry.draining = true;
+	add(&f, "i-2", "b", "10.0.0.2");
+	catalog_apply(f.catalog, &out, 2, 0, 0);
+	catalog_change_clear(&out);
+	CU_ASSERT_PTR_NULL(balance_pick(&f.request, f.rng).upstream);
+	fixture_clear(&f);
+}
+
+static void
+test_failing_and_lost_ones_are_a_last_resort(void)
+{
+	struct upstream *failing, *lost, *sound;
+	struct balance_choice choice;
+	struct fixture f;
+
+	fixture_init(&f);
+	failing = add(&f, "i-1", "a", "10.0.0.1");
+	lost = add(&f, "i-2", "a", "10.0.0.2");
+	sound = add(&f, "i-3", "b", "10.0.0.3");
+	report(failing, 0, 10);
+	failing->load.failing = 600;
+	report(lost, 0, 10);
+	fleet_peer_lost(lost->peer, NOW_MS);
+	report(sound, 0, 100);
+	CU_ASSERT_EQUAL(chosen(&f, sound), DRAWS);
+	f.request.tried[0] = sound;
+	f.request.tried_count = 1;
+	choice = balance_pick(&f.request, f.rng);
+	CU_ASSERT_PTR_NOT_NULL(choice.upstream);
+	CU_ASSERT_TRUE(choice.last_resort);
+	fixture_clear(&f);
+}
+
+static void
+test_own_requests_count_between_reports(void)
+{
+	struct upstream *upstream;
+	struct fixture f;
+	uint32_t before_ms;
+
+	fixture_init(&f);
+	upstream = add(&f, "i-1", "a", "10.0.0.1");
+	report(upstream, 10, 100);
+	before_ms = balance_expected_ms(upstream, NOW_MS);
+	upstream->own += 20;
+	CU_ASSERT_TRUE(
+	    balance_expected_ms(upstream, NOW_MS) >= before_ms + 200);
+	fixture_clear(&f);
+}
+
+static void
+test_repeats_stay_in_the_share(void)
+{
+	struct repeat_budget_settings settings = {
+		.window_ms = 10000,
+		.ratio = 0.1,
+		.allowance = 24,
+	};
+	struct repeat_budget *budget = repeat_budget_new(&settings);
+	int taken = 0;
+
+	for (int i = 0; i < 100; i++)
+		repeat_budget_fresh(budget, "orders", i);
+	while (repeat_budget_take(budget, "orders", 12, 200))
+		taken++;
+	CU_ASSERT_EQUAL(taken, 12);
+	CU_ASSERT_TRUE(repeat_budget_take(budget, "drafts", 12, 200));
+	CU_ASSERT_FALSE(repeat_budget_take(budget, "orders", 12, 9000));
+	/* The window slides: only the allowance is left. */
+	taken = 0;
+	while (repeat_budget_take(budget, "orders", 12, 30000))
+		taken++;
+	CU_ASSERT_EQUAL(taken, 2);
+	repeat_budget_free(budget);
+}
+
+static const struct test_case cases[] = {
+	{ "the own zone until it is slow", test_own_zone_until_it_is_slow },
+	{ "unusable ones are never chosen",
+	    test_unusable_ones_are_never_chosen },
+	{ "failing and lost ones are a last resort",
+	    test_failing_and_lost_ones_are_a_last_resort },
+	{ "own requests count between reports",
+	    test_own_requests_count_between_reports },
+	{ "repeats stay in the share", test_repeats_stay_in_the_share },
+	{ NULL, NULL },
+};
+
+int
+main(void)
+{
+	return harness_run("balance", cases);
+}
--- a/trefoilhill-proxy/attempt.c
+++ b/trefoilhill-proxy/attempt.c
@@ -161,11 +161,15 @@
 	attempt_write_request(attempt);
 }
 
-/* A kept connection had been closed by the other side before it was used. */
+/*
+ * A kept connection of a peer had been closed before it was used. One of an
+ * upstream may have been reset after the upstream ran the request.
+ */
 static bool
 may_redial(const struct attempt *attempt)
 {
-	return attempt->reused && attempt->exchange->idempotent &&
+	return !attempt->local && attempt->reused &&
+	    attempt->exchange->idempotent &&
 	    !attempt->answered && attempt->body_sent == 0 &&
 	    !attempt->stream->message_begun;
 }
