--- a/tests/tools/test_man.c
+++ b/tests/tools/test_man.c
@@ -30,10 +30,11 @@
 
 	if (desc->fallback == NULL)
 		CU_ASSERT_TRUE(g_str_has_suffix(line, ", required"));
-	if (desc->fallback != NULL && *desc->fallback == '\0')
+	if (desc->fallback != NULL && *desc->fallback == '\0') {
 		CU_ASSERT_TRUE(g_str_has_suffix(line, "default none"));
-	else if (desc->fallback != NULL)
+	} else if (desc->fallback != NULL) {
 		CU_ASSERT_TRUE(g_str_has_suffix(line, fallback));
+	}
 	if (desc->type == SETTING_NUMBER)
 		CU_ASSERT_PTR_NOT_NULL(strstr(line, bounds));
 	for (size_t i = 0;
