route, guard: run times for each route, queue by the latest start

Cause: the wait that a request may have at a gate was worked out from the mean latency of all requests there, so short inner lookups (22 ms) were refused for the sake of long orders (120 ms), and their callers failed with 500. The gate's queue now goes by priority and then by whose time is up first.

Kept for the lookups; what to shed under overload is open.

--- a/guard/admission.c
+++ b/guard/admission.c
@@ -215,7 +215,17 @@
 	return (int64_t)MAX(by_limit, by_rate);
 }
 
-/* Place behind all that are as urgent; returns how many stand before it. */
+/* Does one go before another? More urgent first, then whose time is up first. */
+static bool
+goes_before(
+    const struct admission_waiter *a, const struct admission_waiter *b)
+{
+	if (a->priority != b->priority)
+		return a->priority < b->priority;
+	return a->latest_start_ms < b->latest_start_ms;
+}
+
+/* Place in the queue; returns how many stand before it. */
 static uint32_t
 queue_insert(struct admission *admission, struct admission_waiter *waiter)
 {
@@ -223,9 +233,7 @@
 	uint32_t ahead = 0;
 
 	for (; before != NULL; before = before->next, ahead++) {
-		const struct admission_waiter *other = before->data;
-
-		if (other->priority > waiter->priority)
+		if (goes_before(waiter, before->data))
 			break;
 	}
 	waiter->link.data = waiter;
--- a/include/route/balance.h
+++ b/include/route/balance.h
@@ -18,6 +18,7 @@
 	const char *zone;      /* of this node */
 	struct in_addr host;   /* of this node */
 	uint32_t objective_ms;
+	uint32_t run_ms;       /* that such a request usually takes */
 	bool bulk;             /* the answer is large */
 	int64_t now_ms;
 	const struct upstream *tried[BALANCE_TRIED_MAX];
@@ -28,13 +29,16 @@
 	struct upstream *upstream; /* borrowed; NULL: none can take it */
 	uint32_t candidates;       /* that could have been chosen */
 	uint32_t expected_ms;      /* until the answer */
-	uint32_t latency_ms;       /* of the upstream itself */
 	bool last_resort;          /* it was avoided, but nothing else is left */
 };
 
 struct balance_choice balance_pick(
     const struct balance_request *request, struct rng *rng);
-/* Expected time until an answer by this upstream. */
-uint32_t balance_expected_ms(const struct upstream *upstream, int64_t now_ms);
+/*
+ * Expected time until an answer by this upstream, when such a request takes
+ * run_ms at one of mean_us, the mean latency of its service.
+ */
+uint32_t balance_expected_ms(const struct upstream *upstream, uint32_t run_ms,
+    uint32_t mean_us, int64_t now_ms);
 
 #endif
--- a/include/trefoilhill-proxy/attempt.h
+++ b/include/trefoilhill-proxy/attempt.h
@@ -50,6 +50,7 @@
 	bool reached;              /* the upstream itself said "not run" */
 	bool ended;
 	unsigned status;
+	int64_t run_ms;            /* from sending to the answer's head */
 	uint64_t body_sent;        /* of the request's body */
 	bool body_ended;
 	uint64_t answer_bytes;
--- a/include/trefoilhill-proxy/hop.h
+++ b/include/trefoilhill-proxy/hop.h
@@ -32,6 +32,7 @@
 	bool reached; /* not run, but the upstream itself said so */
 	bool has_load;
 	struct load_report load;
+	int64_t run_ms; /* that the upstream took until its answer began */
 };
 
 bool hop_field_is_ours(struct str name);
@@ -39,7 +40,8 @@
 /* False: the message bears no such fields, or they can't be read. */
 bool hop_read_request(
     const struct http_head *head, struct hop_request *request);
-void hop_write_load(GString *text, const struct load_report *load);
+void hop_write_load(
+    GString *text, const struct load_report *load, int64_t run_ms);
 void hop_write_outcome(
     GString *text, enum hop_outcome outcome, const char *reason, bool reached);
 void hop_read_answer(const struct http_head *head, struct hop_answer *answer);
--- a/include/trefoilhill-proxy/proxy.h
+++ b/include/trefoilhill-proxy/proxy.h
@@ -8,6 +8,7 @@
 #include "fleet/catalog.h"
 #include "http/listener.h"
 #include "route/repeat_budget.h"
+#include "route/run_times.h"
 #include "trefoilhill-proxy/stats.h"
 #include "trefoilhilld/settings.h"
 
@@ -29,6 +30,7 @@
 	struct heartbeat *heartbeat;
 	struct gate *gate;
 	struct repeat_budget *repeats;
+	struct run_times *run_times;
 	struct ops_listener *ops_listener;
 	struct http_listener *caller_listener;
 	struct http_listener *mesh_listener;
--- a/route/balance.c
+++ b/route/balance.c
@@ -2,7 +2,7 @@
 
 enum {
 	REPORT_FRESH_MS = 3000,  /* an older report says nothing */
-	LATENCY_PRIOR_MS = 100,  /* before the first report */
+	LATENCY_PRIOR_US = 100000, /* before the first report */
 	FAILING_AVOIDED = 400,   /* of a thousand: avoided like a lost one */
 	FAILING_SCALE = 1000,
 	/*
@@ -19,42 +19,74 @@
 };
 
 struct ranking {
+	uint32_t mean_us; /* of the group */
 	struct upstream *best;
 	uint32_t best_cost;
 	uint32_t best_expected_ms;
 	uint32_t seen;
 };
 
+static bool
+is_fresh(const struct upstream *upstream, int64_t now_ms)
+{
+	return upstream->load_ms != 0 &&
+	    now_ms - upstream->load_ms < REPORT_FRESH_MS;
+}
+
+/* Requests at the upstream, by the last report and what was sent since. */
+static uint32_t
+busy_now(const struct upstream *upstream, bool fresh)
+{
+	uint32_t since = upstream->own > upstream->own_at_load
+	    ? upstream->own - upstream->own_at_load
+	    : 0;
+
+	if (!fresh)
+		return upstream->own;
+	return upstream->load.in_flight + upstream->load.queued + since;
+}
+
 /*
  * Return the time until an upstream would answer one more request: the wait
- * for a slot, by the last report and what this node sent since, and its
- * recent mean latency.
+ * for a slot, and the usual time of such a request at an upstream of this
+ * speed.
  */
 uint32_t
-balance_expected_ms(const struct upstream *upstream, int64_t now_ms)
+balance_expected_ms(const struct upstream *upstream, uint32_t run_ms,
+    uint32_t mean_us, int64_t now_ms)
 {
 	const struct load_report *load = &upstream->load;
-	bool fresh = upstream->load_ms != 0 &&
-	    now_ms - upstream->load_ms < REPORT_FRESH_MS;
-	uint32_t limit = fresh ? load->limit : upstream->entry.slots;
-	uint32_t latency_ms = fresh ? load->latency_us / 1000 : LATENCY_PRIOR_MS;
-	uint32_t busy = upstream->own;
-	uint32_t wait_ms = 0;
-
-	limit = MAX(limit, 1);
-	if (fresh) {
-		busy = load->in_flight + load->queued;
-		if (upstream->own > upstream->own_at_load)
-			busy += upstream->own - upstream->own_at_load;
-	}
+	bool fresh = is_fresh(upstream, now_ms);
+	uint64_t limit = MAX(fresh ? load->limit : upstream->entry.slots, 1);
+	uint64_t latency_us = fresh ? load->latency_us : mean_us;
+	uint64_t busy = busy_now(upstream, fresh);
+	uint64_t wait_ms = 0, time_ms;
+
 	if (busy >= limit)
-		wait_ms = (busy - limit + 1) * latency_ms / limit;
-	latency_ms += latency_ms * CROWD_PERCENT * MIN(busy, limit) / limit /
-	    100;
+		wait_ms = (busy - limit + 1) * latency_us / 1000 / limit;
+	time_ms = run_ms * latency_us / MAX(mean_us, 1);
+	time_ms += time_ms * CROWD_PERCENT * MIN(busy, limit) / limit / 100;
 	if (fresh && load->failing > 0)
-		latency_ms = latency_ms * FAILING_SCALE /
+		time_ms = time_ms * FAILING_SCALE /
 		    MAX(100, FAILING_SCALE - load->failing);
-	return wait_ms + latency_ms;
+	return (uint32_t)(wait_ms + time_ms);
+}
+
+/* Mean latency of the upstreams of a service. */
+static uint32_t
+group_mean_us(const struct upstream_group *group, int64_t now_ms)
+{
+	uint64_t sum = 0, count = 0;
+
+	for (guint i = 0; i < group->upstreams->len; i++) {
+		const struct upstream *upstream = group->upstreams->pdata[i];
+
+		if (!is_fresh(upstream, now_ms))
+			continue;
+		sum += upstream->load.latency_us;
+		count++;
+	}
+	return count == 0 ? LATENCY_PRIOR_US : (uint32_t)(sum / count);
 }
 
 static bool
@@ -79,8 +111,7 @@
 static bool
 is_avoided(const struct upstream *upstream, int64_t now_ms)
 {
-	bool fresh = upstream->load_ms != 0 &&
-	    now_ms - upstream->load_ms < REPORT_FRESH_MS;
+	bool fresh = is_fresh(upstream, now_ms);
 
 	return fleet_peer_is_avoided(upstream->peer, now_ms) ||
 	    upstream->peer->stopping ||
@@ -92,7 +123,8 @@
 rank(const struct balance_request *request, struct ranking *ranking,
     struct upstream *upstream, struct rng *rng)
 {
-	uint32_t expected = balance_expected_ms(upstream, request->now_ms);
+	uint32_t expected = balance_expected_ms(
+	    upstream, request->run_ms, ranking->mean_us, request->now_ms);
 	uint32_t cost = expected + (uint32_t)rng_below(rng, JITTER_MS);
 
 	if (g_strcmp0(upstream->entry.zone, request->zone) != 0)
@@ -125,6 +157,8 @@
 
 	if (group == NULL)
 		return choice;
+	own.mean_us = all.mean_us = last.mean_us =
+	    group_mean_us(group, request->now_ms);
 	for (guint i = 0; i < group->upstreams->len; i++) {
 		struct upstream *upstream = group->upstreams->pdata[i];
 
@@ -146,9 +180,5 @@
 	choice.expected_ms = taken->best_expected_ms;
 	choice.candidates = all.seen + last.seen;
 	choice.last_resort = taken == &last;
-	if (choice.upstream != NULL && choice.upstream->load_ms != 0)
-		choice.latency_ms = choice.upstream->load.latency_us / 1000;
-	else
-		choice.latency_ms = LATENCY_PRIOR_MS;
 	return choice;
 }
--- /dev/null
+++ b/route/run_times.c
@@ -0,0 +1,65 @@
+#include <glib.h>
+
+#include "route/run_times.h"
+
+enum {
+	WEIGHT = 16, /* a new time counts one part in so many */
+	SCALE = 16,  /* times are kept in sixteenths of a millisecond */
+};
+
+struct run_times {
+	GHashTable *routes; /* name to the mean, as a number */
+};
+
+/*
+ * Return an empty table.
+ */
+struct run_times *
+run_times_new(void)
+{
+	struct run_times *times = g_new0(struct run_times, 1);
+
+	times->routes =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return times;
+}
+
+/*
+ * Free a table. NULL is allowed.
+ */
+void
+run_times_free(struct run_times *times)
+{
+	if (times == NULL)
+		return;
+	g_hash_table_destroy(times->routes);
+	g_free(times);
+}
+
+/*
+ * Take one answer's time into the mean of its route.
+ */
+void
+run_times_learn(struct run_times *times, const char *route, int64_t run_ms)
+{
+	int64_t mean = GPOINTER_TO_INT(
+	    g_hash_table_lookup(times->routes, route));
+	int64_t scaled = CLAMP(run_ms, 1, 1000000) * SCALE;
+
+	mean = mean == 0 ? scaled : mean + (scaled - mean) / WEIGHT;
+	g_hash_table_insert(times->routes, g_strdup(route),
+	    GINT_TO_POINTER((int)MAX(mean, 1)));
+}
+
+/*
+ * Return the mean time of a route in milliseconds.
+ */
+uint32_t
+run_times_ms(
+    struct run_times *times, const char *route, uint32_t fallback_ms)
+{
+	int mean = GPOINTER_TO_INT(
+	    g_hash_table_lookup(times->routes, route));
+
+	return mean == 0 ? fallback_ms : (uint32_t)(mean / SCALE) + 1;
+}
--- a/tests/guard/test_admission.c
+++ b/tests/guard/test_admission.c
@@ -92,6 +92,23 @@
 	admission_free(f.admission);
 }
 
+/* Of equally urgent ones, the one whose time is up first goes first. */
+static void
+test_short_of_time_goes_first(void)
+{
+	struct noted *patient, *hurried;
+	struct fixture f;
+
+	fixture_init(&f);
+	fill(&f, 0);
+	CU_ASSERT_EQUAL(offer(&f, 1, 900, 0, &patient), ADMISSION_QUEUED);
+	CU_ASSERT_EQUAL(offer(&f, 1, 80, 0, &hurried), ADMISSION_QUEUED);
+	admission_finish(f.admission, ADMISSION_GOOD, 1000, 10);
+	CU_ASSERT_TRUE(hurried->told);
+	CU_ASSERT_FALSE(patient->told);
+	admission_free(f.admission);
+}
+
 static void
 test_full_queue_displaces_less_urgent(void)
 {
@@ -244,6 +261,7 @@
 
 static const struct test_case cases[] = {
 	{ "limit and order", test_limit_and_order },
+	{ "what is short of time goes first", test_short_of_time_goes_first },
 	{ "a full queue displaces what is less urgent",
 	    test_full_queue_displaces_less_urgent },
 	{ "what would come too late is refused",
--- a/tests/route/test_balance.c
+++ b/tests/route/test_balance.c
@@ -66,6 +66,7 @@
 		.service = "orders",
 		.zone = "a",
 		.objective_ms = 300,
+		.run_ms = 100,
 		.now_ms = NOW_MS,
 	};
 }
@@ -163,10 +164,10 @@
 	fixture_init(&f);
 	upstream = add(&f, "i-1", "a", "10.0.0.1");
 	report(upstream, 10, 100);
-	before_ms = balance_expected_ms(upstream, NOW_MS);
+	before_ms = balance_expected_ms(upstream, 100, 100000, NOW_MS);
 	upstream->own += 20;
 	CU_ASSERT_TRUE(
-	    balance_expected_ms(upstream, NOW_MS) >= before_ms + 200);
+	    balance_expected_ms(upstream, 100, 100000, NOW_MS) >= before_ms + 200);
 	fixture_clear(&f);
 }
 
--- a/trefoilhill-proxy/attempt.c
+++ b/trefoilhill-proxy/attempt.c
@@ -266,6 +266,7 @@
 	}
 	attempt->answered = true;
 	attempt->status = head->status;
+	attempt->run_ms = proxy_now_ms(attempt->proxy) - attempt->sent_ms;
 	attempt->ops->handle_head(attempt);
 }
 
@@ -295,6 +296,7 @@
 	}
 	attempt->answered = true;
 	attempt->status = head->status;
+	attempt->run_ms = answer.run_ms;
 	attempt->ops->handle_head(attempt);
 }
 
--- a/trefoilhill-proxy/exchange_answer.c
+++ b/trefoilhill-proxy/exchange_answer.c
@@ -53,14 +53,14 @@
 }
 
 static void
-write_load(struct exchange *exchange)
+write_load(struct exchange *exchange, int64_t run_ms)
 {
 	struct load_report load;
 
 	if (exchange->origin != CALLER_PEER)
 		return;
 	load = gate_report(exchange->proxy->gate);
-	hop_write_load(exchange->answer_head, &load);
+	hop_write_load(exchange->answer_head, &load, run_ms);
 }
 
 static bool
@@ -121,7 +121,7 @@
 			    text, name, http_head_value(from->head, i));
 	}
 	write_connection(exchange);
-	write_load(exchange);
+	write_load(exchange, attempt->run_ms);
 	if (exchange->origin == CALLER_PEER ||
 	    (from->has_length && from->length > HOLD_MAX_BYTES))
 		commit(exchange, from->has_length, from->length);
@@ -239,7 +239,7 @@
 	else if (retry)
 		write_retry_after(exchange);
 	write_connection(exchange);
-	write_load(exchange);
+	write_load(exchange, 0);
 	g_string_append_printf(text, "Content-Length: %zu\r\n\r\n",
 	    exchange->is_head_method ? 0 : strlen(reason));
 	http_stream_write2(exchange->caller->stream,
--- a/trefoilhill-proxy/exchange_dispatch.c
+++ b/trefoilhill-proxy/exchange_dispatch.c
@@ -4,6 +4,7 @@
 #include "trefoilhill-proxy/gate.h"
 
 enum {
+	RUN_PRIOR_DIVISOR = 3, /* of the objective, before the first answer */
 	LEFT_MIN_MS = 5, /* nothing can be answered in less */
 	/* A second send begins after this share of the objective, percent. */
 	HEDGE_OBJECTIVE_PERCENT = 60,
@@ -42,20 +43,27 @@
 	return g_hash_table_size(catalog_peers(exchange->proxy->catalog));
 }
 
+/* How long an upstream usually takes for such a request. */
+static uint32_t
+run_ms(const struct exchange *exchange)
+{
+	return run_times_ms(exchange->proxy->run_times, exchange->route->name,
+	    exchange->objective_ms / RUN_PRIOR_DIVISOR);
+}
+
 /* How long the request may wait for its turn at the gate. */
 static int64_t
-wait_allowed_ms(
-    const struct exchange *exchange, const struct balance_choice *choice)
+wait_allowed_ms(const struct exchange *exchange)
 {
 	int64_t now_ms = proxy_now_ms(exchange->proxy);
 	int64_t objective_left =
 	    exchange->begun_ms + exchange->objective_ms - now_ms;
 	int64_t least = (int64_t)exchange->objective_ms * WAIT_MIN_PERCENT /
 	    100;
-	int64_t most = exchange_left_ms(exchange) - choice->latency_ms;
+	int64_t most = exchange_left_ms(exchange) - run_ms(exchange);
 
-	return MAX(0, MIN(MAX(objective_left - choice->latency_ms, least),
-			  most));
+	return MAX(
+	    0, MIN(MAX(objective_left - run_ms(exchange), least), most));
 }
 
 static void
@@ -77,8 +85,7 @@
 }
 
 static void
-hedge_schedule(
-    struct exchange *exchange, const struct balance_choice *choice)
+hedge_schedule(struct exchange *exchange)
 {
 	uint64_t delay_ms = (uint64_t)exchange->objective_ms *
 	    HEDGE_OBJECTIVE_PERCENT / 100;
@@ -87,7 +94,7 @@
 	    exchange->route->attempts_max < 2)
 		return;
 	delay_ms = MAX(
-	    delay_ms, (uint64_t)choice->latency_ms * HEDGE_LATENCY_FACTOR);
+	    delay_ms, (uint64_t)run_ms(exchange) * HEDGE_LATENCY_FACTOR);
 	uv_timer_start(&exchange->hedge, handle_hedge, delay_ms, 0);
 }
 
@@ -100,6 +107,7 @@
 		.zone = exchange->proxy->settings->node.zone.ptr,
 		.host = exchange->proxy->mesh_address.sin_addr,
 		.objective_ms = exchange->objective_ms,
+		.run_ms = run_ms(exchange),
 		.bulk = exchange->route->bulk,
 		.now_ms = proxy_now_ms(exchange->proxy),
 		.tried_count = exchange->tried_count,
@@ -157,9 +165,9 @@
 		return;
 	}
 	if (!hedge)
-		hedge_schedule(exchange, &choice);
+		hedge_schedule(exchange);
 	start_attempt(exchange, choice.upstream,
-	    wait_allowed_ms(exchange, &choice), repeat, hedge);
+	    wait_allowed_ms(exchange), repeat, hedge);
 }
 
 /*
@@ -328,6 +336,9 @@
 
 	if (retry_failure(exchange, attempt))
 		return;
+	if (exchange->route != NULL && attempt->status < 500)
+		run_times_learn(exchange->proxy->run_times,
+		    exchange->route->name, attempt->run_ms);
 	exchange->answering = attempt;
 	uv_timer_stop(&exchange->hedge);
 	exchange_cancel_attempts(exchange, attempt);
--- a/trefoilhill-proxy/hop.c
+++ b/trefoilhill-proxy/hop.c
@@ -83,15 +83,17 @@
 }
 
 /*
- * Append the load of this node's upstream.
+ * Append the load of this node's upstream, and how long it took to answer.
  */
 void
-hop_write_load(GString *text, const struct load_report *load)
+hop_write_load(
+    GString *text, const struct load_report *load, int64_t run_ms)
 {
 	char value[FIELD_TEXT_MAX];
-	int len = g_snprintf(value, sizeof(value), "%u %u %u %u %u %d",
-	    load->limit, load->in_flight, load->queued, load->latency_us,
-	    load->failing, load->accepting ? 1 : 0);
+	int len = g_snprintf(value, sizeof(value),
+	    "%u %u %u %u %u %d %" G_GINT64_FORMAT, load->limit,
+	    load->in_flight, load->queued, load->latency_us, load->failing,
+	    load->accepting ? 1 : 0, (gint64)run_ms);
 
 	http_text_field(text, load_field, str_make(value, (size_t)len));
 }
@@ -120,6 +122,7 @@
 {
 	char value[FIELD_TEXT_MAX];
 	struct load_report *load = &answer->load;
+	gint64 run_ms;
 	int accepting;
 
 	*answer = (struct hop_answer){ .outcome = HOP_ANSWER };
@@ -133,10 +136,11 @@
 	}
 	answer->reached = http_head_find(head, reached_field).ptr != NULL;
 	if (!value_copy(head, load_field, value, sizeof(value)) ||
-	    sscanf(value, "%u %u %u %u %u %d", &load->limit, &load->in_flight,
-		&load->queued, &load->latency_us, &load->failing,
-		&accepting) != 6)
+	    sscanf(value, "%u %u %u %u %u %d %" G_GINT64_FORMAT, &load->limit,
+		&load->in_flight, &load->queued, &load->latency_us,
+		&load->failing, &accepting, &run_ms) != 7)
 		return;
+	answer->run_ms = run_ms;
 	load->accepting = accepting != 0;
 	answer->has_load = true;
 }
--- a/trefoilhill-proxy/proxy.c
+++ b/trefoilhill-proxy/proxy.c
@@ -175,6 +175,7 @@
 	proxy->log = json_log_new(&log, proxy->clock);
 	proxy->catalog = catalog_new(ops);
 	proxy->repeats = repeat_budget_new(&repeats);
+	proxy->run_times = run_times_new();
 	proxy->callers = g_hash_table_new(g_direct_hash, g_direct_equal);
 	proxy->heartbeat = heartbeat_new(proxy);
 }
