follower: let a few nodes of each zone read the store

Two nodes of each zone, by rank, now read; news goes by heartbeats, at once to three peers of the zone, with the items sent to one that lacks them. A node whose copy nobody confirmed for 3 s reads itself.

--- a/fleet/catalog.c
+++ b/fleet/catalog.c
@@ -92,13 +92,14 @@
 }
 
 static struct fleet_peer *
-catalog_peer(struct catalog *catalog, struct in_addr host)
+catalog_peer(struct catalog *catalog, const struct upstream_entry *entry)
 {
+	struct in_addr host = entry->address.sin_addr;
 	void *key = GUINT_TO_POINTER(host.s_addr);
 	struct fleet_peer *peer = g_hash_table_lookup(catalog->peers, key);
 
 	if (peer == NULL) {
-		peer = fleet_peer_new(host);
+		peer = fleet_peer_new(host, entry->zone);
 		g_hash_table_insert(catalog->peers, key, peer);
 	}
 	return peer;
@@ -201,8 +202,7 @@
 	struct in_addr old_host;
 
 	if (upstream == NULL) {
-		upstream = upstream_new(entry,
-		    catalog_peer(catalog, entry->address.sin_addr));
+		upstream = upstream_new(entry, catalog_peer(catalog, entry));
 		upstream->cold_until_ms = now_ms + upstream->entry.cold_ms;
 		g_hash_table_insert(catalog->upstreams,
 		    g_strdup(upstream->entry.id), upstream);
@@ -222,8 +222,8 @@
 	if (old_host.s_addr != upstream->entry.address.sin_addr.s_addr) {
 		struct fleet_peer *old_peer = upstream->peer;
 
-		upstream->peer = fleet_peer_ref(catalog_peer(
-		    catalog, upstream->entry.address.sin_addr));
+		upstream->peer = fleet_peer_ref(
+		    catalog_peer(catalog, &upstream->entry));
 		fleet_peer_unref(old_peer);
 		peer_prune(catalog, old_host);
 	}
--- a/fleet/upstream.c
+++ b/fleet/upstream.c
@@ -105,12 +105,13 @@
  * Return a peer that nothing is known of.
  */
 struct fleet_peer *
-fleet_peer_new(struct in_addr host)
+fleet_peer_new(struct in_addr host, const char *zone)
 {
 	struct fleet_peer *peer = g_new0(struct fleet_peer, 1);
 
 	peer->refs = 1;
 	peer->host = host;
+	peer->zone = g_strdup(zone);
 	return peer;
 }
 
@@ -133,6 +134,7 @@
 	if (peer == NULL || --peer->refs > 0)
 		return;
 	http_pool_free(peer->pool);
+	g_free(peer->zone);
 	g_free(peer);
 }
 
--- a/include/fleet/upstream.h
+++ b/include/fleet/upstream.h
@@ -35,6 +35,7 @@
 struct fleet_peer {
 	int refs;
 	struct in_addr host;
+	char *zone;
 	struct http_pool *pool; /* of the data path; NULL until it is used */
 	uint32_t losses;        /* in a row */
 	int64_t avoid_until_ms;
@@ -69,7 +70,7 @@
 void upstream_learn(struct upstream *upstream, const struct load_report *load,
     int64_t now_ms);
 
-struct fleet_peer *fleet_peer_new(struct in_addr host);
+struct fleet_peer *fleet_peer_new(struct in_addr host, const char *zone);
 struct fleet_peer *fleet_peer_ref(struct fleet_peer *peer);
 void fleet_peer_unref(struct fleet_peer *peer);
 /* An exchange with the peer failed, or went well. */
--- a/include/trefoilhill-proxy/follower.h
+++ b/include/trefoilhill-proxy/follower.h
@@ -4,17 +4,30 @@
 #include "fleet/source.h"
 #include "trefoilhill-proxy/proxy.h"
 
-/* Keeps the replica up with the platform's store, and the catalog with it. */
+/*
+ * Keeps the replica up with the platform's store, and the catalog with it. A
+ * few nodes of each zone read the store; the others live by what these tell,
+ * and read themselves when nobody's word is fresh.
+ */
 struct follower;
 
 struct follower *follower_new(struct proxy *proxy, struct item_source *source);
 void follower_free(struct follower *follower);
 void follower_start(struct follower *follower);
 struct replica *follower_replica(struct follower *follower);
-/* Items from a peer: all there is, or changes up to the revision. */
-void follower_take(struct follower *follower, bool whole, GPtrArray *items,
-    uint64_t revision);
-/* Since when the store has not answered; 0: it answers. */
-int64_t follower_lost_since_ms(const struct follower *follower);
+/* What a peer says of its copy. */
+struct follower_word {
+	bool whole;        /* items are all there is, not changes */
+	GPtrArray *items;  /* struct replica_item; NULL: none came along */
+	uint64_t revision;
+	int64_t age_ms;    /* since the store confirmed it; -1: never */
+	int64_t doubt_ms;  /* for which removals may still be taken back */
+};
+
+void follower_take(
+    struct follower *follower, const struct follower_word *word);
+/* Since the store confirmed the copy, to this node or a peer; -1: never. */
+int64_t follower_age_ms(const struct follower *follower);
+int64_t follower_doubt_ms(const struct follower *follower);
 
 #endif
--- a/trefoilhill-proxy/follower.c
+++ b/trefoilhill-proxy/follower.c
@@ -3,18 +3,29 @@
 #include "platform/codec.h"
 #include "trefoilhill-proxy/follower.h"
 #include "trefoilhill-proxy/gate.h"
+#include "trefoilhill-proxy/heartbeat.h"
 
 enum {
-	READ_TIMEOUT_MS = 2500,  /* for a page of a slow store */
+	READ_TIMEOUT_MS = 2500, /* for a page of a slow store */
 	/*
-	 * A watch may go silent without being closed. All nodes together ask
+	 * A watch may go silent without being closed. All readers together ask
 	 * anew about this often, and tell each other what they find.
 	 */
 	FLEET_ASKS_EACH_MS = 400,
 	WATCH_WAIT_MIN_MS = 1500,
 	WATCH_WAIT_MAX_MS = 20000,
+	ZONES_USUAL = 3,      /* of a region */
+	ASK_GAP_MS = 20,      /* lets changes that come together share a call */
+	ROLE_CHECK_MS = 300,  /* how often a node looks whether it must read */
+	/* With no peer known yet, as when everything starts at once. */
+	ALONE_GAP_MS = 1200,
+	/* A copy that was not confirmed for so long is doubted. */
+	STALE_MS = 3000,
+	STALE_SPREAD_MS = 1500, /* so that not all begin to read at once */
 	RETRY_FIRST_MS = 150,
 	RETRY_MAX_MS = 1500,
+	/* Between the failing reads of all that are not readers by rank. */
+	FLEET_RETRIES_EACH_MS = 100,
 	/*
 	 * Registrations that ran out in an outage of this length come back
 	 * within the grace; those that don't are gone.
@@ -32,6 +43,12 @@
 	struct item_source *source;
 	struct replica *replica;
 	bool whole_needed;
+	bool reading;            /* a call is in progress */
+	bool was_reader;
+	int64_t fresh_ms;        /* when the store confirmed it; 0: never */
+	int64_t stale_spread_ms; /* this node's own part of the spread */
+	int64_t doubt_until_ms;  /* removals may be taken back until then */
+	int64_t word_grace_ms;   /* of the items being taken from a peer */
 	uint32_t failures;       /* in a row */
 	int64_t lost_since_ms;   /* 0: the store answers */
 	bool catching_up;        /* the first answer after an outage */
@@ -51,8 +68,9 @@
 static uint32_t
 grace_ms(const struct follower *follower)
 {
-	return follower->catching_up || in_outage(follower) ? OUTAGE_GRACE_MS
-							    : 0;
+	if (follower->catching_up)
+		return OUTAGE_GRACE_MS;
+	return (uint32_t)follower->word_grace_ms;
 }
 
 static void
@@ -81,6 +99,8 @@
 
 	follower->proxy = proxy;
 	follower->source = source;
+	follower->stale_spread_ms =
+	    (int64_t)rng_below(proxy->rng, STALE_SPREAD_MS);
 	follower->replica = replica_new(ops);
 	follower->timer = g_new0(uv_timer_t, 1);
 	uv_timer_init(proxy->loop, follower->timer);
@@ -127,28 +147,41 @@
 }
 
 static void
-handle_retry(uv_timer_t *timer)
+handle_timer(uv_timer_t *timer)
 {
 	follower_next(timer->data);
 }
 
+static void
+follower_after(struct follower *follower, uint64_t delay_ms)
+{
+	uv_timer_start(follower->timer, handle_timer, delay_ms, 0);
+}
+
+static uint32_t
+peer_count(const struct follower *follower)
+{
+	return g_hash_table_size(catalog_peers(follower->proxy->catalog));
+}
+
 static void
 note_failure(struct follower *follower, const struct source_result *result)
 {
 	struct proxy *proxy = follower->proxy;
-	int64_t now_ms = proxy_now_ms(proxy);
 	uint64_t delay_ms = MIN(RETRY_FIRST_MS << MIN(follower->failures, 4),
 	    RETRY_MAX_MS);
 
 	proxy_count(&proxy->stats, STAT_STORE_FAILURES);
 	if (follower->lost_since_ms == 0) {
-		follower->lost_since_ms = now_ms;
+		follower->lost_since_ms = proxy_now_ms(proxy);
 		log_store(follower, "store_lost",
 		    source_end_name(result->end), 0);
 	}
 	follower->failures++;
-	delay_ms += rng_below(proxy->rng, delay_ms);
-	uv_timer_start(follower->timer, handle_retry, delay_ms, 0);
+	if (!follower->was_reader)
+		delay_ms = MAX(delay_ms, (uint64_t)peer_count(follower) *
+			FLEET_RETRIES_EACH_MS);
+	follower_after(follower, delay_ms + rng_below(proxy->rng, delay_ms));
 }
 
 static void
@@ -157,9 +190,12 @@
 	int64_t now_ms = proxy_now_ms(follower->proxy);
 
 	follower->failures = 0;
+	follower->fresh_ms = now_ms;
 	if (follower->lost_since_ms == 0)
 		return;
 	follower->catching_up = in_outage(follower);
+	if (follower->catching_up)
+		follower->doubt_until_ms = now_ms + OUTAGE_GRACE_MS;
 	log_store(follower, "store_back", "",
 	    now_ms - follower->lost_since_ms);
 	follower->lost_since_ms = 0;
@@ -189,6 +225,9 @@
 {
 	struct follower *follower = arg;
 
+	uint64_t before = replica_revision(follower->replica);
+
+	follower->reading = false;
 	uv_timer_stop(follower->doubt_timer);
 	switch (result->end) {
 	case SOURCE_OK:
@@ -198,12 +237,14 @@
 		items_put(follower, result->whole, result->items,
 		    result->revision);
 		follower->catching_up = false;
-		follower_next(follower);
+		if (replica_revision(follower->replica) > before)
+			heartbeat_spread(follower->proxy->heartbeat);
+		follower_after(follower, ASK_GAP_MS);
 		break;
 	case SOURCE_COMPACTED:
 		log_store(follower, "store_compacted", result->detail, 0);
 		follower->whole_needed = true;
-		follower_next(follower);
+		follower_after(follower, ASK_GAP_MS);
 		break;
 	case SOURCE_BUSY:
 	case SOURCE_LOST:
@@ -213,34 +254,109 @@
 	}
 }
 
-/* Drawn at random, since a change lets all nodes ask at the same time. */
+/* Places of hosts in an order that every node works out alike. */
+static uint32_t
+host_rank(struct in_addr host)
+{
+	uint64_t mixed = host.s_addr * UINT64_C(0x9e3779b97f4a7c15);
+
+	return (uint32_t)(mixed >> 32);
+}
+
+/* Is this node one of the first of its zone, by rank, that are alive? */
+static bool
+is_reader(const struct follower *follower)
+{
+	const struct proxy *proxy = follower->proxy;
+	uint32_t own = host_rank(proxy->mesh_address.sin_addr);
+	int64_t now_ms = proxy_now_ms(proxy);
+	uint32_t before = 0;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, catalog_peers(proxy->catalog));
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct fleet_peer *peer = value;
+
+		if (g_strcmp0(peer->zone, proxy->settings->node.zone.ptr) == 0 &&
+		    host_rank(peer->host) < own && !peer->stopping &&
+		    !fleet_peer_is_avoided(peer, now_ms))
+			before++;
+	}
+	return before < proxy->settings->mesh.readers_per_zone;
+}
+
+static bool
+is_stale(const struct follower *follower)
+{
+	return proxy_now_ms(follower->proxy) - follower->fresh_ms >
+	    STALE_MS + follower->stale_spread_ms;
+}
+
+static void
+role_set(struct follower *follower, bool reader)
+{
+	if (reader != follower->was_reader)
+		log_store(follower, reader ? "reader_began" : "reader_ended",
+		    "rank in the zone", follower_age_ms(follower));
+	follower->was_reader = reader;
+}
+
+/* Drawn at random, since a change lets all readers ask at the same time. */
 static uint32_t
 watch_wait_ms(const struct follower *follower)
 {
 	const struct proxy *proxy = follower->proxy;
-	uint32_t nodes = g_hash_table_size(catalog_peers(proxy->catalog));
-	uint32_t most = CLAMP(nodes * FLEET_ASKS_EACH_MS, WATCH_WAIT_MIN_MS,
+	uint32_t readers =
+	    MIN(peer_count(follower), proxy->settings->mesh.readers_per_zone *
+		    ZONES_USUAL);
+	uint32_t most = CLAMP(readers * FLEET_ASKS_EACH_MS, WATCH_WAIT_MIN_MS,
 	    WATCH_WAIT_MAX_MS);
 
 	return most / 4 + (uint32_t)rng_below(proxy->rng, most * 3 / 4);
 }
 
+static void
+read_whole(struct follower *follower, struct source_handler handler)
+{
+	follower->reading = true;
+	proxy_count(&follower->proxy->stats, STAT_STORE_READS);
+	follower->source->ops->read_whole(
+	    follower->source, READ_TIMEOUT_MS, handler);
+}
+
+/* Make the next call, or look again later whether one is needed. */
 static void
 follower_next(struct follower *follower)
 {
-	const struct item_source_ops *ops = follower->source->ops;
 	uint64_t revision = replica_revision(follower->replica);
 	struct source_handler handler = {
 		.handle_result = handle_result,
 		.arg = follower,
 	};
+	bool alone = peer_count(follower) <= 1;
 
+	if (follower->reading)
+		return;
+	role_set(follower, is_reader(follower));
+	if (revision == 0 || follower->whole_needed) {
+		read_whole(follower, handler);
+		return;
+	}
+	if (alone && follower->fresh_ms != 0 &&
+	    proxy_now_ms(follower->proxy) - follower->fresh_ms < ALONE_GAP_MS) {
+		follower_after(follower, ALONE_GAP_MS +
+			rng_below(follower->proxy->rng, ALONE_GAP_MS));
+		return;
+	}
+	if (!alone && !follower->was_reader && !is_stale(follower)) {
+		follower_after(follower, ROLE_CHECK_MS);
+		return;
+	}
+	follower->reading = true;
 	proxy_count(&follower->proxy->stats, STAT_STORE_READS);
-	if (revision == 0 || follower->whole_needed)
-		ops->read_whole(follower->source, READ_TIMEOUT_MS, handler);
-	else
-		ops->read_changes(follower->source, revision,
-		    watch_wait_ms(follower), handler);
+	follower->source->ops->read_changes(
+	    follower->source, revision, watch_wait_ms(follower), handler);
 }
 
 /*
@@ -266,32 +382,65 @@
 {
 	struct follower *follower = timer->data;
 
-	log_store(follower, "watch_restarted", "peers know more", 0);
+	if (!follower->reading)
+		return;
+	log_store(follower, "watch_restarted", "peers know more",
+	    follower_age_ms(follower));
 	follower->source->ops->cancel(follower->source);
+	follower->reading = false;
 	follower_next(follower);
 }
 
 /*
- * Take items from a peer. The own watch has to tell the same soon.
+ * Take what a peer says of its copy, and the items that come along. A watch
+ * of this node's own has to tell the same soon.
  */
 void
-follower_take(struct follower *follower, bool whole, GPtrArray *items,
-    uint64_t revision)
+follower_take(struct follower *follower, const struct follower_word *word)
 {
-	if (revision <= replica_revision(follower->replica))
-		return;
-	items_put(follower, whole, items, revision);
-	if (follower->lost_since_ms == 0 &&
-	    !uv_is_active((uv_handle_t *)follower->doubt_timer))
-		uv_timer_start(follower->doubt_timer, handle_doubt,
-		    WATCH_DOUBT_MS, 0);
+	int64_t now_ms = proxy_now_ms(follower->proxy);
+	uint64_t before = replica_revision(follower->replica);
+
+	if (word->items != NULL && word->revision > before) {
+		follower->word_grace_ms = MAX(word->doubt_ms, 0);
+		items_put(
+		    follower, word->whole, word->items, word->revision);
+		follower->word_grace_ms = 0;
+		if (word->doubt_ms > 0)
+			follower->doubt_until_ms = MAX(
+			    follower->doubt_until_ms, now_ms + word->doubt_ms);
+		heartbeat_spread(follower->proxy->heartbeat);
+		if (follower->reading &&
+		    !uv_is_active((uv_handle_t *)follower->doubt_timer))
+			uv_timer_start(follower->doubt_timer, handle_doubt,
+			    WATCH_DOUBT_MS, 0);
+	}
+	/* An older copy says nothing on how fresh this one is. */
+	if (word->age_ms >= 0 &&
+	    word->revision >= replica_revision(follower->replica))
+		follower->fresh_ms =
+		    MAX(follower->fresh_ms, now_ms - word->age_ms);
+}
+
+/*
+ * Return how long ago the store confirmed the copy, to this node or to a peer
+ * that told it; -1 when it never did.
+ */
+int64_t
+follower_age_ms(const struct follower *follower)
+{
+	if (follower->fresh_ms == 0)
+		return -1;
+	return proxy_now_ms(follower->proxy) - follower->fresh_ms;
 }
 
 /*
- * Return since when the store has not answered; 0 when it does.
+ * Return for how long removals in the copy may still be taken back, since
+ * registrations ran out while the store was away.
  */
 int64_t
-follower_lost_since_ms(const struct follower *follower)
+follower_doubt_ms(const struct follower *follower)
 {
-	return follower->lost_since_ms;
+	return MAX(
+	    follower->doubt_until_ms - proxy_now_ms(follower->proxy), 0);
 }
--- a/trefoilhill-proxy/heartbeat.c
+++ b/trefoilhill-proxy/heartbeat.c
@@ -11,7 +11,9 @@
 	TIMEOUT_MS = 700,          /* a peer that is slower counts as lost */
 	PUSH_TIMEOUT_MS = 2000,
 	ANSWER_MAX_BYTES = 16 * 1024 * 1024,
-	PEERS_PER_BEAT = 2,
+	SPREAD_PEERS = 3,          /* told of news at once */
+	DRAWS_MAX = 8,             /* to find a peer that fits */
+	EXPECT_MS = 400,           /* for items that a peer is sending */
 	IDLE_KEPT_MS = 8000,
 };
 
@@ -21,6 +23,8 @@
 	uv_timer_t *timer;
 	struct proxy *proxy;
 	GHashTable *pools; /* host address to struct http_pool */
+	uint64_t expected_revision; /* a peer is sending items up to it */
+	int64_t expected_until_ms;
 	uint32_t in_flight;
 };
 
@@ -135,8 +139,11 @@
 	struct load_report load = gate_report(proxy->gate);
 	uint64_t revision =
 	    replica_revision(follower_replica(proxy->follower));
-	json_t *json = json_pack("{s:I,s:b}", "revision",
-	    (json_int_t)revision, "stopping", proxy->stopping);
+	json_t *json = json_pack("{s:I,s:I,s:I,s:b}", "revision",
+	    (json_int_t)revision, "age_ms",
+	    (json_int_t)follower_age_ms(proxy->follower), "doubt_ms",
+	    (json_int_t)follower_doubt_ms(proxy->follower), "stopping",
+	    proxy->stopping);
 
 	if (upstream == NULL)
 		return json;
@@ -201,22 +208,17 @@
 	return item;
 }
 
-static void
-take_items(struct heartbeat *heartbeat, const json_t *message,
-    uint64_t revision)
+/* The items of a message; NULL: none, or not all can be read. */
+static GPtrArray *
+read_items(const json_t *message)
 {
-	struct follower *follower = heartbeat->proxy->follower;
 	const json_t *list = json_object_get(message, "items");
-	bool whole = json_is_true(json_object_get(message, "whole"));
-	uint64_t base = (uint64_t)json_integer_value(
-	    json_object_get(message, "base"));
 	GPtrArray *items;
 	size_t index;
 	json_t *json;
 
-	if (!json_is_array(list) ||
-	    (!whole && base > replica_revision(follower_replica(follower))))
-		return;
+	if (!json_is_array(list))
+		return NULL;
 	items = g_ptr_array_new_with_free_func(replica_item_free);
 	json_array_foreach(list, index, json)
 	{
@@ -226,22 +228,75 @@
 			g_ptr_array_add(items, item);
 	}
 	if (items->len == json_array_size(list))
-		follower_take(follower, whole, items, revision);
+		return items;
 	g_ptr_array_unref(items);
+	return NULL;
+}
+
+static int64_t
+read_number(const json_t *message, const char *name)
+{
+	const json_t *number = json_object_get(message, name);
+
+	return json_is_integer(number) ? json_integer_value(number) : -1;
+}
+
+static void
+take_word(struct heartbeat *heartbeat, const json_t *message)
+{
+	struct follower *follower = heartbeat->proxy->follower;
+	struct follower_word word = {
+		.whole = json_is_true(json_object_get(message, "whole")),
+		.items = read_items(message),
+		.revision = (uint64_t)read_number(message, "revision"),
+		.age_ms = read_number(message, "age_ms"),
+		.doubt_ms = read_number(message, "doubt_ms"),
+	};
+	uint64_t base = (uint64_t)read_number(message, "base");
+
+	if (word.items != NULL && !word.whole &&
+	    base > replica_revision(follower_replica(follower)))
+		g_clear_pointer(&word.items, g_ptr_array_unref);
+	follower_take(follower, &word);
+	if (word.items != NULL)
+		g_ptr_array_unref(word.items);
 }
 
 /* Take what a peer says; returns its revision, or -1: malformed. */
 static int64_t
 take_message(struct heartbeat *heartbeat, const json_t *message)
 {
-	const json_t *revision = json_object_get(message, "revision");
+	int64_t revision = read_number(message, "revision");
 
-	if (!json_is_integer(revision) || json_integer_value(revision) < 0)
+	if (revision < 0)
 		return -1;
-	take_items(
-	    heartbeat, message, (uint64_t)json_integer_value(revision));
+	take_word(heartbeat, message);
 	learn_load(heartbeat, json_object_get(message, "load"));
-	return json_integer_value(revision);
+	return revision;
+}
+
+/*
+ * Let a peer believe that its news is known while another one is sending the
+ * same: two copies of a large configuration help nobody.
+ */
+static void
+expect(struct heartbeat *heartbeat, json_t *answer, uint64_t revision)
+{
+	int64_t now_ms = proxy_now_ms(heartbeat->proxy);
+	uint64_t own =
+	    replica_revision(follower_replica(heartbeat->proxy->follower));
+
+	if (revision <= own)
+		return;
+	if (heartbeat->expected_until_ms > now_ms &&
+	    heartbeat->expected_revision >= revision) {
+		json_object_set_new(
+		    answer, "revision", json_integer((json_int_t)revision));
+		json_object_del(answer, "age_ms");
+		return;
+	}
+	heartbeat->expected_revision = revision;
+	heartbeat->expected_until_ms = now_ms + EXPECT_MS;
 }
 
 /*
@@ -259,6 +314,7 @@
 		json_t *answer = message_new(heartbeat);
 
 		add_items(heartbeat, answer, (uint64_t)revision);
+		expect(heartbeat, answer, (uint64_t)revision);
 		text = json_dumps(answer, JSON_COMPACT);
 		json_decref(answer);
 	}
@@ -363,39 +419,62 @@
 	g_free(beat);
 }
 
-/* Beat to some peer that is drawn at random. */
-static void
-beat_one(struct heartbeat *heartbeat)
+/* A peer drawn at random, of the own zone or of any; NULL: none found. */
+static const struct fleet_peer *
+draw_peer(struct heartbeat *heartbeat, bool own_zone)
 {
 	struct proxy *proxy = heartbeat->proxy;
-	GHashTable *peers = catalog_peers(proxy->catalog);
-	guint count = g_hash_table_size(peers), drawn;
-	GHashTableIter iter;
-	void *value;
+	guint count;
+	void **peers =
+	    g_hash_table_get_keys_as_array(catalog_peers(proxy->catalog),
+		&count);
+	const struct fleet_peer *found = NULL;
+
+	for (int i = 0; i < DRAWS_MAX && found == NULL && count > 0; i++) {
+		const struct fleet_peer *peer =
+		    g_hash_table_lookup(catalog_peers(proxy->catalog),
+			peers[rng_below(proxy->rng, count)]);
+
+		if (peer->host.s_addr != proxy->mesh_address.sin_addr.s_addr &&
+		    (!own_zone ||
+			g_strcmp0(peer->zone, proxy->settings->node.zone.ptr) ==
+			    0))
+			found = peer;
+	}
+	g_free(peers);
+	return found;
+}
+
+static void
+beat_one(struct heartbeat *heartbeat, bool own_zone)
+{
+	const struct fleet_peer *peer = draw_peer(heartbeat, own_zone);
 	json_t *message;
 
-	if (count == 0)
-		return;
-	drawn = (guint)rng_below(proxy->rng, count);
-	g_hash_table_iter_init(&iter, peers);
-	for (guint i = 0; i <= drawn; i++)
-		g_hash_table_iter_next(&iter, NULL, &value);
-	if (((struct fleet_peer *)value)->host.s_addr ==
-	    proxy->mesh_address.sin_addr.s_addr)
+	if (peer == NULL)
 		return;
 	message = message_new(heartbeat);
-	send_message(
-	    heartbeat, ((struct fleet_peer *)value)->host, message, false);
+	send_message(heartbeat, peer->host, message, false);
 	json_decref(message);
 }
 
+/*
+ * Tell some peers of the zone that there is news; they ask for it.
+ */
+void
+heartbeat_spread(struct heartbeat *heartbeat)
+{
+	for (size_t i = 0; i < SPREAD_PEERS; i++)
+		beat_one(heartbeat, true);
+}
+
 static void
 handle_timer(uv_timer_t *timer)
 {
 	struct heartbeat *heartbeat = timer->data;
 
-	for (size_t i = 0; i < PEERS_PER_BEAT; i++)
-		beat_one(heartbeat);
+	beat_one(heartbeat, true);
+	beat_one(heartbeat, false);
 }
 
 /*
