--- a/guard/admission.c
+++ b/guard/admission.c
@@ -20,6 +20,10 @@
 	uint32_t slots;
 	uint32_t limit;     /* in parts of LIMIT_SCALE */
 	uint32_t in_flight;
+	uint32_t bulk_limit; /* 0: none */
+	uint32_t bulk_transfer_ms;
+	uint32_t bulk_in_flight;
+	uint32_t bulk_queued;
 	GQueue queue;       /* struct admission_waiter, next first */
 	int64_t cold_until_ms;
 	double cold_per_s;
@@ -79,11 +83,18 @@
 }
 
 static void
-turn_give(struct admission *admission, struct admission_waiter *waiter,
-    enum admission_reason reason)
+queue_remove(struct admission *admission, struct admission_waiter *waiter)
 {
 	g_queue_unlink(&admission->queue, &waiter->link);
 	waiter->queued = false;
+	admission->bulk_queued -= waiter->bulk;
+}
+
+static void
+turn_give(struct admission *admission, struct admission_waiter *waiter,
+    enum admission_reason reason)
+{
+	queue_remove(admission, waiter);
 	waiter->handle_turn(waiter, reason);
 }
 
@@ -143,6 +154,25 @@
 	admission->returned = false;
 }
 
+/*
+ * Set the limit of requests with large answers: more of them than the link
+ * carries hold slots that short requests need.
+ */
+void
+admission_set_bulk(
+    struct admission *admission, uint32_t limit, uint32_t transfer_ms)
+{
+	admission->bulk_limit = limit;
+	admission->bulk_transfer_ms = transfer_ms;
+}
+
+static bool
+bulk_is_full(const struct admission *admission)
+{
+	return admission->bulk_limit > 0 &&
+	    admission->bulk_in_flight >= admission->bulk_limit;
+}
+
 static uint32_t
 limit_now(const struct admission *admission)
 {
@@ -172,13 +202,15 @@
 }
 
 static void
-start_note(struct admission *admission, int64_t now_ms)
+start_note(struct admission *admission, const struct admission_waiter *waiter,
+    int64_t now_ms)
 {
 	int64_t *at = g_new(int64_t, 1);
 
 	*at = now_ms;
 	g_queue_push_tail(&admission->starts, at);
 	admission->in_flight++;
+	admission->bulk_in_flight += waiter->bulk;
 }
 
 /* When the next request may start; now_ms or earlier: at once. */
@@ -203,16 +235,19 @@
 
 /* Time until the turn of one that has so many before it. */
 static int64_t
-wait_expected_ms(const struct admission *admission, uint32_t ahead,
-    int64_t now_ms)
+wait_expected_ms(const struct admission *admission,
+    const struct admission_waiter *waiter, uint32_t ahead, int64_t now_ms)
 {
 	double by_limit = (double)(ahead + 1) * admission->latency_us / 1000 /
 	    limit_now(admission);
-	double by_rate = 0;
+	double by_rate = 0, by_link = 0;
 
 	if (is_cold(admission, now_ms) && admission->cold_per_s > 0)
 		by_rate = (double)(ahead + 1) * 1000 / admission->cold_per_s;
-	return (int64_t)MAX(by_limit, by_rate);
+	if (waiter->bulk && admission->bulk_limit > 0)
+		by_link = (double)admission->bulk_queued *
+		    admission->bulk_transfer_ms;
+	return (int64_t)MAX(MAX(by_limit, by_rate), by_link);
 }
 
 /* Does one go before another? More urgent first, then whose time is up first. */
@@ -239,6 +274,7 @@
 	waiter->link.data = waiter;
 	g_queue_insert_before_link(&admission->queue, before, &waiter->link);
 	waiter->queued = true;
+	admission->bulk_queued += waiter->bulk;
 	return ahead;
 }
 
@@ -264,14 +300,16 @@
 		*reason = ADMISSION_UNREACHABLE;
 		return ADMISSION_REFUSED;
 	}
-	if (g_queue_is_empty(&admission->queue) &&
+	if (g_queue_get_length(&admission->queue) == admission->bulk_queued &&
 	    admission->in_flight < limit_now(admission) &&
+	    !(waiter->bulk &&
+		(admission->bulk_queued > 0 || bulk_is_full(admission))) &&
 	    start_allowed_ms(admission, now_ms) <= now_ms) {
-		start_note(admission, now_ms);
+		start_note(admission, waiter, now_ms);
 		return ADMISSION_RUN;
 	}
 	ahead = queue_insert(admission, waiter);
-	if (now_ms + wait_expected_ms(admission, ahead, now_ms) >
+	if (now_ms + wait_expected_ms(admission, waiter, ahead, now_ms) >
 	    waiter->latest_start_ms)
 		*reason = ADMISSION_TOO_LATE;
 	else if (g_queue_get_length(&admission->queue) >
@@ -297,10 +335,8 @@
 admission_withdraw(
     struct admission *admission, struct admission_waiter *waiter)
 {
-	if (!waiter->queued)
-		return;
-	g_queue_unlink(&admission->queue, &waiter->link);
-	waiter->queued = false;
+	if (waiter->queued)
+		queue_remove(admission, waiter);
 }
 
 static void
@@ -377,10 +413,12 @@
  * Note how a started request ended.
  */
 void
-admission_finish(struct admission *admission, enum admission_outcome outcome,
+admission_finish(struct admission *admission,
+    const struct admission_waiter *waiter, enum admission_outcome outcome,
     uint32_t latency_us, int64_t now_ms)
 {
 	admission->in_flight--;
+	admission->bulk_in_flight -= waiter->bulk;
 	switch (outcome) {
 	case ADMISSION_GOOD:
 		learn_good(admission, latency_us);
@@ -408,6 +446,20 @@
 	admission_poll(admission, now_ms);
 }
 
+/* The first that may start; those that wait for the link are passed over. */
+static struct admission_waiter *
+queue_next(struct admission *admission)
+{
+	for (GList *link = admission->queue.head; link != NULL;
+	     link = link->next) {
+		struct admission_waiter *waiter = link->data;
+
+		if (!waiter->bulk || !bulk_is_full(admission))
+			return waiter;
+	}
+	return NULL;
+}
+
 /*
  * Let queued requests have their turn, and expire those whose time is up.
  * Returns when it has to be called again at the latest; 0 when only the end
@@ -430,16 +482,17 @@
 			wake_ms = waiter->latest_start_ms + 1;
 		}
 	}
-	while (!g_queue_is_empty(&admission->queue) &&
-	    admission->in_flight < limit_now(admission)) {
+	while (admission->in_flight < limit_now(admission)) {
+		struct admission_waiter *waiter = queue_next(admission);
 		int64_t allowed_ms = start_allowed_ms(admission, now_ms);
 
+		if (waiter == NULL)
+			break;
 		if (allowed_ms > now_ms)
 			return wake_ms == 0 ? allowed_ms
 					    : MIN(wake_ms, allowed_ms);
-		start_note(admission, now_ms);
-		turn_give(admission, g_queue_peek_head(&admission->queue),
-		    ADMISSION_OK);
+		start_note(admission, waiter, now_ms);
+		turn_give(admission, waiter, ADMISSION_OK);
 	}
 	return g_queue_is_empty(&admission->queue) ? 0 : wake_ms;
 }
@@ -476,6 +529,10 @@
 		.queued = g_queue_get_length((GQueue *)&admission->queue),
 		.latency_us = admission->latency_us,
 		.failing = failing_now(admission, now_ms),
+		.bulk_waiting = bulk_is_full(admission)
+		    ? admission->bulk_queued + 1
+		    : admission->bulk_queued,
+		.bulk_transfer_ms = admission->bulk_transfer_ms,
 		.accepting = admission->open &&
 		    admission->paused_until_ms <= now_ms,
 	};
--- a/include/fleet/upstream.h
+++ b/include/fleet/upstream.h
@@ -28,6 +28,8 @@
 	uint32_t queued;
 	uint32_t latency_us; /* recent mean of good answers */
 	uint32_t failing;    /* of a thousand recent requests */
+	uint32_t bulk_waiting;     /* large answers that wait for the link */
+	uint32_t bulk_transfer_ms; /* that the link takes for one */
 	bool accepting;
 };
 
--- a/include/guard/admission.h
+++ b/include/guard/admission.h
@@ -46,6 +46,7 @@
 struct admission_waiter {
 	uint32_t priority;       /* 0 goes first */
 	int64_t latest_start_ms; /* no use in starting it later */
+	bool bulk;               /* its answer is large */
 	/* Its turn has come, or why it never will. */
 	void (*handle_turn)(
 	    struct admission_waiter *waiter, enum admission_reason reason);
@@ -68,6 +69,12 @@
 /* How many requests a second a cold upstream bears, and for how long. */
 void admission_set_cold(
     struct admission *admission, int64_t until_ms, double per_s);
+/*
+ * How many requests with large answers may run at once, and how long the link
+ * of this host takes for such an answer; 0: the link is no limit.
+ */
+void admission_set_bulk(
+    struct admission *admission, uint32_t limit, uint32_t transfer_ms);
 /* A closed one refuses what comes and what is queued. */
 void admission_set_open(struct admission *admission, bool open);
 /* The upstream at the gate is another one now: forget what was learned. */
@@ -81,7 +88,8 @@
     struct admission *admission, struct admission_waiter *waiter);
 /* A request that ran has ended; queued ones may get their turn. */
 void admission_finish(struct admission *admission,
-    enum admission_outcome outcome, uint32_t latency_us, int64_t now_ms);
+    const struct admission_waiter *waiter, enum admission_outcome outcome,
+    uint32_t latency_us, int64_t now_ms);
 /* Start and expire queued ones; returns when to call again, 0: not needed. */
 int64_t admission_poll(struct admission *admission, int64_t now_ms);
 /* True when the upstream was unreachable and has just answered again. */
--- a/include/trefoilhill-proxy/exchange.h
+++ b/include/trefoilhill-proxy/exchange.h
@@ -36,6 +36,7 @@
 	const char *service;        /* of the route */
 	struct hop_request hop;     /* from peers; views into head */
 	bool idempotent;
+	bool bulk;                  /* the answer is large */
 	uint32_t priority;
 	uint32_t objective_ms;
 	/* Attempts, oldest first; ended ones are NULL. */
--- a/include/trefoilhill-proxy/gate.h
+++ b/include/trefoilhill-proxy/gate.h
@@ -18,6 +18,8 @@
 void gate_refresh(struct gate *gate);
 /* Let queued requests have their turn, and set the timer for the next. */
 void gate_poll(struct gate *gate);
+/* A large answer went out: its size, and how long the upstream took. */
+void gate_learn_bulk(struct gate *gate, uint64_t bytes, int64_t run_ms);
 struct load_report gate_report(struct gate *gate);
 
 #endif
--- a/include/trefoilhill-proxy/hop.h
+++ b/include/trefoilhill-proxy/hop.h
@@ -18,6 +18,7 @@
 	int64_t wait_ms;      /* that it may be queued at most */
 	uint32_t priority;
 	bool idempotent;
+	bool bulk; /* the answer is large */
 };
 
 enum hop_outcome {
--- a/include/trefoilhilld/setting_desc.h
+++ b/include/trefoilhilld/setting_desc.h
@@ -15,6 +15,7 @@
 	SETTING_SEEDS,    /* IP:PORT, comma-separated, may be empty */
 	SETTING_HTTP_URL, /* http://IP:PORT */
 	SETTING_NUMBER,
+	SETTING_THOUSANDTHS, /* a number with a fraction, kept in thousandths */
 	SETTING_CHOICE,
 };
 
--- a/include/trefoilhilld/settings.h
+++ b/include/trefoilhilld/settings.h
@@ -37,6 +37,7 @@
 	size_t seed_count;
 	uint32_t caller_threads;
 	uint32_t grace_ms;       /* from a stop signal until it is killed */
+	uint32_t link_kbps;      /* of the host's link; 0: not known */
 	struct str metrics_listen; /* empty: metrics with readiness only */
 };
 
--- a/route/balance.c
+++ b/route/balance.c
@@ -125,8 +125,12 @@
 {
 	uint32_t expected = balance_expected_ms(
 	    upstream, request->run_ms, ranking->mean_us, request->now_ms);
-	uint32_t cost = expected + (uint32_t)rng_below(rng, JITTER_MS);
+	uint32_t cost;
 
+	if (request->bulk && is_fresh(upstream, request->now_ms))
+		expected += (upstream->load.bulk_waiting + 1) *
+		    upstream->load.bulk_transfer_ms;
+	cost = expected + (uint32_t)rng_below(rng, JITTER_MS);
 	if (g_strcmp0(upstream->entry.zone, request->zone) != 0)
 		cost += request->bulk ? OTHER_ZONE_BULK_MS : OTHER_ZONE_MS;
 	else if (upstream->peer->host.s_addr != request->host.s_addr)
--- a/tests/guard/test_admission.c
+++ b/tests/guard/test_admission.c
@@ -60,6 +60,16 @@
 	return admission_offer(f->admission, &noted->waiter, now_ms, &reason);
 }
 
+/* End a request; which one does not matter but for its kind. */
+static void
+finish(struct fixture *f, enum admission_outcome outcome, uint32_t latency_us,
+    int64_t now_ms)
+{
+	struct admission_waiter waiter = { 0 };
+
+	admission_finish(f->admission, &waiter, outcome, latency_us, now_ms);
+}
+
 static void
 fill(struct fixture *f, int64_t now_ms)
 {
@@ -81,13 +91,13 @@
 	CU_ASSERT_EQUAL(offer(&f, 2, FOREVER_MS, 0, &late), ADMISSION_QUEUED);
 	CU_ASSERT_EQUAL(
 	    offer(&f, 0, FOREVER_MS, 0, &urgent), ADMISSION_QUEUED);
-	admission_finish(f.admission, ADMISSION_GOOD, 1000, 10);
+	finish(&f, ADMISSION_GOOD, 1000, 10);
 	CU_ASSERT_TRUE(urgent->told);
 	CU_ASSERT_EQUAL(urgent->reason, ADMISSION_OK);
 	CU_ASSERT_FALSE(late->told);
 	CU_ASSERT_EQUAL(admission_report(f.admission, 10).in_flight, SLOTS);
 	admission_withdraw(f.admission, &late->waiter);
-	admission_finish(f.admission, ADMISSION_GOOD, 1000, 20);
+	finish(&f, ADMISSION_GOOD, 1000, 20);
 	CU_ASSERT_FALSE(late->told);
 	admission_free(f.admission);
 }
@@ -103,7 +113,7 @@
 	fill(&f, 0);
 	CU_ASSERT_EQUAL(offer(&f, 1, 900, 0, &patient), ADMISSION_QUEUED);
 	CU_ASSERT_EQUAL(offer(&f, 1, 80, 0, &hurried), ADMISSION_QUEUED);
-	admission_finish(f.admission, ADMISSION_GOOD, 1000, 10);
+	finish(&f, ADMISSION_GOOD, 1000, 10);
 	CU_ASSERT_TRUE(hurried->told);
 	CU_ASSERT_FALSE(patient->told);
 	admission_free(f.admission);
@@ -168,8 +178,7 @@
 
 		if (offer(&f, 1, now_ms, now_ms, &noted) == ADMISSION_RUN) {
 			starts[count++] = now_ms;
-			admission_finish(
-			    f.admission, ADMISSION_GOOD, 1000, now_ms);
+			finish(&f, ADMISSION_GOOD, 1000, now_ms);
 		}
 	}
 	CU_ASSERT_TRUE(count >= RATE);
@@ -192,21 +201,21 @@
 	fixture_init(&f);
 	fill(&f, 0);
 	offer(&f, 1, FOREVER_MS, 0, &queued);
-	admission_finish(f.admission, ADMISSION_REFUSED_CONNECTION, 0, 5);
+	finish(&f, ADMISSION_REFUSED_CONNECTION, 0, 5);
 	CU_ASSERT_TRUE(queued->told);
 	CU_ASSERT_EQUAL(queued->reason, ADMISSION_UNREACHABLE);
 	CU_ASSERT_FALSE(admission_report(f.admission, 10).accepting);
 	CU_ASSERT_EQUAL(
 	    offer(&f, 1, FOREVER_MS, 10, &noted), ADMISSION_REFUSED);
 	for (int i = 1; i < SLOTS; i++)
-		admission_finish(f.admission, ADMISSION_BROKEN, 0, 20);
+		finish(&f, ADMISSION_BROKEN, 0, 20);
 	/* After the pause one request alone tries. */
 	CU_ASSERT_EQUAL(
 	    offer(&f, 1, FOREVER_MS, 100, &noted), ADMISSION_RUN);
 	CU_ASSERT_EQUAL(
 	    offer(&f, 1, FOREVER_MS, 100, &noted), ADMISSION_REFUSED);
 	CU_ASSERT_FALSE(admission_take_returned(f.admission));
-	admission_finish(f.admission, ADMISSION_GOOD, 1000, 120);
+	finish(&f, ADMISSION_GOOD, 1000, 120);
 	CU_ASSERT_TRUE(admission_take_returned(f.admission));
 	CU_ASSERT_FALSE(admission_take_returned(f.admission));
 	CU_ASSERT_EQUAL(
@@ -229,7 +238,7 @@
 		f.used = 0;
 		CU_ASSERT_EQUAL(
 		    offer(&f, 1, FOREVER_MS, i, &noted), ADMISSION_RUN);
-		admission_finish(f.admission, ADMISSION_SHED, 1000, i);
+		finish(&f, ADMISSION_SHED, 1000, i);
 	}
 	CU_ASSERT_TRUE(admission_report(f.admission, 40).limit >= SLOTS / 2);
 	CU_ASSERT_TRUE(admission_report(f.admission, 40).failing > 800);
@@ -238,6 +247,41 @@
 	admission_free(f.admission);
 }
 
+/* Large answers that the link can't carry leave slots to short requests. */
+static void
+test_bulk_limit(void)
+{
+	struct noted *first, *bulk, *small;
+	struct admission_waiter ended = { .bulk = true };
+	enum admission_reason reason;
+	struct fixture f;
+
+	fixture_init(&f);
+	admission_set_bulk(f.admission, 1, 80);
+	for (int i = 0; i < 2; i++) {
+		bulk = &f.noted[f.used++];
+		bulk->waiter.bulk = true;
+		bulk->waiter.latest_start_ms = FOREVER_MS;
+		bulk->waiter.handle_turn = handle_turn;
+		CU_ASSERT_EQUAL(admission_offer(
+				    f.admission, &bulk->waiter, 0, &reason),
+		    i == 0 ? ADMISSION_RUN : ADMISSION_QUEUED);
+	}
+	CU_ASSERT_EQUAL(
+	    offer(&f, 1, FOREVER_MS, 0, &first), ADMISSION_RUN);
+	CU_ASSERT_EQUAL(admission_report(f.admission, 0).bulk_waiting, 2);
+	for (int i = 0; i < SLOTS - 2; i++)
+		offer(&f, 1, FOREVER_MS, 0, &small);
+	CU_ASSERT_EQUAL(
+	    offer(&f, 1, FOREVER_MS, 0, &small), ADMISSION_QUEUED);
+	finish(&f, ADMISSION_GOOD, 1000, 10);
+	CU_ASSERT_TRUE(small->told);
+	CU_ASSERT_FALSE(bulk->told);
+	admission_finish(f.admission, &ended, ADMISSION_GOOD, 1000, 20);
+	CU_ASSERT_TRUE(bulk->told);
+	admission_free(f.admission);
+}
+
 static void
 test_closing_refuses_all(void)
 {
@@ -254,7 +298,7 @@
 	    offer(&f, 1, FOREVER_MS, 0, &noted), ADMISSION_REFUSED);
 	CU_ASSERT_FALSE(admission_is_idle(f.admission));
 	for (int i = 0; i < SLOTS; i++)
-		admission_finish(f.admission, ADMISSION_GOOD, 1, 1);
+		finish(&f, ADMISSION_GOOD, 1, 1);
 	CU_ASSERT_TRUE(admission_is_idle(f.admission));
 	admission_free(f.admission);
 }
@@ -272,6 +316,7 @@
 	    test_refused_connections_pause_and_return },
 	{ "sheds leave half of the slots",
 	    test_sheds_leave_half_of_the_slots },
+	{ "large answers leave slots to short requests", test_bulk_limit },
 	{ "closing refuses all", test_closing_refuses_all },
 	{ NULL, NULL },
 };
--- a/trefoilhill-proxy/attempt.c
+++ b/trefoilhill-proxy/attempt.c
@@ -48,7 +48,7 @@
 	if (!attempt->admitted)
 		return;
 	attempt->admitted = false;
-	admission_finish(gate_admission(gate), outcome,
+	admission_finish(gate_admission(gate), &attempt->waiter, outcome,
 	    (uint32_t)MAX(latency_ms, 0) * MICROSECONDS, now_ms);
 	gate_poll(gate);
 }
@@ -349,6 +349,9 @@
 		http_pool_give(attempt->pool, stream);
 	else
 		http_stream_abort(stream);
+	if (attempt->local && attempt->exchange->bulk)
+		gate_learn_bulk(attempt->proxy->gate, attempt->answer_bytes,
+		    attempt->run_ms);
 	attempt->ops->handle_end(attempt);
 	attempt_release(attempt, answer_outcome(attempt));
 }
@@ -403,6 +406,7 @@
 		return;
 	}
 	attempt->pool = gate_pool(gate);
+	attempt->waiter.bulk = attempt->exchange->bulk;
 	attempt->waiter.priority = attempt->exchange->priority;
 	attempt->waiter.latest_start_ms = now_ms + attempt->wait_ms;
 	attempt->waiter.handle_turn = handle_turn;
--- a/trefoilhill-proxy/attempt_request.c
+++ b/trefoilhill-proxy/attempt_request.c
@@ -54,6 +54,7 @@
 		.wait_ms = attempt->wait_ms,
 		.priority = exchange->priority,
 		.idempotent = exchange->idempotent,
+		.bulk = exchange->bulk,
 	};
 
 	if (attempt->local)
--- a/trefoilhill-proxy/exchange.c
+++ b/trefoilhill-proxy/exchange.c
@@ -272,6 +272,7 @@
 		return false;
 	}
 	exchange->idempotent = exchange->route->idempotent;
+	exchange->bulk = exchange->route->bulk;
 	exchange->priority = exchange->route->priority;
 	exchange->objective_ms = exchange->route->objective_ms;
 	exchange->service = choose_service(exchange);
@@ -302,6 +303,7 @@
 		return;
 	}
 	exchange->idempotent = exchange->hop.idempotent;
+	exchange->bulk = exchange->hop.bulk;
 	exchange->priority = exchange->hop.priority;
 	deadline_set(exchange, exchange->hop.left_ms);
 }
--- a/trefoilhill-proxy/gate.c
+++ b/trefoilhill-proxy/gate.c
@@ -12,6 +12,10 @@
 	PERCENT = 100,
 	/* Of the rate that a cold upstream bears; arrivals may bunch. */
 	COLD_RATE_PERCENT = 110,
+	BULK_WEIGHT = 16,      /* a new size counts one part in so many */
+	/* Of the requests that would just fill the link. */
+	BULK_LIMIT_PERCENT = 130,
+	BITS = 8,
 };
 
 struct gate {
@@ -24,6 +28,8 @@
 	char *upstream_id;
 	uint64_t started_ms;
 	bool zone_out;
+	int64_t bulk_bytes;  /* mean size of a large answer */
+	int64_t bulk_run_ms; /* mean time until one begins */
 	int64_t assumed_cold_until_ms; /* not told, but to be expected */
 };
 
@@ -214,6 +220,31 @@
 		    (uint64_t)MAX(wake_ms - now_ms, 1), 0);
 }
 
+/*
+ * Learn from a large answer, and let as many of them run at once as keep the
+ * link of this host busy.
+ */
+void
+gate_learn_bulk(struct gate *gate, uint64_t bytes, int64_t run_ms)
+{
+	int64_t kbps = gate->proxy->settings->node.link_kbps;
+	int64_t transfer_ms, limit;
+
+	if (kbps == 0)
+		return;
+	gate->bulk_bytes += ((int64_t)bytes - gate->bulk_bytes) / BULK_WEIGHT;
+	gate->bulk_run_ms += (run_ms - gate->bulk_run_ms) / BULK_WEIGHT;
+	transfer_ms = gate->bulk_bytes * BITS / kbps;
+	if (transfer_ms == 0) {
+		admission_set_bulk(gate->admission, 0, 0);
+		return;
+	}
+	limit = (gate->bulk_run_ms + transfer_ms) * BULK_LIMIT_PERCENT /
+	    PERCENT / transfer_ms;
+	admission_set_bulk(gate->admission, (uint32_t)MAX(limit, 2),
+	    (uint32_t)transfer_ms);
+}
+
 /*
  * Return what peers may know of the load here.
  */
--- a/trefoilhill-proxy/heartbeat.c
+++ b/trefoilhill-proxy/heartbeat.c
@@ -148,11 +148,12 @@
 	if (upstream == NULL)
 		return json;
 	json_object_set_new(json, "load",
-	    json_pack("{s:s,s:i,s:i,s:i,s:i,s:i,s:b}", "upstream",
+	    json_pack("{s:s,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:b}", "upstream",
 		upstream->entry.id, "limit", (int)load.limit, "in_flight",
 		(int)load.in_flight, "queued", (int)load.queued, "latency_us",
 		(int)load.latency_us, "failing", (int)load.failing,
-		"accepting", load.accepting));
+		"bulk_waiting", (int)load.bulk_waiting, "bulk_transfer_ms",
+		(int)load.bulk_transfer_ms, "accepting", load.accepting));
 	return json;
 }
 
@@ -163,12 +164,14 @@
 	struct load_report load;
 	const char *id;
 	int limit, in_flight, queued, latency_us, failing, accepting;
+	int bulk_waiting, bulk_transfer_ms;
 	struct upstream *upstream;
 
-	if (json_unpack(json, "{s:s,s:i,s:i,s:i,s:i,s:i,s:b}", "upstream", &id,
+	if (json_unpack(json, "{s:s,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:b}", "upstream", &id,
 		"limit", &limit, "in_flight", &in_flight, "queued", &queued,
-		"latency_us", &latency_us, "failing", &failing, "accepting",
-		&accepting) != 0)
+		"latency_us", &latency_us, "failing", &failing, "bulk_waiting",
+		&bulk_waiting, "bulk_transfer_ms", &bulk_transfer_ms,
+		"accepting", &accepting) != 0)
 		return;
 	upstream = catalog_upstream(proxy->catalog, str_from(id));
 	if (upstream == NULL || upstream == gate_upstream(proxy->gate))
@@ -179,6 +182,8 @@
 		.queued = (uint32_t)queued,
 		.latency_us = (uint32_t)latency_us,
 		.failing = (uint32_t)failing,
+		.bulk_waiting = (uint32_t)bulk_waiting,
+		.bulk_transfer_ms = (uint32_t)bulk_transfer_ms,
 		.accepting = accepting != 0,
 	};
 	upstream_learn(upstream, &load, proxy_now_ms(proxy));
--- a/trefoilhill-proxy/hop.c
+++ b/trefoilhill-proxy/hop.c
@@ -37,9 +37,10 @@
 {
 	char value[FIELD_TEXT_MAX];
 	int len = g_snprintf(value, sizeof(value),
-	    "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %u %d",
+	    "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %u %d %d",
 	    (gint64)request->left_ms, (gint64)request->wait_ms,
-	    request->priority, request->idempotent ? 1 : 0);
+	    request->priority, request->idempotent ? 1 : 0,
+	    request->bulk ? 1 : 0);
 
 	http_text_field(text, request_field, str_make(value, (size_t)len));
 	http_text_field(text, instance_field, request->instance);
@@ -68,12 +69,14 @@
 {
 	char value[FIELD_TEXT_MAX];
 	gint64 left_ms, wait_ms;
-	int idempotent;
+	int idempotent, bulk;
 
 	if (!value_copy(head, request_field, value, sizeof(value)) ||
-	    sscanf(value, "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %u %d",
-		&left_ms, &wait_ms, &request->priority, &idempotent) != 4)
+	    sscanf(value, "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %u %d %d",
+		&left_ms, &wait_ms, &request->priority, &idempotent,
+		&bulk) != 5)
 		return false;
+	request->bulk = bulk != 0;
 	request->left_ms = left_ms;
 	request->wait_ms = wait_ms;
 	request->idempotent = idempotent != 0;
@@ -91,8 +94,9 @@
 {
 	char value[FIELD_TEXT_MAX];
 	int len = g_snprintf(value, sizeof(value),
-	    "%u %u %u %u %u %d %" G_GINT64_FORMAT, load->limit,
+	    "%u %u %u %u %u %u %u %d %" G_GINT64_FORMAT, load->limit,
 	    load->in_flight, load->queued, load->latency_us, load->failing,
+	    load->bulk_waiting, load->bulk_transfer_ms,
 	    load->accepting ? 1 : 0, (gint64)run_ms);
 
 	http_text_field(text, load_field, str_make(value, (size_t)len));
@@ -136,9 +140,10 @@
 	}
 	answer->reached = http_head_find(head, reached_field).ptr != NULL;
 	if (!value_copy(head, load_field, value, sizeof(value)) ||
-	    sscanf(value, "%u %u %u %u %u %d %" G_GINT64_FORMAT, &load->limit,
-		&load->in_flight, &load->queued, &load->latency_us,
-		&load->failing, &accepting, &run_ms) != 7)
+	    sscanf(value, "%u %u %u %u %u %u %u %d %" G_GINT64_FORMAT,
+		&load->limit, &load->in_flight, &load->queued,
+		&load->latency_us, &load->failing, &load->bulk_waiting,
+		&load->bulk_transfer_ms, &accepting, &run_ms) != 9)
 		return;
 	answer->run_ms = run_ms;
 	load->accepting = accepting != 0;
--- a/trefoilhilld/setting_desc.c
+++ b/trefoilhilld/setting_desc.c
@@ -48,6 +48,8 @@
 	    AT(node.caller_threads), 2, 1024, NULL },
 	{ "node", "grace_ms", "10000", SETTING_NUMBER, AT(node.grace_ms), 100,
 	    60 * MINUTE_MS, NULL },
+	{ "node", "link_mbps", "0", SETTING_THOUSANDTHS, AT(node.link_kbps), 0,
+	    1000000, NULL },
 	{ "node", "metrics_listen", "", SETTING_ADDRESS_OPTIONAL,
 	    AT(node.metrics_listen), 0, 0, NULL },
 	{ "platform", "url", NULL, SETTING_HTTP_URL, AT(platform.url), 0, 0,
@@ -160,6 +162,9 @@
 	case SETTING_NUMBER:
 		return g_strdup_printf(
 		    "a whole number from %u to %u", desc->min, desc->max);
+	case SETTING_THOUSANDTHS:
+		return g_strdup_printf(
+		    "a number from %u to %u", desc->min, desc->max);
 	case SETTING_CHOICE:
 		break;
 	}
@@ -216,6 +221,20 @@
 	return valid;
 }
 
+static bool
+thousandths_store(const struct setting_desc *desc, const char *text,
+    uint32_t *thousandths)
+{
+	char *end;
+	double number = g_ascii_strtod(text, &end);
+
+	if (end == text || *end != '\0' ||
+	    !(number >= desc->min && number <= desc->max))
+		return false;
+	*thousandths = (uint32_t)(number * 1000);
+	return true;
+}
+
 static bool
 choice_store(const char *const *choices, const char *text, uint32_t *chosen)
 {
@@ -263,6 +282,8 @@
 		return seeds_store(text, settings);
 	case SETTING_CHOICE:
 		return choice_store(desc->choices, text, member);
+	case SETTING_THOUSANDTHS:
+		return thousandths_store(desc, text, member);
 	case SETTING_NUMBER:
 		if (!g_ascii_string_to_unsigned(
 			text, 10, desc->min, desc->max, &number, NULL))
