--- a/guard/admission.c
+++ b/guard/admission.c
@@ -6,7 +6,7 @@
 	COLD_WINDOW_MS = 1000, /* cold rates are given a second */
 	COLD_STARTS_MAX = 4096,
 	LATENCY_PRIOR_US = 100000, /* until an answer has been seen */
-	LATENCY_WEIGHT = 8,        /* a new answer counts one part in so many */
+	LATENCY_WEIGHT = 32,       /* a new answer counts one part in so many */
 	FAILING_WEIGHT = 16,
 	FAILING_SCALE = 1000,
 	FAILING_HALF_LIFE_MS = 1500, /* old failures say little */
--- a/route/balance.c
+++ b/route/balance.c
@@ -11,11 +11,11 @@
 	 */
 	OTHER_ZONE_MS = 30,
 	OTHER_ZONE_BULK_MS = 120,
-	OTHER_HOST_MS = 2,  /* one more hop */
+	OTHER_HOST_MS = 4,  /* one more hop */
 	JITTER_MS = 6,      /* keeps entries from choosing alike */
 	/* The own zone is preferred while it answers within this share. */
 	OWN_ZONE_SHARE_PERCENT = 60,
-	CROWD_PERCENT = 25, /* how much slower a full upstream answers */
+	CROWD_PERCENT = 80, /* how much slower a full upstream answers */
 };
 
 struct ranking {
