heartbeat: binary messages, news that comes in quick succession shared

New upstreams drew all entries at once; they are now taken into account for a small share of the requests until they have been heard of. Large answers leave in turn with others, at the rate that the link has left.

--- a/include/trefoilhill-proxy/exchange.h
+++ b/include/trefoilhill-proxy/exchange.h
@@ -5,6 +5,7 @@
 #include "trefoilhill-proxy/attempt.h"
 #include "trefoilhill-proxy/caller.h"
 #include "trefoilhill-proxy/hop.h"
+#include "trefoilhill-proxy/shaper.h"
 
 enum {
 	EXCHANGE_ATTEMPTS_MAX = 6, /* sends of one request, refused ones too */
@@ -53,6 +54,8 @@
 	struct attempt *answering;
 	GString *answer_head; /* rendered, not yet sent */
 	GByteArray *held;     /* body bytes that are not yet sent */
+	struct shaper_flow flow; /* of a large answer */
+	bool relayed;         /* the answer is whole, some of it waits */
 	bool committed;       /* the caller has seen the answer's head */
 	bool chunked;
 	bool ended;
--- a/include/trefoilhill-proxy/heartbeat.h
+++ b/include/trefoilhill-proxy/heartbeat.h
@@ -18,6 +18,6 @@
 /* Is this a heartbeat from a peer? */
 bool heartbeat_is_target(struct str target);
 /* Take a peer's heartbeat and return the answer's body; NULL: malformed. */
-char *heartbeat_answer(struct heartbeat *heartbeat, struct str body);
+GBytes *heartbeat_answer(struct heartbeat *heartbeat, struct str body);
 
 #endif
--- a/include/trefoilhill-proxy/proxy.h
+++ b/include/trefoilhill-proxy/proxy.h
@@ -16,6 +16,7 @@
 struct gate;
 struct heartbeat;
 struct ops_listener;
+struct shaper;
 
 /* One process of the system with all its parts; all run on one loop. */
 struct proxy {
@@ -29,6 +30,7 @@
 	struct follower *follower;
 	struct heartbeat *heartbeat;
 	struct gate *gate;
+	struct shaper *shaper;
 	struct repeat_budget *repeats;
 	struct run_times *run_times;
 	struct ops_listener *ops_listener;
--- a/route/balance.c
+++ b/route/balance.c
@@ -15,6 +15,12 @@
 	JITTER_MS = 6,      /* keeps entries from choosing alike */
 	/* The own zone is preferred while it answers within this share. */
 	OWN_ZONE_SHARE_PERCENT = 60,
+	/*
+	 * One that is cold, or has not been heard of, is taken into account for
+	 * this share of the requests, divided by the upstreams of the service:
+	 * all entries learn of it at the same time.
+	 */
+	NEW_SHARE_PERCENT = 50,
 	CROWD_PERCENT = 80, /* how much slower a full upstream answers */
 };
 
@@ -108,6 +114,12 @@
 	    !catalog_zone_is_out(request->catalog, upstream->entry.zone);
 }
 
+static bool
+is_new(const struct upstream *upstream, int64_t now_ms)
+{
+	return upstream->load_ms == 0 || upstream->cold_until_ms > now_ms;
+}
+
 static bool
 is_avoided(const struct upstream *upstream, int64_t now_ms)
 {
@@ -153,7 +165,7 @@
 {
 	const struct upstream_group *group =
 	    catalog_group(request->catalog, request->service);
-	struct ranking own = { 0 }, all = { 0 }, last = { 0 };
+	struct ranking own = { 0 }, all = { 0 }, last = { 0 }, fresh = { 0 };
 	const struct ranking *taken = &all;
 	struct balance_choice choice = { 0 };
 	uint64_t own_bound_ms = (uint64_t)request->objective_ms *
@@ -161,13 +173,19 @@
 
 	if (group == NULL)
 		return choice;
-	own.mean_us = all.mean_us = last.mean_us =
+	own.mean_us = all.mean_us = last.mean_us = fresh.mean_us =
 	    group_mean_us(group, request->now_ms);
 	for (guint i = 0; i < group->upstreams->len; i++) {
 		struct upstream *upstream = group->upstreams->pdata[i];
 
 		if (!is_usable(request, upstream))
 			continue;
+		if (is_new(upstream, request->now_ms) &&
+		    rng_below(rng, (uint64_t)group->upstreams->len * 100) >=
+			NEW_SHARE_PERCENT) {
+			rank(request, &fresh, upstream, rng);
+			continue;
+		}
 		if (is_avoided(upstream, request->now_ms)) {
 			rank(request, &last, upstream, rng);
 			continue;
@@ -179,10 +197,10 @@
 	if (own.best != NULL && own.best_expected_ms <= own_bound_ms)
 		taken = &own;
 	else if (all.best == NULL)
-		taken = &last;
+		taken = fresh.best != NULL ? &fresh : &last;
 	choice.upstream = taken->best;
 	choice.expected_ms = taken->best_expected_ms;
-	choice.candidates = all.seen + last.seen;
+	choice.candidates = all.seen + last.seen + fresh.seen;
 	choice.last_resort = taken == &last;
 	return choice;
 }
--- a/trefoilhill-proxy/exchange.c
+++ b/trefoilhill-proxy/exchange.c
@@ -131,6 +131,7 @@
 		return;
 	exchange->ended = true;
 	exchange_cancel_attempts(exchange, NULL);
+	shaper_flow_end(exchange->proxy->shaper, &exchange->flow);
 	exchange->proxy->exchanges--;
 	if (exchange->caller != NULL)
 		exchange->caller->exchange = NULL;
@@ -398,7 +399,7 @@
 void
 exchange_body_end(struct exchange *exchange)
 {
-	char *answer;
+	GBytes *answer;
 
 	exchange->body_whole = true;
 	if (exchange->attempt_count > 0) {
@@ -422,11 +423,12 @@
 		return;
 	}
 	g_string_printf(exchange->answer_head,
-	    "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n", strlen(answer));
+	    "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n",
+	    g_bytes_get_size(answer));
 	http_stream_write2(exchange->caller->stream,
 	    str_make(exchange->answer_head->str, exchange->answer_head->len),
-	    str_from(answer));
-	g_free(answer);
+	    str_make(g_bytes_get_data(answer, NULL), g_bytes_get_size(answer)));
+	g_bytes_unref(answer);
 	caller_answered(exchange->caller);
 }
 
--- a/trefoilhill-proxy/exchange_answer.c
+++ b/trefoilhill-proxy/exchange_answer.c
@@ -13,6 +13,9 @@
 	RETRY_AFTER_SPREAD_MS = 200, /* callers must not come back together */
 	RETRY_AFTER_SHARE = 3, /* at most this part of the time that is left */
 	CHUNK_HEAD_MAX = 24,
+	/* Of a large answer that waits here; above, the upstream waits. */
+	FLOW_HIGH_BYTES = 64 * 1024,
+	FLOW_LOW_BYTES = 32 * 1024,
 };
 
 static const char *
@@ -70,6 +73,39 @@
 	    exchange->status == 304;
 }
 
+static void relay_done(struct exchange *exchange);
+
+/* Some of a large answer has left. */
+static void
+handle_room(struct shaper_flow *flow)
+{
+	struct exchange *exchange = (struct exchange *)((char *)flow -
+	    offsetof(struct exchange, flow));
+	size_t waiting = shaper_flow_waiting(flow);
+
+	if (waiting == 0 && exchange->relayed)
+		relay_done(exchange);
+	else if (waiting < FLOW_LOW_BYTES)
+		exchange_drain(exchange);
+}
+
+/* Pass bytes of the answer on; those of a large one may wait. */
+static void
+send_bytes(struct exchange *exchange, struct str bytes)
+{
+	struct http_stream *to = exchange->caller->stream;
+	struct shaper *shaper = exchange->proxy->shaper;
+
+	if (!exchange->bulk) {
+		http_stream_write(to, bytes);
+		shaper_charge(shaper, bytes.len);
+		return;
+	}
+	exchange->flow.to = to;
+	exchange->flow.handle_room = handle_room;
+	shaper_write(shaper, &exchange->flow, bytes);
+}
+
 /* Send the answer's head and what is held of its body. */
 static void
 commit(struct exchange *exchange, bool has_length, uint64_t length)
@@ -88,15 +124,18 @@
 	if (exchange->chunked)
 		g_string_append(text, "Transfer-Encoding: chunked\r\n");
 	g_string_append(text, "\r\n");
-	if (!exchange->chunked || exchange->held->len == 0) {
+	if (!exchange->bulk && !exchange->chunked) {
 		http_stream_write2(exchange->caller->stream,
 		    str_make(text->str, text->len),
 		    str_make(exchange->held->data, exchange->held->len));
+		shaper_charge(exchange->proxy->shaper,
+		    text->len + exchange->held->len);
 	} else {
-		http_stream_write(exchange->caller->stream,
-		    str_make(text->str, text->len));
-		exchange_relay_body(exchange,
-		    str_make(exchange->held->data, exchange->held->len));
+		send_bytes(exchange, str_make(text->str, text->len));
+		if (exchange->held->len > 0)
+			exchange_relay_body(exchange,
+			    str_make(
+				exchange->held->data, exchange->held->len));
 	}
 	g_byte_array_set_size(exchange->held, 0);
 }
@@ -146,13 +185,16 @@
 	}
 	if (exchange->chunked) {
 		len = g_snprintf(head, sizeof(head), "%zx\r\n", bytes.len);
-		http_stream_write2(to, str_make(head, (size_t)len), bytes);
-		http_stream_write(to, str_from("\r\n"));
+		send_bytes(exchange, str_make(head, (size_t)len));
+		send_bytes(exchange, bytes);
+		send_bytes(exchange, str_from("\r\n"));
 	} else {
-		http_stream_write(to, bytes);
+		send_bytes(exchange, bytes);
 	}
-	if (http_stream_queued(to) > HTTP_WRITE_HIGH_BYTES &&
-	    exchange->answering != NULL)
+	if ((http_stream_queued(to) > HTTP_WRITE_HIGH_BYTES ||
+		shaper_flow_waiting(&exchange->flow) > FLOW_HIGH_BYTES) &&
+	    exchange->answering != NULL &&
+	    exchange->answering->stream != NULL)
 		http_stream_pause(exchange->answering->stream);
 }
 
@@ -165,24 +207,31 @@
 	    exchange->status < 500 ? STAT_ANSWERED : STAT_ANSWERED_FAILURE);
 }
 
+/* All of the answer is on its way. */
+static void
+relay_done(struct exchange *exchange)
+{
+	count_answer(exchange);
+	caller_answered(exchange->caller);
+}
+
 /*
  * The answer is whole.
  */
 void
 exchange_relay_end(struct exchange *exchange)
 {
-	struct attempt *attempt = exchange->answering;
-
 	if (!exchange->committed)
 		commit(exchange, !has_no_body(exchange), exchange->held->len);
 	if (exchange->chunked)
-		http_stream_write(
-		    exchange->caller->stream, str_from("0\r\n\r\n"));
-	count_answer(exchange);
+		send_bytes(exchange, str_from("0\r\n\r\n"));
 	exchange_log(exchange,
 	    exchange->status < 500 ? LOG_CLASS_ANSWERED : LOG_CLASS_FAILURE,
-	    "answered", attempt, "");
-	caller_answered(exchange->caller);
+	    "answered", exchange->answering, "");
+	exchange->answering = NULL;
+	exchange->relayed = true;
+	if (shaper_flow_waiting(&exchange->flow) == 0)
+		relay_done(exchange);
 }
 
 /* When a refused caller should come back. */
--- a/trefoilhill-proxy/follower.c
+++ b/trefoilhill-proxy/follower.c
@@ -15,7 +15,8 @@
 	WATCH_WAIT_MIN_MS = 1500,
 	WATCH_WAIT_MAX_MS = 20000,
 	ZONES_USUAL = 3,      /* of a region */
-	ASK_GAP_MS = 20,      /* lets changes that come together share a call */
+	ASK_GAP_MS = 20,
+	NEWS_GAP_MS = 400,    /* lets changes in quick succession share a call */
 	ROLE_CHECK_MS = 300,  /* how often a node looks whether it must read */
 	/* With no peer known yet, as when everything starts at once. */
 	ALONE_GAP_MS = 1200,
@@ -239,7 +240,10 @@
 		follower->catching_up = false;
 		if (replica_revision(follower->replica) > before)
 			heartbeat_spread(follower->proxy->heartbeat);
-		follower_after(follower, ASK_GAP_MS);
+		follower_after(follower,
+		    replica_revision(follower->replica) > before
+			? NEWS_GAP_MS
+			: ASK_GAP_MS);
 		break;
 	case SOURCE_COMPACTED:
 		log_store(follower, "store_compacted", result->detail, 0);
--- a/trefoilhill-proxy/proxy.c
+++ b/trefoilhill-proxy/proxy.c
@@ -7,6 +7,7 @@
 #include "trefoilhill-proxy/heartbeat.h"
 #include "trefoilhill-proxy/ops_listener.h"
 #include "trefoilhill-proxy/proxy.h"
+#include "trefoilhill-proxy/shaper.h"
 
 enum {
 	TICK_MS = 100,
@@ -175,6 +176,7 @@
 	proxy->log = json_log_new(&log, proxy->clock);
 	proxy->catalog = catalog_new(ops);
 	proxy->repeats = repeat_budget_new(&repeats);
+	proxy->shaper = shaper_new(proxy->loop, settings->node.link_kbps);
 	proxy->run_times = run_times_new();
 	proxy->callers = g_hash_table_new(g_direct_hash, g_direct_equal);
 	proxy->heartbeat = heartbeat_new(proxy);
--- /dev/null
+++ b/trefoilhill-proxy/shaper.c
@@ -0,0 +1,176 @@
+#include "trefoilhill-proxy/shaper.h"
+
+enum {
+	PIECE_BYTES = 8 * 1024,
+	BURST_MS = 24,       /* that may stand in the link's queue */
+	TURN_MS = 3,
+	RATE_PERCENT = 97,   /* of the link; headers of packets take the rest */
+	SOCKET_MAX_BYTES = 64 * 1024, /* a receiver that is slower waits */
+	BITS = 8,
+};
+
+struct shaper {
+	uv_timer_t *timer;
+	uv_loop_t *loop;
+	int64_t rate;   /* bytes a millisecond; 0: no bound */
+	int64_t tokens; /* bytes that may leave now */
+	uint64_t filled_ms;
+	GQueue flows;   /* struct shaper_flow, in turn */
+};
+
+/*
+ * Return a shaper for a link of this rate.
+ */
+struct shaper *
+shaper_new(uv_loop_t *loop, uint32_t kbps)
+{
+	struct shaper *shaper = g_new0(struct shaper, 1);
+
+	shaper->loop = loop;
+	shaper->rate = (int64_t)kbps * RATE_PERCENT / 100 / BITS;
+	shaper->filled_ms = uv_now(loop);
+	g_queue_init(&shaper->flows);
+	shaper->timer = g_new0(uv_timer_t, 1);
+	uv_timer_init(loop, shaper->timer);
+	shaper->timer->data = shaper;
+	return shaper;
+}
+
+static void
+handle_timer_closed(uv_handle_t *handle)
+{
+	g_free(handle);
+}
+
+/*
+ * Free a shaper; its flows have ended. NULL is allowed.
+ */
+void
+shaper_free(struct shaper *shaper)
+{
+	if (shaper == NULL)
+		return;
+	uv_close((uv_handle_t *)shaper->timer, handle_timer_closed);
+	g_free(shaper);
+}
+
+static void
+fill(struct shaper *shaper)
+{
+	uint64_t now = uv_now(shaper->loop);
+	int64_t most = MAX(shaper->rate * BURST_MS, (int64_t)PIECE_BYTES);
+
+	shaper->tokens += (int64_t)(now - shaper->filled_ms) * shaper->rate;
+	shaper->tokens = MIN(shaper->tokens, most);
+	shaper->filled_ms = now;
+}
+
+/*
+ * Note bytes that left without a wait. Large answers give way to them.
+ */
+void
+shaper_charge(struct shaper *shaper, size_t bytes)
+{
+	if (shaper->rate == 0)
+		return;
+	fill(shaper);
+	shaper->tokens -= (int64_t)bytes;
+}
+
+/*
+ * Return how many bytes of a flow wait.
+ */
+size_t
+shaper_flow_waiting(const struct shaper_flow *flow)
+{
+	return flow->bytes == NULL ? 0 : flow->bytes->len - flow->sent;
+}
+
+/*
+ * Drop what waits; the flow can be freed afterwards.
+ */
+void
+shaper_flow_end(struct shaper *shaper, struct shaper_flow *flow)
+{
+	if (flow->queued)
+		g_queue_unlink(&shaper->flows, &flow->link);
+	flow->queued = false;
+	if (flow->bytes != NULL)
+		g_byte_array_free(flow->bytes, TRUE);
+	flow->bytes = NULL;
+	flow->sent = 0;
+}
+
+/* Send one piece; false when the receiver takes no more. */
+static bool
+send_piece(struct shaper *shaper, struct shaper_flow *flow)
+{
+	size_t count = MIN(shaper_flow_waiting(flow), (size_t)PIECE_BYTES);
+
+	if (http_stream_queued(flow->to) > SOCKET_MAX_BYTES)
+		return false;
+	http_stream_write(
+	    flow->to, str_make(flow->bytes->data + flow->sent, count));
+	flow->sent += count;
+	shaper->tokens -= (int64_t)count;
+	if (flow->sent >= PIECE_BYTES * 8 || flow->sent == flow->bytes->len) {
+		g_byte_array_remove_range(flow->bytes, 0, (guint)flow->sent);
+		flow->sent = 0;
+	}
+	return true;
+}
+
+static void
+take_turns(struct shaper *shaper)
+{
+	guint blocked = 0;
+
+	fill(shaper);
+	while (shaper->tokens > 0 &&
+	    blocked < g_queue_get_length(&shaper->flows)) {
+		struct shaper_flow *flow = g_queue_peek_head(&shaper->flows);
+
+		g_queue_unlink(&shaper->flows, &flow->link);
+		flow->queued = false;
+		blocked = send_piece(shaper, flow) ? 0 : blocked + 1;
+		if (shaper_flow_waiting(flow) > 0) {
+			g_queue_push_tail_link(&shaper->flows, &flow->link);
+			flow->queued = true;
+		}
+		if (blocked == 0)
+			flow->handle_room(flow);
+	}
+	if (g_queue_is_empty(&shaper->flows))
+		uv_timer_stop(shaper->timer);
+}
+
+static void
+handle_timer(uv_timer_t *timer)
+{
+	take_turns(timer->data);
+}
+
+/*
+ * Send bytes of a large answer when it is their turn. handle_room may be
+ * called before this returns.
+ */
+void
+shaper_write(
+    struct shaper *shaper, struct shaper_flow *flow, struct str bytes)
+{
+	if (shaper->rate == 0) {
+		http_stream_write(flow->to, bytes);
+		return;
+	}
+	if (flow->bytes == NULL)
+		flow->bytes = g_byte_array_new();
+	g_byte_array_append(
+	    flow->bytes, (const guint8 *)bytes.ptr, (guint)bytes.len);
+	if (!flow->queued && bytes.len > 0) {
+		flow->link.data = flow;
+		g_queue_push_tail_link(&shaper->flows, &flow->link);
+		flow->queued = true;
+	}
+	if (!uv_is_active((uv_handle_t *)shaper->timer))
+		uv_timer_start(shaper->timer, handle_timer, 0, TURN_MS);
+}
