message: compress large items between nodes; tests: a randomized fault soak

Large values now travel compressed (zstd, packed once and passed on as they are).

The soak in tests/soak runs real nodes with stand-ins for store and upstreams and a proxy in front of each node's mesh port.

--- a/fleet/replica.c
+++ b/fleet/replica.c
@@ -101,33 +101,51 @@
 }
 
 /*
- * Take one change in. A value of NULL deletes the key.
+ * Take one change in. An item without a value deletes its key.
  */
 void
-replica_put(
-    struct replica *replica, struct str key, GBytes *value, uint64_t revision)
+replica_put_item(struct replica *replica, const struct replica_item *change)
 {
-	char *name = str_dup_cstr(key);
-	struct replica_item *item = g_hash_table_lookup(replica->items, name);
+	struct replica_item *item =
+	    g_hash_table_lookup(replica->items, change->key);
+	uint64_t revision = change->revision;
 
-	if (replica->filling && value != NULL)
-		g_hash_table_add(replica->filled, g_strdup(name));
+	if (replica->filling && change->value != NULL)
+		g_hash_table_add(replica->filled, g_strdup(change->key));
 	if (item != NULL && item->revision >= revision)
-		goto done;
+		return;
 	/* Changes up to the own revision are known, deletions among them. */
 	if (item == NULL && revision <= replica->revision &&
-	    (!replica->filling || was_deleted_later(replica, name, revision)))
-		goto done;
-	if (value == NULL) {
+	    (!replica->filling ||
+		was_deleted_later(replica, change->key, revision)))
+		return;
+	if (change->value == NULL) {
 		if (item != NULL)
-			item_delete(replica, name, revision);
-		goto done;
+			item_delete(replica, change->key, revision);
+		return;
 	}
-	item = replica_item_new(name, value, revision);
+	item = replica_item_new(change->key, change->value, revision);
+	if (change->packed != NULL)
+		item->packed = g_bytes_ref(change->packed);
 	g_hash_table_replace(replica->items, item->key, item);
 	replica->ops.handle_change(replica->ops.arg, item);
-done:
-	g_free(name);
+}
+
+/*
+ * Take one change in. A value of NULL deletes the key.
+ */
+void
+replica_put(
+    struct replica *replica, struct str key, GBytes *value, uint64_t revision)
+{
+	struct replica_item item = {
+		.key = str_dup_cstr(key),
+		.value = value,
+		.revision = revision,
+	};
+
+	replica_put_item(replica, &item);
+	g_free(item.key);
 }
 
 /*
--- a/fleet/source.c
+++ b/fleet/source.c
@@ -40,7 +40,7 @@
 	struct replica_item *item = data;
 
 	g_free(item->key);
-	if (item->value != NULL)
-		g_bytes_unref(item->value);
+	g_clear_pointer(&item->value, g_bytes_unref);
+	g_clear_pointer(&item->packed, g_bytes_unref);
 	g_free(item);
 }
--- a/include/fleet/replica.h
+++ b/include/fleet/replica.h
@@ -18,6 +18,7 @@
 struct replica_item {
 	char *key;
 	GBytes *value;     /* NULL: deleted at this revision */
+	GBytes *packed;    /* the value compressed; NULL: not needed so far */
 	uint64_t revision; /* of its last change */
 };
 
@@ -34,6 +35,9 @@
 /* One change. Older than what is known of the key: nothing happens. */
 void replica_put(
     struct replica *replica, struct str key, GBytes *value, uint64_t revision);
+/* The same, with an item whose compressed value is kept too. */
+void replica_put_item(
+    struct replica *replica, const struct replica_item *item);
 /* All changes up to this revision have been put. */
 void replica_advance(struct replica *replica, uint64_t revision);
 /*
--- a/include/trefoilhill-proxy/proxy.h
+++ b/include/trefoilhill-proxy/proxy.h
@@ -36,6 +36,7 @@
 	struct ops_listener *ops_listener;
 	struct http_listener *caller_listener;
 	struct http_listener *mesh_listener;
+	struct in_addr host;             /* where the upstream is registered */
 	struct sockaddr_in mesh_address; /* peers listen on the same port */
 	GHashTable *callers;             /* set of struct caller */
 	uint32_t exchanges;              /* in progress */
--- /dev/null
+++ b/tests/soak/mesh.py
@@ -0,0 +1,193 @@
+"""Real nodes as processes, with stand-ins around them, on loopback addresses.
+
+Host N has the address 127.1.N.1 for its upstream and for the wire in front of
+its node, which itself listens on 127.2.N.1.
+"""
+
+import asyncio
+import pathlib
+import signal
+
+from store import Store
+from upstream import Record, Upstream
+from wire import Wire
+
+CALLER_PORT, MESH_PORT, READY_PORT, APP_PORT = 7101, 7102, 7103, 7104
+STORE = ("127.1.250.1", 7105)
+ZONES = ("a", "b", "c")
+SERVICES = ("desk", "ledger")
+GRACE_MS = 3000
+COLD_PER_S = 20
+COLD_MS = 1000
+
+SETTINGS = """[node]
+host=node-{n}
+zone={zone}
+caller_listen=127.2.{n}.1:{caller}
+mesh_listen=127.2.{n}.1:{mesh}
+operator_listen=127.2.{n}.1:{ready}
+grace_ms={grace}
+[platform]
+url=http://{store}
+[upstream]
+name=node-{n}
+service={service}
+address=127.1.{n}.1:{app}
+[mesh]
+heartbeat_ms=300
+readers_per_zone=2
+[route]
+retry_percent=10
+retry_allowance=40
+[log]
+lines_per_s=2000
+"""
+
+
+class Host:
+    def __init__(self, mesh, number):
+        self.mesh = mesh
+        self.number = number
+        self.zone = ZONES[number % len(ZONES)]
+        self.service = SERVICES[(number // len(ZONES)) % len(SERVICES)]
+        self.wire = Wire(f"127.1.{number}.1", MESH_PORT, f"127.2.{number}.1")
+        self.process = None
+        self.lock = asyncio.Lock()  # faults that end and start the process
+        self.upstream = None
+        self.generation = 0
+        self.sequence = 0  # of the upstream's reports
+
+    def new_upstream(self):
+        self.generation += 1
+        self.sequence = 0
+        self.upstream = Upstream(
+            self.mesh.record, f"i-{self.number}-{self.generation}",
+            self.service, self.zone, f"127.1.{self.number}.1", APP_PORT,
+            self.mesh.rng)
+        self.mesh.upstreams.append(self.upstream)
+        return self.upstream
+
+    async def start_node(self):
+        if self.process is not None and self.process.returncode is None:
+            return
+        path = self.mesh.directory / f"node-{self.number}.ini"
+        path.write_text(SETTINGS.format(
+            n=self.number, zone=self.zone, service=self.service,
+            caller=CALLER_PORT, mesh=MESH_PORT, ready=READY_PORT,
+            app=APP_PORT, grace=GRACE_MS, store=":".join(map(str, STORE))))
+        log = open(self.mesh.directory / f"node-{self.number}.log", "ab")
+        self.process = await asyncio.create_subprocess_exec(
+            self.mesh.program, "--config", str(path), stdout=log, stderr=log)
+        log.close()
+
+    def send(self, number):
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def stop_node(self, number=signal.SIGKILL):
+        """End the process by a signal; its exit status."""
+        self.send(signal.SIGCONT)
+        self.send(number)
+        try:
+            return await asyncio.wait_for(self.process.wait(),
+                                          GRACE_MS / 1000 + 2)
+        except asyncio.TimeoutError:
+            self.send(signal.SIGKILL)
+            await self.process.wait()
+            return None
+
+
+class Mesh:
+    def __init__(self, program, directory, hosts, rng):
+        self.program = str(program)
+        self.directory = pathlib.Path(directory)
+        self.rng = rng
+        self.store = Store()
+        self.record = Record()
+        self.hosts = [Host(self, n + 1) for n in range(hosts)]
+        self.upstreams = []  # all there ever were
+        self.version = 0
+        self.configs = []  # (time, version, service of the probed route)
+
+    async def start(self):
+        await self.store.start(*STORE)
+        self.publish()
+        for host in self.hosts:
+            await host.wire.start()
+            await host.new_upstream().start()
+            self.register(host)
+        for host in self.hosts:
+            await host.start_node()
+        await asyncio.gather(*(self.wait_ready(h) for h in self.hosts))
+
+    def register(self, host, state="ready", cold_ms=0):
+        host.sequence += 1
+        if cold_ms:
+            now = asyncio.get_running_loop().time()
+            host.upstream.cold_until = now + cold_ms / 1000
+        self.store.put(f"servers/{host.upstream.id}", host.upstream.entry(
+            state, host.sequence, cold_ms, host.generation))
+
+    def publish(self):
+        """A new configuration, whose label route leads somewhere else."""
+        self.version += 1
+        probed = SERVICES[self.version % len(SERVICES)]
+
+        def route(prefix, kind, service, timeout=1500):
+            return {"host": "shop.example", "prefix": prefix, "kind": kind,
+                    "timeoutMs": timeout, "targetLatencyMs": 300,
+                    "priority": 1, "maxAttempts": 2, "service": service}
+
+        routes = {"r-get": route("/get/", "safe", "desk"),
+                  "r-post": route("/post/", "unsafe", "ledger"),
+                  "r-bulk": route("/bulk/", "download", "desk", 3000),
+                  "r-probe": route("/probe/", "safe", probed)}
+        services = {name: {"healthPath": "/h", "maxConnections": 100,
+                           "coldStartS": COLD_MS / 1000, "coldPerS": COLD_PER_S}
+                    for name in SERVICES}
+        self.store.put("op/config", {
+            "version": f"r{self.version}", "routes": routes,
+            "services": services,
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20,
+                       "headerTimeoutMs": 3000, "idleTimeoutMs": 10000}})
+        self.configs.append((asyncio.get_running_loop().time(),
+                             self.version, probed))
+
+    async def wait_ready(self, host, limit_s=8.0):
+        loop = asyncio.get_running_loop()
+        until = loop.time() + limit_s
+        while loop.time() < until:
+            if await self.is_ready(host):
+                return True
+            await asyncio.sleep(0.05)
+        return False
+
+    @staticmethod
+    async def is_ready(host):
+        try:
+            reader, writer = await asyncio.open_connection(
+                f"127.2.{host.number}.1", READY_PORT)
+        except OSError:
+            return False
+        try:
+            writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            line = await asyncio.wait_for(reader.readline(), 1)
+            return b" 200 " in line
+        except (asyncio.TimeoutError, OSError):
+            return False
+        finally:
+            writer.transport.abort()
+
+    async def stop(self):
+        """End every process that this mesh started, by its id."""
+        for host in self.hosts:
+            if host.process is not None and host.process.returncode is None:
+                host.send(signal.SIGCONT)
+                host.send(signal.SIGKILL)
+                await host.process.wait()
+        self.store.server.close()
+        self.store.cut()
+        for host in self.hosts:
+            host.wire.server.close()
+            host.wire.reset()
+            await host.upstream.crash()
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,327 @@
+#!/usr/bin/env python3
+"""Randomized fault soak of real nodes.
+
+Plays faults in series and overlapping while callers send requests, and checks
+what callers and upstreams saw against the promises of the pages. Everything
+random comes from the seed; a failure prints the command to repeat it and
+leaves the logs.
+
+usage: soak.py [--seed N] [--seeds COUNT] [--seconds S] [--hosts N] PROGRAM
+"""
+
+import argparse
+import asyncio
+import pathlib
+import random
+import shutil
+import signal
+import sys
+import tempfile
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+
+from callers import Callers  # noqa: E402
+from mesh import (CALLER_PORT, COLD_MS, COLD_PER_S, SERVICES,  # noqa: E402
+                  ZONES, Mesh)
+
+CALLERS_PER_HOST = 3
+APPLY_S = 2.0       # a change is in force everywhere, in calm
+DRAIN_S = 2.0       # a leaving upstream gets nothing new, in calm
+SERVED_MIN = 0.95   # of the reads in the last calm seconds
+CALM_S = 4.0
+COLD_BURST = 1.5
+COLD_SLACK = 5
+
+
+class Soak:
+    def __init__(self, options, seed, directory):
+        self.rng = random.Random(seed)
+        self.mesh = Mesh(options.program, directory, options.hosts, self.rng)
+        self.callers = Callers(self.mesh, random.Random(seed + 1))
+        self.seconds = options.seconds
+        self.failures = []
+        self.leaving = []  # (upstream, time) in calm
+
+    def fail(self, text):
+        self.failures.append(text)
+
+    def host(self):
+        return self.rng.choice(self.mesh.hosts)
+
+    # Faults: each plays to its end.
+
+    @staticmethod
+    async def kill_for(host, down_s):
+        async with host.lock:
+            await host.stop_node(signal.SIGKILL)
+            await asyncio.sleep(down_s)
+            await host.start_node()
+
+    async def node_killed(self):
+        await self.kill_for(self.host(), self.rng.uniform(0.1, 1.5))
+
+    async def herd_killed(self):
+        hosts = self.rng.sample(self.mesh.hosts, len(self.mesh.hosts) // 2)
+        down_s = self.rng.uniform(0.1, 1.0)
+        await asyncio.gather(*(self.kill_for(h, down_s) for h in hosts))
+
+    async def node_paused(self):
+        host = self.host()
+        host.send(signal.SIGSTOP)
+        await asyncio.sleep(self.rng.uniform(0.3, 3))
+        host.send(signal.SIGCONT)
+
+    async def node_stopped(self):
+        host = self.host()
+        async with host.lock:
+            status = await host.stop_node(signal.SIGTERM)
+            await host.start_node()
+        if status != 0:
+            self.fail(f"node {host.number} ended with {status} on SIGTERM")
+
+    async def reloaded(self):
+        for host in self.mesh.hosts:
+            host.send(signal.SIGHUP)
+            await asyncio.sleep(0.05)
+
+    async def wire_fault(self):
+        wire = self.host().wire
+        wire.mode = self.rng.choice(("delay", "cut", "one_way", "reset"))
+        wire.delay_s = self.rng.uniform(0.02, 0.2)
+        if wire.mode == "reset":
+            wire.reset()
+        await asyncio.sleep(self.rng.uniform(0.3, 3))
+        wire.mode = "up"
+
+    async def zone_cut(self):
+        zone = self.rng.choice(ZONES)
+        cut = [h.wire for h in self.mesh.hosts if h.zone == zone]
+        for wire in cut:
+            wire.mode = "cut"
+        await asyncio.sleep(self.rng.uniform(0.5, 3))
+        for wire in cut:
+            wire.mode = "up"
+
+    async def connections_reset(self):
+        for host in self.rng.sample(self.mesh.hosts, 3):
+            host.wire.reset()
+
+    async def store_fault(self):
+        self.mesh.store.mode = self.rng.choice(("busy", "reset", "silent"))
+        self.mesh.store.cut()
+        await asyncio.sleep(self.rng.uniform(0.5, 4))
+        self.mesh.store.mode = "up"
+        self.mesh.store.cut()
+
+    async def store_compacted(self):
+        self.mesh.publish()
+        self.mesh.store.compact()
+        self.mesh.store.cut()
+
+    async def changes(self):
+        for _ in range(self.rng.randint(1, 6)):
+            self.mesh.publish()
+            await asyncio.sleep(self.rng.uniform(0.05, 0.5))
+
+    async def foreign_entry(self):
+        self.mesh.store.put(
+            f"servers/i-x{self.rng.randrange(1000)}",
+            self.rng.choice((b"\xff{", b"{}", b'{"address":"127.1.1.1:1"}')))
+
+    async def evacuated(self):
+        zone = self.rng.choice(ZONES)
+        self.mesh.store.put(f"op/evacuate/{zone}", {})
+        await asyncio.sleep(self.rng.uniform(1, 3))
+        self.mesh.store.put(f"op/evacuate/{zone}", None)
+
+    async def upstream_faulty(self):
+        upstream = self.host().upstream
+        name, value = self.rng.choice((
+            ("shed_share", 0.5), ("cut_share", 0.1), ("extra_share", 0.2),
+            ("slow", 6.0)))
+        good = getattr(upstream, name)
+        setattr(upstream, name, value)
+        await asyncio.sleep(self.rng.uniform(0.5, 3))
+        setattr(upstream, name, good)
+
+    async def upstream_crashed(self):
+        host = self.host()
+        old = host.upstream
+        await old.crash()
+        await asyncio.sleep(self.rng.uniform(0.2, 1.5))
+        self.mesh.store.put(f"servers/{old.id}", None)
+        await host.new_upstream().start()
+        self.mesh.register(host, cold_ms=COLD_MS)
+
+    async def upstream_drained(self):
+        host = self.host()
+        old = host.upstream
+        self.mesh.register(host, "draining")
+        await asyncio.sleep(DRAIN_S + 1)
+        if host.upstream is old:
+            await self.replace(host, old)
+
+    async def replace(self, host, old):
+        self.mesh.store.put(f"servers/{old.id}", None)
+        await old.crash()
+        await host.new_upstream().start()
+        self.mesh.register(host, cold_ms=COLD_MS)
+
+    FAULTS = (node_killed, herd_killed, node_paused, node_stopped, reloaded,
+              wire_fault, wire_fault, zone_cut, connections_reset,
+              store_fault, store_compacted, changes, changes, foreign_entry,
+              evacuated, upstream_faulty, upstream_faulty, upstream_crashed,
+              upstream_drained)
+
+    async def play_faults(self):
+        loop = asyncio.get_running_loop()
+        until = loop.time() + self.seconds
+        tasks = []
+        while loop.time() < until:
+            fault = self.rng.choice(self.FAULTS)
+            print(f"  {self.seconds - until + loop.time():6.2f} s "
+                  f"{fault.__name__}", flush=True)
+            tasks.append(asyncio.create_task(fault(self)))
+            await asyncio.sleep(self.rng.expovariate(1.5))
+        await asyncio.gather(*tasks)
+
+    # Checks.
+
+    def check_runs(self):
+        for request in self.callers.refused:
+            if request in self.mesh.record.runs:
+                self.fail(f"{request}: refused, but ran")
+        for number in range(1, self.callers.number + 1):
+            request = f"q{number:08x}"
+            runs = self.mesh.record.runs.get(request, [])
+            if request in self.posts and len(runs) > 1:
+                self.fail(f"{request}: can't be repeated, ran {runs}")
+        sent = {f"q{n:08x}" for n in range(1, self.callers.number + 1)}
+        for request in self.mesh.record.runs:
+            if request not in sent and not request.startswith("p"):
+                self.fail(f"{request}: ran, but nobody sent it")
+        for request in self.mesh.record.wrong_caller:
+            self.fail(f"{request}: without its caller's service")
+
+    def check_cold(self, upstream):
+        """No second of its cold time brought more than it bears."""
+        most = COLD_PER_S * COLD_BURST + COLD_SLACK
+        cold = [t for t in upstream.starts if t < upstream.cold_until]
+        for first in cold:
+            count = sum(1 for t in cold if first <= t < first + 1.0)
+            if count > most:
+                self.fail(f"{upstream.id}: {count} in a second while cold")
+                return
+
+    async def check_change(self):
+        """In calm, a change is in force everywhere in time."""
+        self.mesh.publish()
+        await asyncio.sleep(APPLY_S)
+        wanted = self.mesh.configs[-1][2]
+        for host in self.mesh.hosts:
+            request = f"p{host.number}-{self.mesh.version}"
+            reader, writer = await asyncio.open_connection(
+                f"127.2.{host.number}.1", CALLER_PORT)
+            writer.write(f"GET /probe/x HTTP/1.1\r\nHost: shop.example\r\n"
+                         f"X-Attempt-Id: {request}\r\nX-Deadline: 1500\r\n"
+                         "\r\n".encode())
+            try:
+                await asyncio.wait_for(Callers.read(reader), 2)
+            except (asyncio.TimeoutError, OSError,
+                    asyncio.IncompleteReadError):
+                pass
+            writer.transport.abort()
+            services = {i.split("-")[1] for _, i in
+                        self.mesh.record.runs.get(request, [])}
+            names = {self.mesh.hosts[int(n) - 1].service for n in services}
+            if names - {wanted}:
+                self.fail(f"node {host.number}: probe went to {names}, "
+                          f"configuration r{self.mesh.version} says {wanted}")
+
+    async def check_drain(self):
+        """In calm, an upstream that leaves gets nothing new in time."""
+        host = self.host()
+        old = host.upstream
+        self.mesh.register(host, "draining")
+        left = asyncio.get_running_loop().time()
+        await asyncio.sleep(DRAIN_S + 1.0)
+        late = [t for t in old.starts if t > left + DRAIN_S]
+        if late:
+            self.fail(f"{old.id}: {len(late)} requests after it left")
+
+    def check_served(self, since):
+        answers = [ok for t, ok in self.callers.answers if t > since]
+        share = sum(answers) / max(1, len(answers))
+        if not answers or share < SERVED_MIN:
+            self.fail(f"{share:.3f} of {len(answers)} reads served in calm")
+
+    async def calm(self):
+        await asyncio.sleep(CALM_S)
+        for host in self.mesh.hosts:
+            if not await self.mesh.wait_ready(host):
+                self.fail(f"node {host.number} is not ready in calm")
+        since = asyncio.get_running_loop().time()
+        await self.check_change()
+        await self.check_drain()
+        self.check_served(since)
+
+    async def run(self):
+        try:
+            await self.mesh.start()
+            self.posts = set()
+            tasks = [asyncio.create_task(self.callers.run(h))
+                     for h in self.mesh.hosts for _ in range(CALLERS_PER_HOST)]
+            await asyncio.sleep(0.5)
+            await self.play_faults()
+            await self.calm()
+            self.callers.stopping = True
+            await asyncio.gather(*tasks)
+            self.posts = self.callers.posts
+            self.check_runs()
+            for upstream in self.mesh.upstreams:
+                self.check_cold(upstream)
+            for text in self.callers.wrong:
+                self.fail(text)
+        finally:
+            await self.mesh.stop()
+
+
+def parse():
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parser.add_argument("--seed", type=int, default=None)
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=12.0)
+    parser.add_argument("--hosts", type=int, default=6 * len(SERVICES))
+    parser.add_argument("program", type=pathlib.Path)
+    return parser.parse_args()
+
+
+def main():
+    options = parse()
+    first = options.seed
+    if first is None:
+        first = random.SystemRandom().randrange(1 << 31)
+    bad = 0
+    for seed in range(first, first + options.seeds):
+        directory = tempfile.mkdtemp(prefix=f"soak-{seed}-")
+        soak = Soak(options, seed, directory)
+        print(f"seed {seed}", flush=True)
+        asyncio.run(soak.run())
+        print(f"seed {seed}: {soak.callers.number} requests, "
+              f"{dict(soak.callers.counts)}, store calls "
+              f"{soak.mesh.store.calls}")
+        if not soak.failures:
+            shutil.rmtree(directory)
+            continue
+        bad += 1
+        for text in soak.failures[:20]:
+            print(f"FAILED {text}")
+        print(f"repeat: {sys.argv[0]} --seed {seed} --seconds "
+              f"{options.seconds} --hosts {options.hosts} {options.program}; "
+              f"logs in {directory}")
+    print(f"{options.seeds - bad} passed, {bad} failed")
+    return 1 if bad else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/store.py
@@ -0,0 +1,131 @@
+"""Stand-in for the users' metadata store: read over HTTP, written in process.
+
+Speaks kv-range (with pages) and kv-watch. Faults are attributes that the soak
+sets: what is listed in `turned_away` is refused, `silent` answers nothing.
+"""
+
+import asyncio
+import base64
+import json
+import urllib.parse
+
+PAGE_ITEMS = 50
+HISTORY = 400
+
+
+class Store:
+    def __init__(self):
+        self.revision = 1
+        self.items = {}  # key: (value, revision)
+        self.events = []  # (revision, key, value or None)
+        self.floor = 1  # history is whole after this revision
+        self.changed = asyncio.Event()
+        self.mode = "up"  # or: busy, reset, silent
+        self.calls = 0
+        self.server = None
+        self.writers = set()
+
+    async def start(self, host, port):
+        self.server = await asyncio.start_server(self.serve, host, port)
+
+    def put(self, key, value):
+        """Write a value (a dict, bytes, or None to delete); its revision."""
+        if isinstance(value, dict):
+            value = json.dumps(value).encode()
+        if value is None and key not in self.items:
+            return self.revision
+        self.revision += 1
+        if value is None:
+            del self.items[key]
+        else:
+            self.items[key] = (value, self.revision)
+        self.events.append((self.revision, key, value))
+        if len(self.events) > HISTORY:
+            self.compact(len(self.events) - HISTORY)
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return self.revision
+
+    def compact(self, count=None):
+        """Forget the oldest changes, or all."""
+        count = len(self.events) if count is None else count
+        if count:
+            self.floor = self.events[count - 1][0]
+            del self.events[:count]
+
+    def cut(self):
+        """Reset all connections."""
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                target = head.split(b" ", 2)[1].decode()
+                self.calls += 1
+                if self.mode == "reset":
+                    writer.transport.abort()
+                    return
+                if self.mode == "silent":
+                    await asyncio.sleep(3600)
+                if self.mode == "busy":
+                    status, body = 503, {}
+                else:
+                    status, body = await self.answer(target)
+                if self.mode == "silent":
+                    await asyncio.sleep(3600)
+                text = json.dumps(body).encode()
+                writer.write(
+                    f"HTTP/1.1 {status} x\r\nContent-Type: application/json"
+                    f"\r\nContent-Length: {len(text)}\r\n\r\n".encode() + text)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, asyncio.CancelledError,
+                ConnectionError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def answer(self, target):
+        parts = urllib.parse.urlsplit(target)
+        query = dict(urllib.parse.parse_qsl(parts.query,
+                                            keep_blank_values=True))
+        if parts.path == "/kv-range":
+            return self.read_range(query)
+        if parts.path == "/kv-watch":
+            return await self.watch(query)
+        return 404, {"error": "no such call"}
+
+    def read_range(self, query):
+        keys = sorted(k for k in self.items
+                      if k.startswith(query.get("prefix", ""))
+                      and k > query.get("after", ""))
+        page = keys[:PAGE_ITEMS]
+        return 200, {"items": [self.item(k, *self.items[k]) for k in page],
+                     "hasMore": len(keys) > len(page), "at": self.revision}
+
+    @staticmethod
+    def item(key, value, revision):
+        if value is None:
+            return {"key": key, "revision": revision, "deleted": True}
+        return {"key": key, "value": base64.b64encode(value).decode(),
+                "revision": revision, "created": revision, "lease": 0}
+
+    async def watch(self, query):
+        after = int(query["after"])
+        until = asyncio.get_running_loop().time() + int(query["waitMs"]) / 1000
+        while True:
+            if after < self.floor:
+                return 410, {}
+            found = [e for e in self.events if e[0] > after]
+            left = until - asyncio.get_running_loop().time()
+            if found or left <= 0:
+                return 200, {"events": [self.item(k, v, r)
+                                        for r, k, v in found],
+                             "at": self.revision}
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
--- a/trefoilhill-proxy/exchange_dispatch.c
+++ b/trefoilhill-proxy/exchange_dispatch.c
@@ -105,7 +105,7 @@
 		.catalog = exchange->proxy->catalog,
 		.service = exchange->service,
 		.zone = exchange->proxy->settings->node.zone.ptr,
-		.host = exchange->proxy->mesh_address.sin_addr,
+		.host = exchange->proxy->host,
 		.objective_ms = exchange->objective_ms,
 		.run_ms = run_ms(exchange),
 		.bulk = exchange->route->bulk,
--- a/trefoilhill-proxy/follower.c
+++ b/trefoilhill-proxy/follower.c
@@ -208,12 +208,8 @@
 {
 	if (whole)
 		replica_whole_begin(follower->replica);
-	for (guint i = 0; i < items->len; i++) {
-		const struct replica_item *item = items->pdata[i];
-
-		replica_put(follower->replica, str_from(item->key),
-		    item->value, item->revision);
-	}
+	for (guint i = 0; i < items->len; i++)
+		replica_put_item(follower->replica, items->pdata[i]);
 	if (whole)
 		replica_whole_end(follower->replica, revision);
 	else
@@ -272,7 +268,7 @@
 is_reader(const struct follower *follower)
 {
 	const struct proxy *proxy = follower->proxy;
-	uint32_t own = host_rank(proxy->mesh_address.sin_addr);
+	uint32_t own = host_rank(proxy->host);
 	int64_t now_ms = proxy_now_ms(proxy);
 	uint32_t before = 0;
 	GHashTableIter iter;
--- a/trefoilhill-proxy/heartbeat.c
+++ b/trefoilhill-proxy/heartbeat.c
@@ -310,7 +310,7 @@
 		    g_hash_table_lookup(catalog_peers(proxy->catalog),
 			peers[rng_below(proxy->rng, count)]);
 
-		if (peer->host.s_addr != proxy->mesh_address.sin_addr.s_addr &&
+		if (peer->host.s_addr != proxy->host.s_addr &&
 		    (!own_zone ||
 			g_strcmp0(peer->zone, proxy->settings->node.zone.ptr) ==
 			    0))
--- a/trefoilhill-proxy/message.c
+++ b/trefoilhill-proxy/message.c
@@ -1,28 +1,99 @@
+#include <zstd.h>
+
 #include "trefoilhill-proxy/message.h"
 
+enum {
+	PACK_MIN_BYTES = 2048,       /* smaller values go as they are */
+	VALUE_MAX_BYTES = 4 << 20,   /* of one item, unpacked */
+	PACK_LEVEL = 1,              /* the fastest */
+};
+
 /*
  * revision, age, doubt, stopping; upstream and its load; whether items come
- * along, whether they are all, base; items of key, revision, deletion, value.
+ * along, whether they are all, base; items of key, revision, form, value.
  */
-#define MESSAGE_TYPE "(txxbs(uuuuuuub)bbta(stbay))"
+#define MESSAGE_TYPE "(txxbs(uuuuuuub)bbta(styay))"
+
+/* How the value of an item travels. */
+enum item_form {
+	ITEM_DELETED,
+	ITEM_PLAIN,
+	ITEM_PACKED,
+};
+
+/* The compressed value; kept, so that it is made once for all peers. */
+static GBytes *
+item_packed(struct replica_item *item)
+{
+	size_t len, most, packed;
+	const void *bytes = g_bytes_get_data(item->value, &len);
+	void *out;
+
+	if (item->packed != NULL)
+		return item->packed;
+	most = ZSTD_compressBound(len);
+	out = g_malloc(most);
+	packed = ZSTD_compress(out, most, bytes, len, PACK_LEVEL);
+	if (ZSTD_isError(packed)) {
+		g_warning("compress: %s", ZSTD_getErrorName(packed));
+		g_free(out);
+		return NULL;
+	}
+	item->packed = g_bytes_new_take(g_realloc(out, packed), packed);
+	return item->packed;
+}
+
+/* NULL: the bytes are no compressed value, or too large a one. */
+static GBytes *
+unpack(GBytes *packed)
+{
+	size_t len, done;
+	const void *bytes = g_bytes_get_data(packed, &len);
+	unsigned long long size = ZSTD_getFrameContentSize(bytes, len);
+	void *out;
+
+	if (size > VALUE_MAX_BYTES)
+		return NULL;
+	out = g_malloc(size);
+	done = ZSTD_decompress(out, size, bytes, len);
+	if (ZSTD_isError(done) || done != size) {
+		g_free(out);
+		return NULL;
+	}
+	return g_bytes_new_take(out, size);
+}
+
+static void
+item_encode(GVariantBuilder *builder, struct replica_item *item)
+{
+	enum item_form form = ITEM_DELETED;
+	GBytes *empty = g_bytes_new_static("", 0);
+	GBytes *bytes = empty, *packed;
+
+	if (item->value != NULL) {
+		form = ITEM_PLAIN;
+		bytes = item->value;
+	}
+	if (item->value != NULL &&
+	    g_bytes_get_size(item->value) >= PACK_MIN_BYTES) {
+		packed = item_packed(item);
+		form = packed == NULL ? ITEM_PLAIN : ITEM_PACKED;
+		bytes = packed == NULL ? item->value : packed;
+	}
+	g_variant_builder_add(builder, "(sty@ay)", item->key,
+	    (guint64)item->revision, (guchar)form,
+	    g_variant_new_from_bytes(G_VARIANT_TYPE_BYTESTRING, bytes, TRUE));
+	g_bytes_unref(empty);
+}
 
 static GVariant *
 items_encode(const GPtrArray *items)
 {
 	GVariantBuilder builder;
 
-	g_variant_builder_init(&builder, G_VARIANT_TYPE("a(stbay)"));
-	for (guint i = 0; items != NULL && i < items->len; i++) {
-		const struct replica_item *item = items->pdata[i];
-		GBytes *empty = g_bytes_new_static("", 0);
-		GVariant *value = g_variant_new_from_bytes(
-		    G_VARIANT_TYPE_BYTESTRING,
-		    item->value == NULL ? empty : item->value, TRUE);
-
-		g_variant_builder_add(&builder, "(stb@ay)", item->key,
-		    (guint64)item->revision, item->value == NULL, value);
-		g_bytes_unref(empty);
-	}
+	g_variant_builder_init(&builder, G_VARIANT_TYPE("a(styay)"));
+	for (guint i = 0; items != NULL && i < items->len; i++)
+		item_encode(&builder, items->pdata[i]);
 	return g_variant_builder_end(&builder);
 }
 
@@ -33,7 +104,7 @@
 message_encode(const struct message *message)
 {
 	const struct load_report *load = &message->load;
-	GVariant *variant = g_variant_new("(txxbs(uuuuuuub)bbt@a(stbay))",
+	GVariant *variant = g_variant_new("(txxbs(uuuuuuub)bbt@a(styay))",
 	    (guint64)message->revision, (gint64)message->age_ms,
 	    (gint64)message->doubt_ms, message->stopping,
 	    message->upstream == NULL ? "" : message->upstream, load->limit,
@@ -49,6 +120,36 @@
 	return bytes;
 }
 
+/* NULL: the value can't be read. */
+static struct replica_item *
+item_decode(
+    const char *key, uint64_t revision, enum item_form form, GVariant *value)
+{
+	GBytes *bytes = g_variant_get_data_as_bytes(value);
+	struct replica_item *item = NULL;
+	GBytes *plain = NULL;
+
+	switch (form) {
+	case ITEM_DELETED:
+		item = replica_item_new(key, NULL, revision);
+		break;
+	case ITEM_PLAIN:
+		item = replica_item_new(key, bytes, revision);
+		break;
+	case ITEM_PACKED:
+		plain = unpack(bytes);
+		if (plain == NULL)
+			break;
+		item = replica_item_new(key, plain, revision);
+		item->packed = g_bytes_ref(bytes);
+		g_bytes_unref(plain);
+		break;
+	}
+	g_bytes_unref(bytes);
+	return item;
+}
+
+/* NULL: one of them can't be read. */
 static GPtrArray *
 items_decode(GVariant *list)
 {
@@ -56,20 +157,21 @@
 	GVariantIter iter;
 	const char *key;
 	guint64 revision;
-	gboolean deleted;
+	guchar form;
 	GVariant *value;
 
 	g_variant_iter_init(&iter, list);
 	while (g_variant_iter_next(
-	    &iter, "(&stb@ay)", &key, &revision, &deleted, &value)) {
-		GBytes *bytes =
-		    deleted ? NULL : g_variant_get_data_as_bytes(value);
-
-		g_ptr_array_add(
-		    items, replica_item_new(key, bytes, revision));
-		if (bytes != NULL)
-			g_bytes_unref(bytes);
+	    &iter, "(&sty@ay)", &key, &revision, &form, &value)) {
+		struct replica_item *item =
+		    item_decode(key, revision, form, value);
+
 		g_variant_unref(value);
+		if (item == NULL) {
+			g_ptr_array_unref(items);
+			return NULL;
+		}
+		g_ptr_array_add(items, item);
 	}
 	return items;
 }
@@ -95,7 +197,7 @@
 	valid = bytes.len > 0 && g_variant_is_normal_form(variant);
 	if (!valid)
 		goto done;
-	g_variant_get(variant, "(txxbs(uuuuuuub)bbt@a(stbay))", &revision,
+	g_variant_get(variant, "(txxbs(uuuuuuub)bbt@a(styay))", &revision,
 	    &age_ms, &doubt_ms, &stopping, &message->upstream, &load->limit,
 	    &load->in_flight, &load->queued, &load->latency_us, &load->failing,
 	    &load->bulk_waiting, &load->bulk_transfer_ms, &accepting,
@@ -109,7 +211,13 @@
 	load->accepting = accepting;
 	if (has_items)
 		message->items = items_decode(items);
+	if (has_items && message->items == NULL) {
+		message_clear(message);
+		valid = false;
+	}
 	g_variant_unref(items);
+	if (!valid)
+		*message = (struct message){ 0 };
 done:
 	g_variant_unref(variant);
 	g_bytes_unref(copy);
--- a/trefoilhill-proxy/proxy.c
+++ b/trefoilhill-proxy/proxy.c
@@ -192,6 +192,24 @@
 	return str_make(url.ptr + scheme_len, url.len - scheme_len);
 }
 
+static bool
+addresses_set(struct proxy *proxy, GError **error)
+{
+	const struct settings *settings = proxy->settings;
+	struct sockaddr_in upstream;
+
+	if (!http_address_parse(
+		settings->node.mesh_listen, &proxy->mesh_address) ||
+	    !http_address_parse(settings->upstream.address, &upstream)) {
+		g_set_error(error, HTTP_LISTEN_ERROR,
+		    HTTP_LISTEN_ERROR_ADDRESS,
+		    "mesh_listen or the upstream's address: not IP:PORT");
+		return false;
+	}
+	proxy->host = upstream.sin_addr;
+	return true;
+}
+
 /*
  * Build and start every part. The settings are taken over. NULL with error set when a part can't be made.
  */
@@ -210,8 +228,7 @@
 	uv_timer_init(loop, &proxy->tick);
 	proxy->tick.data = proxy;
 	parts_new(proxy);
-	if (!http_address_parse(
-		settings->node.mesh_listen, &proxy->mesh_address))
+	if (!addresses_set(proxy, error))
 		goto fail;
 	proxy->gate = gate_new(proxy, error);
 	source = store_client_new(loop, store_address(settings), error);
