--- a/fleet/mesh_config.c
+++ b/fleet/mesh_config.c
@@ -20,17 +20,31 @@
 {
 	struct mesh_route *route = g_new0(struct mesh_route, 1);
 
+	route->refs = 1;
 	route->parts = g_array_new(FALSE, TRUE, sizeof(struct route_part));
 	g_array_set_clear_func(route->parts, part_clear);
 	return route;
 }
 
 /*
- * Free a route.
+ * Take one more reference.
+ */
+struct mesh_route *
+mesh_route_ref(struct mesh_route *route)
+{
+	g_atomic_int_inc(&route->refs);
+	return route;
+}
+
+/*
+ * Give a reference back; the last frees the route.
  */
 void
-mesh_route_free(struct mesh_route *route)
+mesh_route_unref(struct mesh_route *route)
 {
+	if (!g_atomic_int_dec_and_test(&route->refs))
+		return;
+	g_free(route->source);
 	g_free(route->name);
 	g_free(route->authority);
 	g_free(route->prefix);
@@ -73,9 +87,9 @@
 }
 
 static void
-route_free(void *route)
+route_release(void *route)
 {
-	mesh_route_free(route);
+	mesh_route_unref(route);
 }
 
 static void
@@ -95,7 +109,8 @@
 	config->refs = 1;
 	config->services = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, service_free);
-	config->routes = g_ptr_array_new_with_free_func(route_free);
+	config->routes = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, route_release);
 	config->by_authority = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, routes_unref);
 	return config;
@@ -122,7 +137,7 @@
 	g_free(config->label);
 	g_hash_table_destroy(config->by_authority);
 	g_hash_table_destroy(config->services);
-	g_ptr_array_unref(config->routes);
+	g_hash_table_destroy(config->routes);
 	g_free(config);
 }
 
@@ -132,7 +147,7 @@
 void
 mesh_config_add_route(struct mesh_config *config, struct mesh_route *route)
 {
-	g_ptr_array_add(config->routes, route);
+	g_hash_table_replace(config->routes, route->name, route);
 }
 
 /*
@@ -179,10 +194,11 @@
 mesh_config_seal(struct mesh_config *config)
 {
 	GHashTableIter iter;
-	void *routes;
+	void *routes, *value;
 
-	for (guint i = 0; i < config->routes->len; i++) {
-		struct mesh_route *route = config->routes->pdata[i];
+	g_hash_table_iter_init(&iter, config->routes);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct mesh_route *route = value;
 
 		if (!route_is_complete(config, route))
 			return false;
@@ -201,6 +217,15 @@
 	return true;
 }
 
+/*
+ * Find a route by name; NULL when there is none.
+ */
+struct mesh_route *
+mesh_config_route(const struct mesh_config *config, const char *name)
+{
+	return g_hash_table_lookup(config->routes, name);
+}
+
 /*
  * Find a service by name; NULL when there is none.
  */
--- a/include/fleet/mesh_config.h
+++ b/include/fleet/mesh_config.h
@@ -13,7 +13,10 @@
 	uint32_t weight;
 };
 
+/* Immutable once it is in a configuration; counted. */
 struct mesh_route {
+	int refs;
+	char *source; /* the text that it was decoded from */
 	char *name;
 	char *authority; /* lower case, without a port */
 	char *prefix;    /* begins and ends with a slash */
@@ -48,7 +51,7 @@
 	char *label; /* the operators' name for this version */
 	struct caller_limits limits;
 	GHashTable *services; /* name to struct mesh_service */
-	GPtrArray *routes;    /* struct mesh_route */
+	GHashTable *routes;   /* name to struct mesh_route */
 	GHashTable *by_authority; /* to GPtrArray, longest prefix first */
 };
 
@@ -57,7 +60,8 @@
 /* NULL is allowed. */
 void mesh_config_unref(struct mesh_config *config);
 struct mesh_route *mesh_route_new(void);
-void mesh_route_free(struct mesh_route *route);
+struct mesh_route *mesh_route_ref(struct mesh_route *route);
+void mesh_route_unref(struct mesh_route *route);
 void mesh_route_add_part(
     struct mesh_route *route, struct str service, uint32_t weight);
 struct mesh_service *mesh_service_new(void);
@@ -69,6 +73,9 @@
 /* Make routes findable; false when one names a service that is not there. */
 bool mesh_config_seal(struct mesh_config *config);
 
+/* Route by its name, or NULL. */
+struct mesh_route *mesh_config_route(
+    const struct mesh_config *config, const char *name);
 const struct mesh_service *mesh_config_service(
     const struct mesh_config *config, const char *name);
 /* The longest prefix of the path among the authority's routes, or NULL. */
--- a/tests/platform/test_codec.c
+++ b/tests/platform/test_codec.c
@@ -48,7 +48,7 @@
 {
 	GBytes *value = text == NULL ? NULL : g_bytes_new(text, strlen(text));
 
-	platform_decode(key, value, change);
+	platform_decode(key, value, NULL, change);
 	if (value != NULL)
 		g_bytes_unref(value);
 	return change->kind;
@@ -98,6 +98,13 @@
 		{ "\"version\":\"r7\"", "\"version\":7" },
 		{ "\"coldPerS\":26.0", "\"coldPerS\":-1" },
 		{ "15000}}", "15000}" },
+		{ "15000}}", "15000}}}" },
+		{ "\"priority\":1,", "\"priority\":1,," },
+		{ "\"r-2\":", "\"r-2\"" },
+		{ "},\"r-2\"", "\"r-2\"" },
+		{ "},\"r-2\"", "}\"r-2\"" },
+		{ "2},\"r-2\"", "2},,\"r-2\"" },
+		{ "10}]}}", "10}]},}" },
 	};
 	struct catalog_change change;
 
@@ -114,6 +121,30 @@
 	}
 }
 
+/* What did not change is shared; what did is decoded anew. */
+static void
+test_unchanged_routes_are_shared(void)
+{
+	char *text = replaced(good_config, "\"weight\":90", "\"weight\":80");
+	GBytes *value = g_bytes_new(text, strlen(text));
+	struct catalog_change first, second;
+
+	CU_ASSERT_EQUAL_FATAL(
+	    decode("op/config", good_config, &first), CATALOG_CONFIG);
+	platform_decode("op/config", value, first.config, &second);
+	CU_ASSERT_EQUAL_FATAL(second.kind, CATALOG_CONFIG);
+	CU_ASSERT_PTR_EQUAL(mesh_config_route(first.config, "r-1"),
+	    mesh_config_route(second.config, "r-1"));
+	CU_ASSERT_PTR_NOT_EQUAL(mesh_config_route(first.config, "r-2"),
+	    mesh_config_route(second.config, "r-2"));
+	catalog_change_clear(&first);
+	CU_ASSERT_STRING_EQUAL(
+	    mesh_config_route(second.config, "r-1")->prefix, "/a/");
+	catalog_change_clear(&second);
+	g_bytes_unref(value);
+	g_free(text);
+}
+
 static void
 test_upstream(void)
 {
@@ -225,6 +256,7 @@
 	{ "configuration", test_config },
 	{ "a bad configuration is refused whole",
 	    test_config_is_refused_whole },
+	{ "unchanged routes are shared", test_unchanged_routes_are_shared },
 	{ "upstream", test_upstream },
 	{ "foreign upstreams are refused",
 	    test_foreign_upstreams_are_refused },
--- a/trefoilhill-proxy/exchange_dispatch.c
+++ b/trefoilhill-proxy/exchange_dispatch.c
@@ -144,6 +144,10 @@
 {
 	struct upstream *upstream = gate_upstream(exchange->proxy->gate);
 
+	if (proxy_refuses_peers(exchange->proxy)) {
+		exchange_answer_own(exchange, 503, "stopping", false);
+		return;
+	}
 	if (upstream == NULL ||
 	    !str_equal(str_from(upstream->entry.id), exchange->hop.instance)) {
 		exchange_answer_own(exchange, 503, "other_instance", false);
--- a/trefoilhill-proxy/follower.c
+++ b/trefoilhill-proxy/follower.c
@@ -80,7 +80,8 @@
 	struct follower *follower = arg;
 	struct catalog_change change;
 
-	platform_decode(item->key, item->value, &change);
+	platform_decode(item->key, item->value,
+	    catalog_config(follower->proxy->catalog), &change);
 	catalog_apply(follower->proxy->catalog, &change, item->revision,
 	    proxy_now_ms(follower->proxy), grace_ms(follower));
 	catalog_change_clear(&change);
--- a/trefoilhill-proxy/proxy.c
+++ b/trefoilhill-proxy/proxy.c
@@ -20,6 +20,8 @@
 	 */
 	SERVE_PERCENT = 80,
 	FINISH_PERCENT = 95,
+	/* Peers are sent elsewhere sooner: their callers know nothing of it. */
+	PEERS_PERCENT = 45,
 	/* Callers are told of it by readiness, which is asked each second. */
 	STOP_MIN_MS = 2500,
 };
@@ -55,6 +57,20 @@
 	return !proxy->stopping && catalog_config(proxy->catalog) != NULL;
 }
 
+/*
+ * Tell whether requests of peers are refused, so that they go to another
+ * upstream while there is time.
+ */
+bool
+proxy_refuses_peers(const struct proxy *proxy)
+{
+	int64_t grace_ms = proxy->settings->node.grace_ms;
+
+	return proxy->stopping &&
+	    proxy_now_ms(proxy) - proxy->stop_ms >=
+	    grace_ms * PEERS_PERCENT / PERCENT;
+}
+
 static void
 handle_catalog_event(void *arg, enum catalog_event event, const char *subject,
     const char *detail, uint64_t revision)
