--- a/common/json_log.c
+++ b/common/json_log.c
@@ -130,8 +130,8 @@
 	log->stopping = true;
 	pthread_cond_broadcast(&log->changed);
 	while (log->started && !log->done && status == 0)
-		status = pthread_cond_timedwait(
-		    &log->changed, &log->lock, &until);
+		status =
+		    pthread_cond_timedwait(&log->changed, &log->lock, &until);
 	pthread_mutex_unlock(&log->lock);
 	if (log->started && status != 0) {
 		pthread_detach(log->writer);
@@ -160,8 +160,7 @@
 	json_line_int(line, "wall_ms",
 	    (int64_t)wall.tv_sec * 1000 + wall.tv_nsec / 1000000);
 	json_line_cstr(line, "node", log->node);
-	json_line_int(
-	    line, "incarnation", (int64_t)log->settings.incarnation);
+	json_line_int(line, "incarnation", (int64_t)log->settings.incarnation);
 	json_line_cstr(line, "event", event);
 }
 
@@ -284,11 +283,10 @@
 	log = line->log;
 	g_string_append(line->text, "}\n");
 	pthread_mutex_lock(&log->lock);
-	if (log->waiting->len + line->text->len <=
-	    log->settings.buffer_bytes) {
+	if (log->waiting->len + line->text->len <= log->settings.buffer_bytes) {
 		wake = log->waiting->len == 0;
-		g_string_append_len(log->waiting, line->text->str,
-		    (gssize)line->text->len);
+		g_string_append_len(
+		    log->waiting, line->text->str, (gssize)line->text->len);
 	} else {
 		log->left_out++;
 	}
--- a/fleet/catalog.c
+++ b/fleet/catalog.c
@@ -149,8 +149,8 @@
 }
 
 static void
-upstream_remove(struct catalog *catalog, struct upstream *upstream,
-    uint64_t revision)
+upstream_remove(
+    struct catalog *catalog, struct upstream *upstream, uint64_t revision)
 {
 	struct in_addr host = upstream->entry.address.sin_addr;
 
@@ -204,8 +204,8 @@
 	if (upstream == NULL) {
 		upstream = upstream_new(entry, catalog_peer(catalog, entry));
 		upstream->cold_until_ms = now_ms + upstream->entry.cold_ms;
-		g_hash_table_insert(catalog->upstreams,
-		    g_strdup(upstream->entry.id), upstream);
+		g_hash_table_insert(
+		    catalog->upstreams, g_strdup(upstream->entry.id), upstream);
 		group_add(catalog, upstream);
 		tell_upstream(catalog, upstream, revision);
 		return;
@@ -222,8 +222,8 @@
 	if (old_host.s_addr != upstream->entry.address.sin_addr.s_addr) {
 		struct fleet_peer *old_peer = upstream->peer;
 
-		upstream->peer = fleet_peer_ref(
-		    catalog_peer(catalog, &upstream->entry));
+		upstream->peer =
+		    fleet_peer_ref(catalog_peer(catalog, &upstream->entry));
 		fleet_peer_unref(old_peer);
 		peer_prune(catalog, old_host);
 	}
@@ -265,8 +265,7 @@
 		    catalog, change->subject, revision, now_ms, grace_ms);
 		break;
 	case CATALOG_ZONE_OUT:
-		g_hash_table_add(
-		    catalog->zones_out, g_strdup(change->subject));
+		g_hash_table_add(catalog->zones_out, g_strdup(change->subject));
 		catalog_tell(catalog, CATALOG_EVENT_ZONE_OUT, change->subject,
 		    "", revision);
 		break;
--- a/fleet/mesh_config.c
+++ b/fleet/mesh_config.c
@@ -107,12 +107,12 @@
 	struct mesh_config *config = g_new0(struct mesh_config, 1);
 
 	config->refs = 1;
-	config->services = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, NULL, service_free);
-	config->routes = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, NULL, route_release);
-	config->by_authority = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, NULL, routes_unref);
+	config->services =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, service_free);
+	config->routes =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, route_release);
+	config->by_authority =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, routes_unref);
 	return config;
 }
 
@@ -202,8 +202,8 @@
 
 		if (!route_is_complete(config, route))
 			return false;
-		routes = g_hash_table_lookup(
-		    config->by_authority, route->authority);
+		routes =
+		    g_hash_table_lookup(config->by_authority, route->authority);
 		if (routes == NULL) {
 			routes = g_ptr_array_new();
 			g_hash_table_insert(
--- a/fleet/replica.c
+++ b/fleet/replica.c
@@ -10,8 +10,8 @@
 
 struct replica {
 	struct replica_ops ops;
-	GHashTable *items;  /* key to struct replica_item */
-	GQueue deletions;   /* struct replica_item * without value, by revision */
+	GHashTable *items; /* key to struct replica_item */
+	GQueue deletions; /* struct replica_item * without value, by revision */
 	uint64_t revision;  /* whole up to here */
 	uint64_t floor;     /* history is whole after this */
 	bool filling;       /* between whole_begin and whole_end */
@@ -27,8 +27,8 @@
 	struct replica *replica = g_new0(struct replica, 1);
 
 	replica->ops = ops;
-	replica->items =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, replica_item_free);
+	replica->items = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, replica_item_free);
 	g_queue_init(&replica->deletions);
 	return replica;
 }
--- a/fleet/upstream.c
+++ b/fleet/upstream.c
@@ -93,8 +93,8 @@
  * Take over the word of the guard beside the upstream.
  */
 void
-upstream_learn(struct upstream *upstream, const struct load_report *load,
-    int64_t now_ms)
+upstream_learn(
+    struct upstream *upstream, const struct load_report *load, int64_t now_ms)
 {
 	upstream->load = *load;
 	upstream->load_ms = now_ms;
--- a/guard/admission.c
+++ b/guard/admission.c
@@ -10,24 +10,24 @@
 	FAILING_WEIGHT = 16,
 	FAILING_SCALE = 1000,
 	FAILING_HALF_LIFE_MS = 1500, /* old failures say little */
-	LIMIT_SCALE = 16, /* the limit moves in sixteenths */
-	LIMIT_FLOOR_DIVISOR = 2, /* sheds take it down to this part of it */
+	LIMIT_SCALE = 16,            /* the limit moves in sixteenths */
+	LIMIT_FLOOR_DIVISOR = 2,     /* sheds take it down to this part of it */
 };
 
 struct admission {
 	struct admission_bounds settings;
 	bool open;
 	uint32_t slots;
-	uint32_t limit;     /* in parts of LIMIT_SCALE */
+	uint32_t limit; /* in parts of LIMIT_SCALE */
 	uint32_t in_flight;
 	uint32_t bulk_limit; /* 0: none */
 	uint32_t bulk_transfer_ms;
 	uint32_t bulk_in_flight;
 	uint32_t bulk_queued;
-	GQueue queue;       /* struct admission_waiter, next first */
+	GQueue queue; /* struct admission_waiter, next first */
 	int64_t cold_until_ms;
 	double cold_per_s;
-	GQueue starts;      /* times of recent starts, oldest first */
+	GQueue starts; /* times of recent starts, oldest first */
 	uint32_t latency_us;
 	uint32_t failing;
 	int64_t failing_ms; /* when it was learned */
@@ -102,8 +102,8 @@
 queue_refuse_all(struct admission *admission, enum admission_reason reason)
 {
 	while (!g_queue_is_empty(&admission->queue))
-		turn_give(admission, g_queue_peek_head(&admission->queue),
-		    reason);
+		turn_give(
+		    admission, g_queue_peek_head(&admission->queue), reason);
 }
 
 /*
@@ -122,8 +122,7 @@
  * Let the upstream count as cold until a time, with a rate of its own.
  */
 void
-admission_set_cold(
-    struct admission *admission, int64_t until_ms, double per_s)
+admission_set_cold(struct admission *admission, int64_t until_ms, double per_s)
 {
 	admission->cold_until_ms = until_ms;
 	admission->cold_per_s = per_s;
@@ -228,8 +227,8 @@
 	most = MAX(1, (uint32_t)admission->cold_per_s);
 	if (g_queue_get_length(&admission->starts) < most)
 		return now_ms;
-	oldest = g_queue_peek_nth(&admission->starts,
-	    g_queue_get_length(&admission->starts) - most);
+	oldest = g_queue_peek_nth(
+	    &admission->starts, g_queue_get_length(&admission->starts) - most);
 	return MIN(*oldest + COLD_WINDOW_MS, admission->cold_until_ms);
 }
 
@@ -250,10 +249,10 @@
 	return (int64_t)MAX(MAX(by_limit, by_rate), by_link);
 }
 
-/* Does one go before another? More urgent first, then whose time is up first. */
+/* Does one go before another? More urgent first, then whose time is up first.
+ */
 static bool
-goes_before(
-    const struct admission_waiter *a, const struct admission_waiter *b)
+goes_before(const struct admission_waiter *a, const struct admission_waiter *b)
 {
 	if (a->priority != b->priority)
 		return a->priority < b->priority;
@@ -332,8 +331,7 @@
  * Take a request out of the queue. Nothing happens if it is not there.
  */
 void
-admission_withdraw(
-    struct admission *admission, struct admission_waiter *waiter)
+admission_withdraw(struct admission *admission, struct admission_waiter *waiter)
 {
 	if (waiter->queued)
 		queue_remove(admission, waiter);
@@ -402,8 +400,7 @@
 static void
 learn_shed(struct admission *admission)
 {
-	uint32_t least =
-	    admission->slots * LIMIT_SCALE / LIMIT_FLOOR_DIVISOR;
+	uint32_t least = admission->slots * LIMIT_SCALE / LIMIT_FLOOR_DIVISOR;
 
 	if (admission->limit >= least + LIMIT_SCALE)
 		admission->limit -= LIMIT_SCALE;
@@ -519,7 +516,8 @@
 	uint32_t limit = limit_now(admission);
 
 	if (is_cold(admission, now_ms)) {
-		double rate = admission->cold_per_s * admission->latency_us / 1e6;
+		double rate =
+		    admission->cold_per_s * admission->latency_us / 1e6;
 
 		limit = MIN(limit, MAX(1, (uint32_t)rate));
 	}
@@ -533,8 +531,8 @@
 		    ? admission->bulk_queued + 1
 		    : admission->bulk_queued,
 		.bulk_transfer_ms = admission->bulk_transfer_ms,
-		.accepting = admission->open &&
-		    admission->paused_until_ms <= now_ms,
+		.accepting =
+		    admission->open && admission->paused_until_ms <= now_ms,
 	};
 }
 
--- a/http/call.c
+++ b/http/call.c
@@ -8,7 +8,7 @@
 	GByteArray *body;
 	struct http_stream *stream; /* NULL: none, or closed */
 	bool connected;
-	bool reused;  /* a kept connection: one more try on a fresh one */
+	bool reused; /* a kept connection: one more try on a fresh one */
 	bool ended;
 };
 
@@ -139,8 +139,8 @@
 		if (call->stream != NULL)
 			return;
 	}
-	call_end(call,
-	    call->connected ? HTTP_CALL_LOST : HTTP_CALL_UNCONNECTED);
+	call_end(
+	    call, call->connected ? HTTP_CALL_LOST : HTTP_CALL_UNCONNECTED);
 }
 
 static const struct http_stream_ops call_ops = {
--- a/http/head.c
+++ b/http/head.c
@@ -137,8 +137,8 @@
 	while (at < list.len) {
 		const char *start = list.ptr + at;
 		const char *comma = memchr(start, ',', list.len - at);
-		size_t len = comma == NULL ? list.len - at
-					   : (size_t)(comma - start);
+		size_t len =
+		    comma == NULL ? list.len - at : (size_t)(comma - start);
 		struct str item = str_make(start, len);
 
 		while (item.len > 0 && g_ascii_isspace(item.ptr[0]))
--- a/http/listener.c
+++ b/http/listener.c
@@ -71,20 +71,19 @@
 	int status;
 
 	if (!http_address_parse(address, &bind_to)) {
-		g_set_error(error, HTTP_LISTEN_ERROR,
-		    HTTP_LISTEN_ERROR_ADDRESS, "%.*s: not IP:PORT",
-		    STR_ARG(address));
+		g_set_error(error, HTTP_LISTEN_ERROR, HTTP_LISTEN_ERROR_ADDRESS,
+		    "%.*s: not IP:PORT", STR_ARG(address));
 		return NULL;
 	}
 	listener = g_new0(struct http_listener, 1);
 	listener->accept = accept;
 	listener->arg = arg;
 	uv_tcp_init(loop, &listener->tcp);
-	status = uv_tcp_bind(
-	    &listener->tcp, (const struct sockaddr *)&bind_to, 0);
+	status =
+	    uv_tcp_bind(&listener->tcp, (const struct sockaddr *)&bind_to, 0);
 	if (status == 0)
-		status = uv_listen((uv_stream_t *)&listener->tcp, BACKLOG,
-		    handle_connection);
+		status = uv_listen(
+		    (uv_stream_t *)&listener->tcp, BACKLOG, handle_connection);
 	if (status != 0) {
 		g_set_error(error, HTTP_LISTEN_ERROR, HTTP_LISTEN_ERROR_BIND,
 		    "%.*s: %s", STR_ARG(address), uv_strerror(status));
--- a/http/pool.c
+++ b/http/pool.c
@@ -180,8 +180,7 @@
 
 		if (newest->draining)
 			continue;
-		if (newest->until_ms <= now ||
-		    now - newest->since_ms > idle_ms)
+		if (newest->until_ms <= now || now - newest->since_ms > idle_ms)
 			return NULL;
 		g_array_remove_index(pool->idle, i - 1);
 		stream->ops = ops;
@@ -195,8 +194,8 @@
  * Dial a new connection; NULL when not even a socket could be had.
  */
 struct http_stream *
-http_pool_dial(struct http_pool *pool, const struct http_stream_ops *ops,
-    void *owner)
+http_pool_dial(
+    struct http_pool *pool, const struct http_stream_ops *ops, void *owner)
 {
 	struct http_stream *stream =
 	    http_stream_new(pool->loop, HTTP_SIDE_CLIENT, ops, owner);
@@ -213,8 +212,7 @@
 idle_ms_allowed(const struct http_pool *pool, const struct http_stream *stream)
 {
 	static const char key[] = "timeout=";
-	struct str field =
-	    http_head_find(stream->head, str_from("keep-alive"));
+	struct str field = http_head_find(stream->head, str_from("keep-alive"));
 	const char *found = field.len == 0
 	    ? NULL
 	    : g_strstr_len(field.ptr, (gssize)field.len, key);
--- a/http/stream.c
+++ b/http/stream.c
@@ -26,8 +26,8 @@
 	uv_buf_t buffer;
 };
 
-static void stream_parse(struct http_stream *stream, const char *bytes,
-    size_t len);
+static void stream_parse(
+    struct http_stream *stream, const char *bytes, size_t len);
 
 static void
 handle_closed(uv_handle_t *handle)
@@ -270,8 +270,8 @@
 	if (stream->closing || total == 0)
 		return;
 	if (http_stream_queued(stream) == 0)
-		taken = uv_try_write(
-		    (uv_stream_t *)&stream->tcp, buffers, count);
+		taken =
+		    uv_try_write((uv_stream_t *)&stream->tcp, buffers, count);
 	if (taken > 0)
 		sent = (size_t)taken;
 	if (sent == total)
@@ -335,8 +335,8 @@
 		return;
 	}
 	request = g_new0(uv_shutdown_t, 1);
-	if (uv_shutdown(request, (uv_stream_t *)&stream->tcp,
-		handle_shutdown) != 0) {
+	if (uv_shutdown(
+		request, (uv_stream_t *)&stream->tcp, handle_shutdown) != 0) {
 		g_free(request);
 		uv_close((uv_handle_t *)&stream->tcp, handle_closed);
 	}
@@ -429,8 +429,7 @@
 	if (field_flush(stream) != 0)
 		return -1;
 	stream->head_done = true;
-	stream->has_length =
-	    !chunked && parser->content_length != (uint64_t)-1;
+	stream->has_length = !chunked && parser->content_length != (uint64_t)-1;
 	stream->length = stream->has_length ? parser->content_length : 0;
 	stream->keep_alive = http_should_keep_alive(parser) != 0;
 	if (stream->side == HTTP_SIDE_SERVER) {
@@ -513,8 +512,8 @@
 			return;
 	}
 	stream->parsing = true;
-	used = http_parser_execute(
-	    &stream->parser, &parser_settings, bytes, len);
+	used =
+	    http_parser_execute(&stream->parser, &parser_settings, bytes, len);
 	stream->parsing = false;
 	if (stream->closing)
 		return;
@@ -522,7 +521,8 @@
 	if (stream->message_done) {
 		/* http_parser counts the byte it stopped before. */
 		http_parser_pause(&stream->parser, 0);
-		if (used < len && !pending_add(stream, bytes + used, len - used))
+		if (used < len &&
+		    !pending_add(stream, bytes + used, len - used))
 			stream_read_stop(stream);
 		stream->ops->handle_message(stream);
 		return;
--- a/include/common/json_log.h
+++ b/include/common/json_log.h
@@ -29,7 +29,7 @@
 	int fd;
 	struct str node;
 	uint64_t incarnation;
-	uint32_t lines_per_s;  /* of all classes; LOG_CLASS_STATE has no bound */
+	uint32_t lines_per_s; /* of all classes; LOG_CLASS_STATE has no bound */
 	uint32_t buffer_bytes; /* that may wait for the reader */
 };
 
--- a/include/fleet/catalog.h
+++ b/include/fleet/catalog.h
@@ -26,8 +26,8 @@
 	enum catalog_change_kind kind;
 	struct mesh_config *config;
 	struct upstream_entry entry; /* CATALOG_UPSTREAM */
-	char *subject; /* id of the upstream, or zone */
-	char *reason;  /* CATALOG_INVALID */
+	char *subject;               /* id of the upstream, or zone */
+	char *reason;                /* CATALOG_INVALID */
 };
 
 /* What a change did; a log line each. */
@@ -76,8 +76,7 @@
 const struct upstream_group *catalog_group(
     const struct catalog *catalog, const char *service);
 /* Listed upstream by id, or NULL. */
-struct upstream *catalog_upstream(
-    const struct catalog *catalog, struct str id);
+struct upstream *catalog_upstream(const struct catalog *catalog, struct str id);
 /* The newest upstream that is listed at this address, or NULL. */
 struct upstream *catalog_upstream_at(
     const struct catalog *catalog, const struct sockaddr_in *address);
--- a/include/fleet/mesh_config.h
+++ b/include/fleet/mesh_config.h
@@ -21,7 +21,7 @@
 	char *authority; /* lower case, without a port */
 	char *prefix;    /* begins and ends with a slash */
 	bool idempotent;
-	bool bulk;       /* answers are large */
+	bool bulk;             /* answers are large */
 	uint32_t timeout_ms;   /* longest time an answer may take */
 	uint32_t objective_ms; /* an answer within it is on time */
 	uint32_t attempts_max; /* upstreams that may run one request */
@@ -33,8 +33,8 @@
 	char *name;
 	char *health_path;
 	uint32_t connections_max; /* of one upstream, from all callers */
-	uint32_t cold_ms;         /* how long an upstream is cold after a start */
-	double cold_per_s;        /* requests a second that it bears meanwhile */
+	uint32_t cold_ms;  /* how long an upstream is cold after a start */
+	double cold_per_s; /* requests a second that it bears meanwhile */
 };
 
 /* What callers may send, and how long they may take. */
@@ -50,8 +50,8 @@
 	int refs;
 	char *label; /* the operators' name for this version */
 	struct caller_limits limits;
-	GHashTable *services; /* name to struct mesh_service */
-	GHashTable *routes;   /* name to struct mesh_route */
+	GHashTable *services;     /* name to struct mesh_service */
+	GHashTable *routes;       /* name to struct mesh_route */
 	GHashTable *by_authority; /* to GPtrArray, longest prefix first */
 };
 
@@ -79,7 +79,7 @@
 const struct mesh_service *mesh_config_service(
     const struct mesh_config *config, const char *name);
 /* The longest prefix of the path among the authority's routes, or NULL. */
-const struct mesh_route *mesh_config_match(const struct mesh_config *config,
-    struct str authority, struct str target);
+const struct mesh_route *mesh_config_match(
+    const struct mesh_config *config, struct str authority, struct str target);
 
 #endif
--- a/include/fleet/replica.h
+++ b/include/fleet/replica.h
@@ -36,8 +36,7 @@
 void replica_put(
     struct replica *replica, struct str key, GBytes *value, uint64_t revision);
 /* The same, with an item whose compressed value is kept too. */
-void replica_put_item(
-    struct replica *replica, const struct replica_item *item);
+void replica_put_item(struct replica *replica, const struct replica_item *item);
 /* All changes up to this revision have been put. */
 void replica_advance(struct replica *replica, uint64_t revision);
 /*
--- a/include/fleet/source.h
+++ b/include/fleet/source.h
@@ -34,8 +34,8 @@
 };
 
 struct item_source_ops {
-	void (*read_whole)(struct item_source *source,
-	    uint32_t timeout_ms, struct source_handler handler);
+	void (*read_whole)(struct item_source *source, uint32_t timeout_ms,
+	    struct source_handler handler);
 	/* Waits up to wait_ms for the first change after a revision. */
 	void (*read_changes)(struct item_source *source, uint64_t after,
 	    uint32_t wait_ms, struct source_handler handler);
--- a/include/guard/admission.h
+++ b/include/guard/admission.h
@@ -10,8 +10,8 @@
 /*
  * Decides which requests the one upstream behind it gets, and when: a limit
  * of requests at once, a rate while the upstream is cold, and a short queue
- * by priority and then by the latest start. Pure state, without I/O; times are milliseconds of a steady
- * clock.
+ * by priority and then by the latest start. Pure state, without I/O; times are
+ * milliseconds of a steady clock.
  */
 struct admission;
 
@@ -34,9 +34,9 @@
 
 enum admission_outcome {
 	ADMISSION_GOOD,
-	ADMISSION_FAILED,    /* the upstream answered with a failure */
-	ADMISSION_SHED,      /* it did not begin the request: it is full */
-	ADMISSION_BROKEN,    /* the connection ended without an answer */
+	ADMISSION_FAILED, /* the upstream answered with a failure */
+	ADMISSION_SHED,   /* it did not begin the request: it is full */
+	ADMISSION_BROKEN, /* the connection ended without an answer */
 	ADMISSION_REFUSED_CONNECTION,
 	ADMISSION_CANCELLED, /* nobody waits for the answer any more */
 	ADMISSION_MISSED,    /* its deadline passed */
--- a/include/http/pool.h
+++ b/include/http/pool.h
@@ -27,8 +27,8 @@
 struct http_stream *http_pool_take(struct http_pool *pool,
     const struct http_stream_ops *ops, void *owner, uint32_t idle_ms);
 /* Dial a new one: handle_connect or handle_end follows. NULL: no socket. */
-struct http_stream *http_pool_dial(struct http_pool *pool,
-    const struct http_stream_ops *ops, void *owner);
+struct http_stream *http_pool_dial(
+    struct http_pool *pool, const struct http_stream_ops *ops, void *owner);
 /* Give back a stream whose answer was read whole. */
 void http_pool_give(struct http_pool *pool, struct http_stream *stream);
 /* Give back a stream whose answer is of no use but may still be coming. */
--- a/include/http/stream.h
+++ b/include/http/stream.h
@@ -20,9 +20,9 @@
 
 /* Why a connection ended, or a message could not be read. */
 enum http_end {
-	HTTP_END_EOF,      /* the other side closed it in order */
-	HTTP_END_RESET,    /* reset, or a write failed */
-	HTTP_END_CONNECT,  /* the connection was never established */
+	HTTP_END_EOF,     /* the other side closed it in order */
+	HTTP_END_RESET,   /* reset, or a write failed */
+	HTTP_END_CONNECT, /* the connection was never established */
 	HTTP_END_MALFORMED,
 	HTTP_END_TOO_LARGE, /* header above the limit */
 };
@@ -66,17 +66,17 @@
 	bool connected;
 	bool message_begun;
 	bool head_done;
-	bool message_done;    /* waits for http_stream_next */
-	bool skip_body;       /* answer to HEAD */
-	bool has_length;      /* of the message's body */
+	bool message_done; /* waits for http_stream_next */
+	bool skip_body;    /* answer to HEAD */
+	bool has_length;   /* of the message's body */
 	uint64_t length;
-	bool keep_alive;      /* after this message */
+	bool keep_alive; /* after this message */
 	bool eof;
 	bool reading;
 	bool closing;
 	bool parsing;
 	bool over_high;
-	uint64_t body_bytes;  /* of this message so far */
+	uint64_t body_bytes; /* of this message so far */
 };
 
 /* A new stream for an accepted or a dialled connection. */
--- a/include/platform/headers.h
+++ b/include/platform/headers.h
@@ -12,17 +12,17 @@
 /* What an upstream's answer says of itself. Views into its head. */
 struct answer_marks {
 	struct str id;
-	bool is_signed;     /* an upstream made it, nobody on the way */
-	bool not_run;       /* the upstream did not begin the request */
+	bool is_signed;      /* an upstream made it, nobody on the way */
+	bool not_run;        /* the upstream did not begin the request */
 	struct str instance; /* the upstream's id, where it tells it */
-	int64_t cold_ms;    /* how much longer it is cold; -1: not told */
+	int64_t cold_ms;     /* how much longer it is cold; -1: not told */
 };
 
 /* Fields that the system itself sets on the way to an upstream. */
 struct forward_marks {
-	int64_t deadline_ms;     /* what is left; -1: leave it out */
-	struct str instance;     /* the upstream that is meant */
-	struct str caller;       /* service at whose host the request began */
+	int64_t deadline_ms; /* what is left; -1: leave it out */
+	struct str instance; /* the upstream that is meant */
+	struct str caller;   /* service at whose host the request began */
 };
 
 void platform_read_request(
--- a/include/platform/json_fields.h
+++ b/include/platform/json_fields.h
@@ -23,8 +23,8 @@
 bool json_read_object(const json_t *object, const char *name,
     const json_t **value, GError **error);
 /* Views into the JSON value. */
-bool json_read_text(const json_t *object, const char *name,
-    const char **value, GError **error);
+bool json_read_text(
+    const json_t *object, const char *name, const char **value, GError **error);
 bool json_read_u64(const json_t *object, const char *name, uint64_t max,
     uint64_t *value, GError **error);
 bool json_read_u32(const json_t *object, const char *name, uint32_t max,
--- a/include/route/balance.h
+++ b/include/route/balance.h
@@ -15,11 +15,11 @@
 struct balance_request {
 	const struct catalog *catalog;
 	const char *service;
-	const char *zone;      /* of this node */
-	struct in_addr host;   /* of this node */
+	const char *zone;    /* of this node */
+	struct in_addr host; /* of this node */
 	uint32_t objective_ms;
-	uint32_t run_ms;       /* that such a request usually takes */
-	bool bulk;             /* the answer is large */
+	uint32_t run_ms; /* that such a request usually takes */
+	bool bulk;       /* the answer is large */
 	int64_t now_ms;
 	const struct upstream *tried[BALANCE_TRIED_MAX];
 	size_t tried_count;
@@ -29,7 +29,7 @@
 	struct upstream *upstream; /* borrowed; NULL: none can take it */
 	uint32_t candidates;       /* that could have been chosen */
 	uint32_t expected_ms;      /* until the answer */
-	bool last_resort;          /* it was avoided, but nothing else is left */
+	bool last_resort; /* it was avoided, but nothing else is left */
 };
 
 struct balance_choice balance_pick(
--- a/include/route/repeat_budget.h
+++ b/include/route/repeat_budget.h
@@ -14,7 +14,7 @@
 
 struct repeat_budget_settings {
 	uint32_t window_ms;
-	double ratio;    /* repeats for each fresh request */
+	double ratio;     /* repeats for each fresh request */
 	double allowance; /* repeats in a window beyond that, of all nodes */
 };
 
--- a/include/trefoilhill-proxy/attempt.h
+++ b/include/trefoilhill-proxy/attempt.h
@@ -36,22 +36,22 @@
 	uint32_t number;           /* of this request's, from 0 */
 	bool local;                /* through the gate of this host */
 	bool hedge;
-	bool repeat;               /* of one that may have run */
+	bool repeat; /* of one that may have run */
 	int64_t begun_ms;
-	int64_t sent_ms;           /* 0: not a byte has been sent */
-	int64_t wait_ms;           /* that the peer may queue it */
+	int64_t sent_ms; /* 0: not a byte has been sent */
+	int64_t wait_ms; /* that the peer may queue it */
 	struct admission_waiter waiter;
-	bool admitted;             /* holds a place at the gate */
+	bool admitted; /* holds a place at the gate */
 	struct http_pool *pool;
 	struct http_stream *stream; /* NULL: none */
-	bool reused;               /* a kept connection */
-	bool discarding;           /* another request's answer is passing */
-	bool answered;             /* the answer's head is in */
-	bool reached;              /* the upstream itself said "not run" */
+	bool reused;                /* a kept connection */
+	bool discarding;            /* another request's answer is passing */
+	bool answered;              /* the answer's head is in */
+	bool reached;               /* the upstream itself said "not run" */
 	bool ended;
 	unsigned status;
-	int64_t run_ms;            /* from sending to the answer's head */
-	uint64_t body_sent;        /* of the request's body */
+	int64_t run_ms;     /* from sending to the answer's head */
+	uint64_t body_sent; /* of the request's body */
 	bool body_ended;
 	uint64_t answer_bytes;
 };
@@ -69,8 +69,8 @@
 void attempt_discard(struct attempt *attempt);
 
 /* Shared by its sources alone. */
-void attempt_fail(struct attempt *attempt, enum attempt_fate fate,
-    const char *reason);
+void attempt_fail(
+    struct attempt *attempt, enum attempt_fate fate, const char *reason);
 void attempt_connect(struct attempt *attempt);
 void attempt_release(struct attempt *attempt, enum admission_outcome outcome);
 extern const struct http_stream_ops attempt_stream_ops;
--- a/include/trefoilhill-proxy/exchange.h
+++ b/include/trefoilhill-proxy/exchange.h
@@ -14,8 +14,8 @@
 
 /* One request from its head to the end of its answer. */
 struct exchange {
-	uv_timer_t timer; /* first; ends the exchange at its deadline */
-	uv_timer_t hedge; /* a second send of a slow repeatable request */
+	uv_timer_t timer;      /* first; ends the exchange at its deadline */
+	uv_timer_t hedge;      /* a second send of a slow repeatable request */
 	struct caller *caller; /* NULL: gone */
 	struct proxy *proxy;
 	enum caller_origin origin;
@@ -23,7 +23,7 @@
 	int64_t deadline_ms;
 	/* The request. */
 	struct http_head *head;
-	struct str id; /* view into head */
+	struct str id;         /* view into head */
 	GByteArray *body;      /* what is kept of it */
 	uint64_t body_dropped; /* bytes sent and no longer kept */
 	bool body_whole;
@@ -32,12 +32,12 @@
 	bool is_head_method;
 	bool http_1_0;
 	/* What was decided. */
-	struct mesh_config *config; /* counted */
+	struct mesh_config *config;     /* counted */
 	const struct mesh_route *route; /* of the config; NULL from peers */
-	const char *service;        /* of the route */
-	struct hop_request hop;     /* from peers; views into head */
+	const char *service;            /* of the route */
+	struct hop_request hop;         /* from peers; views into head */
 	bool idempotent;
-	bool bulk;                  /* the answer is large */
+	bool bulk; /* the answer is large */
 	uint32_t priority;
 	uint32_t objective_ms;
 	/* Attempts, oldest first; ended ones are NULL. */
@@ -46,21 +46,21 @@
 	struct upstream *tried_held[BALANCE_TRIED_MAX]; /* counted */
 	size_t tried_count;
 	uint32_t attempt_count;
-	uint32_t runs;       /* attempts that may have run */
-	uint32_t reaches;    /* sends that an upstream saw */
+	uint32_t runs;    /* attempts that may have run */
+	uint32_t reaches; /* sends that an upstream saw */
 	bool hedged;
-	bool may_have_run;   /* by an attempt that has failed */
+	bool may_have_run; /* by an attempt that has failed */
 	/* The answer. */
 	struct attempt *answering;
-	GString *answer_head; /* rendered, not yet sent */
-	GByteArray *held;     /* body bytes that are not yet sent */
+	GString *answer_head;    /* rendered, not yet sent */
+	GByteArray *held;        /* body bytes that are not yet sent */
 	struct shaper_flow flow; /* of a large answer */
-	bool relayed;         /* the answer is whole, some of it waits */
-	bool committed;       /* the caller has seen the answer's head */
+	bool relayed;            /* the answer is whole, some of it waits */
+	bool committed;          /* the caller has seen the answer's head */
 	bool chunked;
 	bool ended;
 	unsigned status;
-	char reason[64];      /* of the last refusal or failure */
+	char reason[64]; /* of the last refusal or failure */
 };
 
 void exchange_begin(struct caller *caller);
@@ -75,8 +75,8 @@
 extern const struct attempt_ops exchange_attempt_ops;
 void exchange_push_body(struct exchange *exchange);
 void exchange_dispatch(struct exchange *exchange);
-void exchange_answer_own(struct exchange *exchange, unsigned status,
-    const char *reason, bool retry);
+void exchange_answer_own(
+    struct exchange *exchange, unsigned status, const char *reason, bool retry);
 void exchange_finish(struct exchange *exchange);
 void exchange_cancel_attempts(
     struct exchange *exchange, const struct attempt *but);
--- a/include/trefoilhill-proxy/hop.h
+++ b/include/trefoilhill-proxy/hop.h
@@ -12,10 +12,10 @@
 
 /* What an entry asks of the node beside an upstream. */
 struct hop_request {
-	struct str instance;  /* id of the upstream that is meant */
-	struct str caller;    /* service at whose host the request began */
-	int64_t left_ms;      /* until nobody waits any more */
-	int64_t wait_ms;      /* that it may be queued at most */
+	struct str instance; /* id of the upstream that is meant */
+	struct str caller;   /* service at whose host the request began */
+	int64_t left_ms;     /* until nobody waits any more */
+	int64_t wait_ms;     /* that it may be queued at most */
 	uint32_t priority;
 	bool idempotent;
 	bool bulk; /* the answer is large */
--- a/include/trefoilhill-proxy/message.h
+++ b/include/trefoilhill-proxy/message.h
@@ -10,11 +10,11 @@
 	int64_t age_ms;    /* since the store confirmed it; -1: never */
 	int64_t doubt_ms;  /* for which removals may still be taken back */
 	bool stopping;
-	char *upstream;    /* id of the sender's own; empty: none */
+	char *upstream;          /* id of the sender's own; empty: none */
 	struct load_report load; /* of that one */
-	GPtrArray *items;  /* struct replica_item; NULL: none come along */
-	bool whole;        /* items are all there is, not changes */
-	uint64_t base;     /* the changes are those after this revision */
+	GPtrArray *items; /* struct replica_item; NULL: none come along */
+	bool whole;       /* items are all there is, not changes */
+	uint64_t base;    /* the changes are those after this revision */
 };
 
 GBytes *message_encode(const struct message *message);
--- a/include/trefoilhilld/setting_desc.h
+++ b/include/trefoilhilld/setting_desc.h
@@ -9,11 +9,11 @@
 
 enum setting_type {
 	SETTING_NAME,
-	SETTING_NAME_OPTIONAL,     /* 1 to 63 bytes of a-z 0-9 . - */
+	SETTING_NAME_OPTIONAL, /* 1 to 63 bytes of a-z 0-9 . - */
 	SETTING_ADDRESS,
-	SETTING_ADDRESS_OPTIONAL,  /* IP:PORT */
-	SETTING_SEEDS,    /* IP:PORT, comma-separated, may be empty */
-	SETTING_HTTP_URL, /* http://IP:PORT */
+	SETTING_ADDRESS_OPTIONAL, /* IP:PORT */
+	SETTING_SEEDS,            /* IP:PORT, comma-separated, may be empty */
+	SETTING_HTTP_URL,         /* http://IP:PORT */
 	SETTING_NUMBER,
 	SETTING_THOUSANDTHS, /* a number with a fraction, kept in thousandths */
 	SETTING_CHOICE,
--- a/include/trefoilhilld/settings.h
+++ b/include/trefoilhilld/settings.h
@@ -36,8 +36,8 @@
 	struct str seeds[SETTINGS_SEEDS_MAX];
 	size_t seed_count;
 	uint32_t caller_threads;
-	uint32_t grace_ms;       /* from a stop signal until it is killed */
-	uint32_t link_kbps;      /* of the host's link; 0: not known */
+	uint32_t grace_ms;         /* from a stop signal until it is killed */
+	uint32_t link_kbps;        /* of the host's link; 0: not known */
 	struct str metrics_listen; /* empty: metrics with readiness only */
 };
 
@@ -76,7 +76,8 @@
 	uint32_t hint_fresh_ms;
 	uint32_t retry_percent;
 	uint32_t retry_window_ms; /* over which repeats are counted */
-	uint32_t retry_allowance; /* repeats in a window beyond the percentage */
+	uint32_t
+	    retry_allowance; /* repeats in a window beyond the percentage */
 	uint32_t timeout_ms;
 };
 
--- a/route/balance.c
+++ b/route/balance.c
@@ -1,9 +1,9 @@
 #include "route/balance.h"
 
 enum {
-	REPORT_FRESH_MS = 3000,  /* an older report says nothing */
+	REPORT_FRESH_MS = 3000,    /* an older report says nothing */
 	LATENCY_PRIOR_US = 100000, /* before the first report */
-	FAILING_AVOIDED = 400,   /* of a thousand: avoided like a lost one */
+	FAILING_AVOIDED = 400,     /* of a thousand: avoided like a lost one */
 	FAILING_SCALE = 1000,
 	/*
 	 * An answer from another zone costs a round trip more and bytes between
@@ -11,8 +11,8 @@
 	 */
 	OTHER_ZONE_MS = 30,
 	OTHER_ZONE_BULK_MS = 120,
-	OTHER_HOST_MS = 4,  /* one more hop */
-	JITTER_MS = 6,      /* keeps entries from choosing alike */
+	OTHER_HOST_MS = 4, /* one more hop */
+	JITTER_MS = 6,     /* keeps entries from choosing alike */
 	/* The own zone is preferred while it answers within this share. */
 	OWN_ZONE_SHARE_PERCENT = 60,
 	/*
@@ -96,8 +96,7 @@
 }
 
 static bool
-is_tried(
-    const struct balance_request *request, const struct upstream *upstream)
+is_tried(const struct balance_request *request, const struct upstream *upstream)
 {
 	for (size_t i = 0; i < request->tried_count; i++)
 		if (request->tried[i] == upstream)
@@ -127,8 +126,9 @@
 
 	return fleet_peer_is_avoided(upstream->peer, now_ms) ||
 	    upstream->peer->stopping ||
-	    (fresh && (!upstream->load.accepting ||
-		upstream->load.failing > FAILING_AVOIDED));
+	    (fresh &&
+		(!upstream->load.accepting ||
+		    upstream->load.failing > FAILING_AVOIDED));
 }
 
 static void
@@ -168,8 +168,8 @@
 	struct ranking own = { 0 }, all = { 0 }, last = { 0 }, fresh = { 0 };
 	const struct ranking *taken = &all;
 	struct balance_choice choice = { 0 };
-	uint64_t own_bound_ms = (uint64_t)request->objective_ms *
-	    OWN_ZONE_SHARE_PERCENT / 100;
+	uint64_t own_bound_ms =
+	    (uint64_t)request->objective_ms * OWN_ZONE_SHARE_PERCENT / 100;
 
 	if (group == NULL)
 		return choice;
--- a/route/run_times.c
+++ b/route/run_times.c
@@ -42,24 +42,22 @@
 void
 run_times_learn(struct run_times *times, const char *route, int64_t run_ms)
 {
-	int64_t mean = GPOINTER_TO_INT(
-	    g_hash_table_lookup(times->routes, route));
+	int64_t mean =
+	    GPOINTER_TO_INT(g_hash_table_lookup(times->routes, route));
 	int64_t scaled = CLAMP(run_ms, 1, 1000000) * SCALE;
 
 	mean = mean == 0 ? scaled : mean + (scaled - mean) / WEIGHT;
-	g_hash_table_insert(times->routes, g_strdup(route),
-	    GINT_TO_POINTER((int)MAX(mean, 1)));
+	g_hash_table_insert(
+	    times->routes, g_strdup(route), GINT_TO_POINTER((int)MAX(mean, 1)));
 }
 
 /*
  * Return the mean time of a route in milliseconds.
  */
 uint32_t
-run_times_ms(
-    struct run_times *times, const char *route, uint32_t fallback_ms)
+run_times_ms(struct run_times *times, const char *route, uint32_t fallback_ms)
 {
-	int mean = GPOINTER_TO_INT(
-	    g_hash_table_lookup(times->routes, route));
+	int mean = GPOINTER_TO_INT(g_hash_table_lookup(times->routes, route));
 
 	return mean == 0 ? fallback_ms : (uint32_t)(mean / SCALE) + 1;
 }
--- a/tests/fleet/test_replica.c
+++ b/tests/fleet/test_replica.c
@@ -153,7 +153,11 @@
 static void
 test_random_sync(void)
 {
-	enum { STEPS = 4000, KEYS = 12, SEEDS = 20 };
+	enum {
+		STEPS = 4000,
+		KEYS = 12,
+		SEEDS = 20
+	};
 
 	for (guint32 seed = 1; seed <= SEEDS; seed++) {
 		GRand *rand = g_rand_new_with_seed(seed);
--- a/tests/guard/test_admission.c
+++ b/tests/guard/test_admission.c
@@ -89,8 +89,7 @@
 	fixture_init(&f);
 	fill(&f, 0);
 	CU_ASSERT_EQUAL(offer(&f, 2, FOREVER_MS, 0, &late), ADMISSION_QUEUED);
-	CU_ASSERT_EQUAL(
-	    offer(&f, 0, FOREVER_MS, 0, &urgent), ADMISSION_QUEUED);
+	CU_ASSERT_EQUAL(offer(&f, 0, FOREVER_MS, 0, &urgent), ADMISSION_QUEUED);
 	finish(&f, ADMISSION_GOOD, 1000, 10);
 	CU_ASSERT_TRUE(urgent->told);
 	CU_ASSERT_EQUAL(urgent->reason, ADMISSION_OK);
@@ -128,15 +127,13 @@
 	fixture_init(&f);
 	fill(&f, 0);
 	for (int i = 0; i < QUEUE_MAX; i++)
-		CU_ASSERT_EQUAL(offer(&f, 5, FOREVER_MS, 0, &queued[i]),
-		    ADMISSION_QUEUED);
+		CU_ASSERT_EQUAL(
+		    offer(&f, 5, FOREVER_MS, 0, &queued[i]), ADMISSION_QUEUED);
 	CU_ASSERT_EQUAL(
 	    offer(&f, 9, FOREVER_MS, 0, &refused), ADMISSION_REFUSED);
-	CU_ASSERT_EQUAL(
-	    offer(&f, 0, FOREVER_MS, 0, &urgent), ADMISSION_QUEUED);
+	CU_ASSERT_EQUAL(offer(&f, 0, FOREVER_MS, 0, &urgent), ADMISSION_QUEUED);
 	CU_ASSERT_TRUE(queued[QUEUE_MAX - 1]->told);
-	CU_ASSERT_EQUAL(
-	    queued[QUEUE_MAX - 1]->reason, ADMISSION_DISPLACED);
+	CU_ASSERT_EQUAL(queued[QUEUE_MAX - 1]->reason, ADMISSION_DISPLACED);
 	CU_ASSERT_FALSE(queued[0]->told);
 	admission_free(f.admission);
 }
@@ -164,7 +161,11 @@
 static void
 test_cold_rate_holds_in_every_second(void)
 {
-	enum { RATE = 10, OFFERS = 40, STEP_MS = 37 };
+	enum {
+		RATE = 10,
+		OFFERS = 40,
+		STEP_MS = 37
+	};
 	int64_t starts[OFFERS];
 	size_t count = 0;
 	struct noted *noted;
@@ -186,8 +187,8 @@
 		CU_ASSERT_TRUE(starts[i] - starts[i - RATE] >= 1000);
 	admission_set_cold(f.admission, 0, RATE);
 	for (int i = 0; i < RATE * 2; i++)
-		CU_ASSERT_EQUAL(offer(&f, 1, FOREVER_MS, OFFERS * STEP_MS,
-				    &noted),
+		CU_ASSERT_EQUAL(
+		    offer(&f, 1, FOREVER_MS, OFFERS * STEP_MS, &noted),
 		    ADMISSION_RUN);
 	admission_free(f.admission);
 }
@@ -210,16 +211,14 @@
 	for (int i = 1; i < SLOTS; i++)
 		finish(&f, ADMISSION_BROKEN, 0, 20);
 	/* After the pause one request alone tries. */
-	CU_ASSERT_EQUAL(
-	    offer(&f, 1, FOREVER_MS, 100, &noted), ADMISSION_RUN);
+	CU_ASSERT_EQUAL(offer(&f, 1, FOREVER_MS, 100, &noted), ADMISSION_RUN);
 	CU_ASSERT_EQUAL(
 	    offer(&f, 1, FOREVER_MS, 100, &noted), ADMISSION_REFUSED);
 	CU_ASSERT_FALSE(admission_take_returned(f.admission));
 	finish(&f, ADMISSION_GOOD, 1000, 120);
 	CU_ASSERT_TRUE(admission_take_returned(f.admission));
 	CU_ASSERT_FALSE(admission_take_returned(f.admission));
-	CU_ASSERT_EQUAL(
-	    offer(&f, 1, FOREVER_MS, 130, &noted), ADMISSION_RUN);
+	CU_ASSERT_EQUAL(offer(&f, 1, FOREVER_MS, 130, &noted), ADMISSION_RUN);
 	admission_free(f.admission);
 }
 
@@ -263,17 +262,15 @@
 		bulk->waiter.bulk = true;
 		bulk->waiter.latest_start_ms = FOREVER_MS;
 		bulk->waiter.handle_turn = handle_turn;
-		CU_ASSERT_EQUAL(admission_offer(
-				    f.admission, &bulk->waiter, 0, &reason),
+		CU_ASSERT_EQUAL(
+		    admission_offer(f.admission, &bulk->waiter, 0, &reason),
 		    i == 0 ? ADMISSION_RUN : ADMISSION_QUEUED);
 	}
-	CU_ASSERT_EQUAL(
-	    offer(&f, 1, FOREVER_MS, 0, &first), ADMISSION_RUN);
+	CU_ASSERT_EQUAL(offer(&f, 1, FOREVER_MS, 0, &first), ADMISSION_RUN);
 	CU_ASSERT_EQUAL(admission_report(f.admission, 0).bulk_waiting, 2);
 	for (int i = 0; i < SLOTS - 2; i++)
 		offer(&f, 1, FOREVER_MS, 0, &small);
-	CU_ASSERT_EQUAL(
-	    offer(&f, 1, FOREVER_MS, 0, &small), ADMISSION_QUEUED);
+	CU_ASSERT_EQUAL(offer(&f, 1, FOREVER_MS, 0, &small), ADMISSION_QUEUED);
 	finish(&f, ADMISSION_GOOD, 1000, 10);
 	CU_ASSERT_TRUE(small->told);
 	CU_ASSERT_FALSE(bulk->told);
@@ -294,8 +291,7 @@
 	admission_set_open(f.admission, false);
 	CU_ASSERT_TRUE(queued->told);
 	CU_ASSERT_EQUAL(queued->reason, ADMISSION_CLOSED);
-	CU_ASSERT_EQUAL(
-	    offer(&f, 1, FOREVER_MS, 0, &noted), ADMISSION_REFUSED);
+	CU_ASSERT_EQUAL(offer(&f, 1, FOREVER_MS, 0, &noted), ADMISSION_REFUSED);
 	CU_ASSERT_FALSE(admission_is_idle(f.admission));
 	for (int i = 0; i < SLOTS; i++)
 		finish(&f, ADMISSION_GOOD, 1, 1);
@@ -314,8 +310,7 @@
 	    test_cold_rate_holds_in_every_second },
 	{ "refused connections pause, one request tries",
 	    test_refused_connections_pause_and_return },
-	{ "sheds leave half of the slots",
-	    test_sheds_leave_half_of_the_slots },
+	{ "sheds leave half of the slots", test_sheds_leave_half_of_the_slots },
 	{ "large answers leave slots to short requests", test_bulk_limit },
 	{ "closing refuses all", test_closing_refuses_all },
 	{ NULL, NULL },
--- a/tests/http/test_stream.c
+++ b/tests/http/test_stream.c
@@ -98,8 +98,7 @@
 	CU_ASSERT_EQUAL_FATAL(bind(f->listener, (void *)&f->address, len), 0);
 	CU_ASSERT_EQUAL_FATAL(listen(f->listener, 8), 0);
 	getsockname(f->listener, (void *)&f->address, &len);
-	f->stream =
-	    http_stream_new(&f->loop, HTTP_SIDE_CLIENT, &ops, f);
+	f->stream = http_stream_new(&f->loop, HTTP_SIDE_CLIENT, &ops, f);
 	CU_ASSERT_TRUE_FATAL(http_stream_connect(f->stream, &f->address));
 	f->raw = accept(f->listener, NULL, NULL);
 	while (!f->stream->connected)
@@ -124,8 +123,8 @@
 static void
 raw_send(struct fixture *f, const char *text)
 {
-	CU_ASSERT_EQUAL(write(f->raw, text, strlen(text)),
-	    (ssize_t)strlen(text));
+	CU_ASSERT_EQUAL(
+	    write(f->raw, text, strlen(text)), (ssize_t)strlen(text));
 }
 
 /* Close with a reset, as a process that crashes does. */
@@ -194,8 +193,7 @@
 	    "HTTP/1.1 500 No\r\nContent-Length: 3\r\n\r\nold"
 	    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 	    "3\r\nnew\r\n0\r\n\r\n");
-	CU_ASSERT_TRUE(
-	    wait_for(&f, "head:500 message head:200 message "));
+	CU_ASSERT_TRUE(wait_for(&f, "head:500 message head:200 message "));
 	CU_ASSERT_STRING_EQUAL(f.body->str, "oldnew");
 	fixture_clear(&f);
 }
@@ -217,7 +215,8 @@
 {
 	struct fixture f;
 	char *filler = g_strnfill(2000, 'x');
-	char *text = g_strdup_printf("HTTP/1.1 200 OK\r\nA: %s\r\n\r\n", filler);
+	char *text =
+	    g_strdup_printf("HTTP/1.1 200 OK\r\nA: %s\r\n\r\n", filler);
 
 	fixture_init(&f);
 	f.stream->head_max_bytes = 1000;
--- a/tests/platform/test_codec.c
+++ b/tests/platform/test_codec.c
@@ -63,8 +63,8 @@
 
 	CU_ASSERT_EQUAL_FATAL(
 	    decode("op/config", good_config, &change), CATALOG_CONFIG);
-	route = mesh_config_match(change.config,
-	    str_from("ORDERS.example:80"), str_from("/a/x?q=/a/b/"));
+	route = mesh_config_match(change.config, str_from("ORDERS.example:80"),
+	    str_from("/a/x?q=/a/b/"));
 	CU_ASSERT_STRING_EQUAL(route->name, "r-1");
 	CU_ASSERT_FALSE(route->idempotent);
 	CU_ASSERT_EQUAL(route->timeout_ms, 1200);
@@ -258,8 +258,7 @@
 	    test_config_is_refused_whole },
 	{ "unchanged routes are shared", test_unchanged_routes_are_shared },
 	{ "upstream", test_upstream },
-	{ "foreign upstreams are refused",
-	    test_foreign_upstreams_are_refused },
+	{ "foreign upstreams are refused", test_foreign_upstreams_are_refused },
 	{ "other keys", test_other_keys },
 	{ "headers", test_headers },
 	{ NULL, NULL },
--- a/tests/route/test_balance.c
+++ b/tests/route/test_balance.c
@@ -166,8 +166,8 @@
 	report(upstream, 10, 100);
 	before_ms = balance_expected_ms(upstream, 100, 100000, NOW_MS);
 	upstream->own += 20;
-	CU_ASSERT_TRUE(
-	    balance_expected_ms(upstream, 100, 100000, NOW_MS) >= before_ms + 200);
+	CU_ASSERT_TRUE(balance_expected_ms(upstream, 100, 100000, NOW_MS) >=
+	    before_ms + 200);
 	fixture_clear(&f);
 }
 
--- a/trefoilhill-proxy/attempt.c
+++ b/trefoilhill-proxy/attempt.c
@@ -111,8 +111,8 @@
 	if (attempt->ended)
 		return;
 	if (!attempt->local)
-		fleet_peer_lost(attempt->upstream->peer,
-		    proxy_now_ms(attempt->proxy));
+		fleet_peer_lost(
+		    attempt->upstream->peer, proxy_now_ms(attempt->proxy));
 	attempt_fail(attempt, ATTEMPT_FATE_NOT_RUN, "connect_timeout");
 }
 
@@ -120,15 +120,14 @@
 attempt_dial(struct attempt *attempt)
 {
 	attempt->reused = false;
-	attempt->stream = http_pool_dial(
-	    attempt->pool, &attempt_stream_ops, attempt);
+	attempt->stream =
+	    http_pool_dial(attempt->pool, &attempt_stream_ops, attempt);
 	if (attempt->stream == NULL) {
 		attempt_fail(attempt, ATTEMPT_FATE_NOT_RUN, "no_socket");
 		return;
 	}
 	if (attempt->local)
-		proxy_count(
-		    &attempt->proxy->stats, STAT_UPSTREAM_CONNECTIONS);
+		proxy_count(&attempt->proxy->stats, STAT_UPSTREAM_CONNECTIONS);
 	uv_timer_start(
 	    &attempt->timer, handle_connect_timeout, CONNECT_MAX_MS, 0);
 }
@@ -139,12 +138,11 @@
 void
 attempt_connect(struct attempt *attempt)
 {
-	uint32_t idle_max_ms = attempt->exchange->idempotent
-	    ? UINT32_MAX
-	    : ONCE_IDLE_MAX_MS;
+	uint32_t idle_max_ms =
+	    attempt->exchange->idempotent ? UINT32_MAX : ONCE_IDLE_MAX_MS;
 
-	attempt->stream = http_pool_take(attempt->pool, &attempt_stream_ops,
-	    attempt, idle_max_ms);
+	attempt->stream = http_pool_take(
+	    attempt->pool, &attempt_stream_ops, attempt, idle_max_ms);
 	attempt->reused = attempt->stream != NULL;
 	if (attempt->reused)
 		attempt_write_request(attempt);
@@ -169,9 +167,8 @@
 may_redial(const struct attempt *attempt)
 {
 	return !attempt->local && attempt->reused &&
-	    attempt->exchange->idempotent &&
-	    !attempt->answered && attempt->body_sent == 0 &&
-	    !attempt->stream->message_begun;
+	    attempt->exchange->idempotent && !attempt->answered &&
+	    attempt->body_sent == 0 && !attempt->stream->message_begun;
 }
 
 static void
@@ -255,13 +252,11 @@
 		return;
 	}
 	if (http_head_find(head, str_from("content-encoding")).len > 0) {
-		attempt_fail(
-		    attempt, ATTEMPT_FATE_UNKNOWN, "answer_encoded");
+		attempt_fail(attempt, ATTEMPT_FATE_UNKNOWN, "answer_encoded");
 		return;
 	}
 	if (head->status < 300 && (!marks.is_signed || marks.id.len == 0)) {
-		attempt_fail(
-		    attempt, ATTEMPT_FATE_UNKNOWN, "answer_unsigned");
+		attempt_fail(attempt, ATTEMPT_FATE_UNKNOWN, "answer_unsigned");
 		return;
 	}
 	attempt->answered = true;
@@ -286,8 +281,8 @@
 		upstream_learn(upstream, &answer.load, now_ms);
 	if (answer.outcome != HOP_ANSWER) {
 		attempt->reached = answer.reached;
-		g_snprintf(reason, sizeof(reason), "%.*s",
-		    STR_ARG(answer.reason));
+		g_snprintf(
+		    reason, sizeof(reason), "%.*s", STR_ARG(answer.reason));
 		fail_and_drain(attempt,
 		    answer.outcome == HOP_NOT_RUN ? ATTEMPT_FATE_NOT_RUN
 						  : ATTEMPT_FATE_UNKNOWN,
@@ -376,9 +371,8 @@
 static void
 handle_turn(struct admission_waiter *waiter, enum admission_reason reason)
 {
-	struct attempt *attempt =
-	    (struct attempt *)((char *)waiter - offsetof(struct attempt,
-						    waiter));
+	struct attempt *attempt = (struct attempt *)((char *)waiter -
+	    offsetof(struct attempt, waiter));
 
 	proxy_latency(&attempt->proxy->stats, LATENCY_QUEUE,
 	    proxy_now_ms(attempt->proxy) - waiter->since_ms);
@@ -388,8 +382,8 @@
 		return;
 	}
 	attempt->admitted = true;
-	exchange_log(attempt->exchange, LOG_CLASS_DECISION, "dequeued",
-	    attempt, "");
+	exchange_log(
+	    attempt->exchange, LOG_CLASS_DECISION, "dequeued", attempt, "");
 	attempt_connect(attempt);
 }
 
@@ -401,8 +395,7 @@
 	int64_t now_ms = proxy_now_ms(attempt->proxy);
 
 	if (gate_upstream(gate) != attempt->upstream) {
-		attempt_fail(
-		    attempt, ATTEMPT_FATE_NOT_RUN, "other_instance");
+		attempt_fail(attempt, ATTEMPT_FATE_NOT_RUN, "other_instance");
 		return;
 	}
 	attempt->pool = gate_pool(gate);
@@ -410,8 +403,8 @@
 	attempt->waiter.priority = attempt->exchange->priority;
 	attempt->waiter.latest_start_ms = now_ms + attempt->wait_ms;
 	attempt->waiter.handle_turn = handle_turn;
-	switch (admission_offer(gate_admission(gate), &attempt->waiter, now_ms,
-	    &reason)) {
+	switch (admission_offer(
+	    gate_admission(gate), &attempt->waiter, now_ms, &reason)) {
 	case ADMISSION_RUN:
 		attempt->admitted = true;
 		attempt_connect(attempt);
--- a/trefoilhill-proxy/attempt_request.c
+++ b/trefoilhill-proxy/attempt_request.c
@@ -110,8 +110,7 @@
 		return;
 	}
 	len = g_snprintf(head, sizeof(head), "%zx\r\n", bytes.len);
-	http_stream_write2(
-	    attempt->stream, str_make(head, (size_t)len), bytes);
+	http_stream_write2(attempt->stream, str_make(head, (size_t)len), bytes);
 	http_stream_write(attempt->stream, str_from("\r\n"));
 }
 
@@ -132,8 +131,8 @@
 	start = attempt->body_sent - exchange->body_dropped;
 	available = exchange->body->len - start;
 	if (available > 0) {
-		write_part(attempt,
-		    str_make(exchange->body->data + start, available));
+		write_part(
+		    attempt, str_make(exchange->body->data + start, available));
 		attempt->body_sent += available;
 	}
 	if (!exchange->body_whole)
--- a/trefoilhill-proxy/caller.c
+++ b/trefoilhill-proxy/caller.c
@@ -122,8 +122,7 @@
 
 	caller->request_whole = false;
 	caller->stream->head_max_bytes = limits.header_max_bytes;
-	uv_timer_start(
-	    &caller->timer, handle_idle, limits.idle_timeout_ms, 0);
+	uv_timer_start(&caller->timer, handle_idle, limits.idle_timeout_ms, 0);
 }
 
 static void
@@ -194,8 +193,7 @@
 	} else if (end == HTTP_END_MALFORMED) {
 		answer_unread(caller, "400 Bad Request");
 	} else if (end == HTTP_END_TOO_LARGE) {
-		answer_unread(
-		    caller, "431 Request Header Fields Too Large");
+		answer_unread(caller, "431 Request Header Fields Too Large");
 	} else {
 		caller_finish(caller);
 	}
--- a/trefoilhill-proxy/exchange.c
+++ b/trefoilhill-proxy/exchange.c
@@ -4,9 +4,9 @@
 #include "trefoilhill-proxy/heartbeat.h"
 
 enum {
-	BODY_EARLY_BYTES = 64 * 1024,  /* larger ones are sent while they come */
-	BODY_HIGH_BYTES = 256 * 1024,  /* the caller is paused above this */
-	DEADLINE_DEFAULT_MS = 10000,   /* when nobody names one */
+	BODY_EARLY_BYTES = 64 * 1024, /* larger ones are sent while they come */
+	BODY_HIGH_BYTES = 256 * 1024, /* the caller is paused above this */
+	DEADLINE_DEFAULT_MS = 10000,  /* when nobody names one */
 	HEARTBEAT_BODY_MAX = 16 * 1024 * 1024,
 };
 
@@ -36,8 +36,8 @@
  * Log one decision about the request, with what it was decided by.
  */
 void
-exchange_log(struct exchange *exchange, enum log_class class,
-    const char *event, const struct attempt *attempt, const char *reason)
+exchange_log(struct exchange *exchange, enum log_class class, const char *event,
+    const struct attempt *attempt, const char *reason)
 {
 	struct proxy *proxy = exchange->proxy;
 	struct json_line *line = json_log_begin(proxy->log, class, event);
@@ -45,11 +45,10 @@
 	if (line == NULL)
 		return;
 	json_line_text(line, "request", exchange->id);
-	json_line_cstr(line, "from",
-	    exchange->origin == CALLER_PEER ? "peer" : "caller");
+	json_line_cstr(
+	    line, "from", exchange->origin == CALLER_PEER ? "peer" : "caller");
 	json_line_cstr(line, "reason", reason);
-	json_line_int(line, "age_ms",
-	    proxy_now_ms(proxy) - exchange->begun_ms);
+	json_line_int(line, "age_ms", proxy_now_ms(proxy) - exchange->begun_ms);
 	json_line_int(line, "left_ms", exchange_left_ms(exchange));
 	json_line_cstr(line, "route",
 	    exchange->route == NULL ? "" : exchange->route->name);
@@ -80,8 +79,7 @@
  * Give up all attempts but one, which may be NULL.
  */
 void
-exchange_cancel_attempts(
-    struct exchange *exchange, const struct attempt *but)
+exchange_cancel_attempts(struct exchange *exchange, const struct attempt *but)
 {
 	for (size_t i = 0; i < EXCHANGE_ATTEMPTS_MAX; i++) {
 		struct attempt *attempt = exchange->attempts[i];
@@ -223,8 +221,8 @@
 deadline_set(struct exchange *exchange, int64_t ms)
 {
 	exchange->deadline_ms = exchange->begun_ms + ms;
-	uv_timer_start(&exchange->timer, handle_deadline,
-	    (uint64_t)MAX(ms, 1), 0);
+	uv_timer_start(
+	    &exchange->timer, handle_deadline, (uint64_t)MAX(ms, 1), 0);
 }
 
 /* The part of a weighted route that this request goes to. */
@@ -259,14 +257,13 @@
 	const struct http_head *head = exchange->head;
 
 	if (config == NULL) {
-		exchange_answer_own(
-		    exchange, 503, "no_configuration", true);
+		exchange_answer_own(exchange, 503, "no_configuration", true);
 		return false;
 	}
 	exchange->config = mesh_config_ref(config);
-	exchange->route = mesh_config_match(config,
-	    http_head_find(head, str_from("host")),
-	    http_head_span(head, head->target));
+	exchange->route =
+	    mesh_config_match(config, http_head_find(head, str_from("host")),
+		http_head_span(head, head->target));
 	if (exchange->route == NULL) {
 		proxy_count(&proxy->stats, STAT_NO_ROUTE);
 		exchange_answer_own(exchange, 404, "no_route", false);
@@ -352,8 +349,8 @@
 	/* A large body is not kept for a repeat. */
 	if (least != UINT64_MAX && end > BODY_EARLY_BYTES &&
 	    least > exchange->body_dropped) {
-		g_byte_array_remove_range(exchange->body, 0,
-		    (guint)(least - exchange->body_dropped));
+		g_byte_array_remove_range(
+		    exchange->body, 0, (guint)(least - exchange->body_dropped));
 		exchange->body_dropped = least;
 	}
 	if (exchange->body->len <= BODY_HIGH_BYTES && exchange->caller != NULL)
@@ -411,8 +408,8 @@
 		exchange->length = exchange->body->len;
 	}
 	if (exchange->origin == CALLER_LOCAL ||
-	    !heartbeat_is_target(http_head_span(
-		exchange->head, exchange->head->target))) {
+	    !heartbeat_is_target(
+		http_head_span(exchange->head, exchange->head->target))) {
 		exchange_dispatch(exchange);
 		return;
 	}
--- a/trefoilhill-proxy/exchange_answer.c
+++ b/trefoilhill-proxy/exchange_answer.c
@@ -27,8 +27,7 @@
 }
 
 static bool
-field_is_relayed(
-    const struct exchange *exchange, const struct http_head *head,
+field_is_relayed(const struct exchange *exchange, const struct http_head *head,
     struct str name)
 {
 	return !http_field_is_hop_by_hop(head, name) &&
@@ -79,8 +78,8 @@
 static void
 handle_room(struct shaper_flow *flow)
 {
-	struct exchange *exchange = (struct exchange *)((char *)flow -
-	    offsetof(struct exchange, flow));
+	struct exchange *exchange =
+	    (struct exchange *)((char *)flow - offsetof(struct exchange, flow));
 	size_t waiting = shaper_flow_waiting(flow);
 
 	if (waiting == 0 && exchange->relayed)
@@ -128,8 +127,8 @@
 		http_stream_write2(exchange->caller->stream,
 		    str_make(text->str, text->len),
 		    str_make(exchange->held->data, exchange->held->len));
-		shaper_charge(exchange->proxy->shaper,
-		    text->len + exchange->held->len);
+		shaper_charge(
+		    exchange->proxy->shaper, text->len + exchange->held->len);
 	} else {
 		send_bytes(exchange, str_make(text->str, text->len));
 		if (exchange->held->len > 0)
@@ -193,8 +192,7 @@
 	}
 	if ((http_stream_queued(to) > HTTP_WRITE_HIGH_BYTES ||
 		shaper_flow_waiting(&exchange->flow) > FLOW_HIGH_BYTES) &&
-	    exchange->answering != NULL &&
-	    exchange->answering->stream != NULL)
+	    exchange->answering != NULL && exchange->answering->stream != NULL)
 		http_stream_pause(exchange->answering->stream);
 }
 
@@ -256,7 +254,7 @@
 
 	if (exchange->origin == CALLER_LOCAL && exchange->status != 404)
 		proxy_count(stats,
-		    refused ? STAT_REFUSED
+		    refused                      ? STAT_REFUSED
 			: exchange->status < 500 ? STAT_BAD_REQUESTS
 						 : STAT_FAILED);
 	exchange_log(exchange, LOG_CLASS_FAILURE,
@@ -268,8 +266,8 @@
  * request has not run and never will, or a failure, which promises nothing.
  */
 void
-exchange_answer_own(struct exchange *exchange, unsigned status,
-    const char *reason, bool retry)
+exchange_answer_own(
+    struct exchange *exchange, unsigned status, const char *reason, bool retry)
 {
 	GString *text = exchange->answer_head;
 
--- a/trefoilhill-proxy/exchange_dispatch.c
+++ b/trefoilhill-proxy/exchange_dispatch.c
@@ -5,7 +5,7 @@
 
 enum {
 	RUN_PRIOR_DIVISOR = 3, /* of the objective, before the first answer */
-	LEFT_MIN_MS = 5, /* nothing can be answered in less */
+	LEFT_MIN_MS = 5,       /* nothing can be answered in less */
 	/* A second send begins after this share of the objective, percent. */
 	HEDGE_OBJECTIVE_PERCENT = 60,
 	HEDGE_LATENCY_FACTOR = 3, /* or this many times the usual latency */
@@ -58,12 +58,11 @@
 	int64_t now_ms = proxy_now_ms(exchange->proxy);
 	int64_t objective_left =
 	    exchange->begun_ms + exchange->objective_ms - now_ms;
-	int64_t least = (int64_t)exchange->objective_ms * WAIT_MIN_PERCENT /
-	    100;
+	int64_t least =
+	    (int64_t)exchange->objective_ms * WAIT_MIN_PERCENT / 100;
 	int64_t most = exchange_left_ms(exchange) - run_ms(exchange);
 
-	return MAX(
-	    0, MIN(MAX(objective_left - run_ms(exchange), least), most));
+	return MAX(0, MIN(MAX(objective_left - run_ms(exchange), least), most));
 }
 
 static void
@@ -80,21 +79,23 @@
 	exchange->attempts[exchange->attempt_count++] = attempt;
 	tried_add(exchange, upstream);
 	exchange_log(exchange, LOG_CLASS_DECISION, "chosen", attempt,
-	    hedge ? "hedge" : repeat ? "repeat" : "");
+	    hedge        ? "hedge"
+		: repeat ? "repeat"
+			 : "");
 	attempt_start(attempt);
 }
 
 static void
 hedge_schedule(struct exchange *exchange)
 {
-	uint64_t delay_ms = (uint64_t)exchange->objective_ms *
-	    HEDGE_OBJECTIVE_PERCENT / 100;
+	uint64_t delay_ms =
+	    (uint64_t)exchange->objective_ms * HEDGE_OBJECTIVE_PERCENT / 100;
 
 	if (!exchange->idempotent || exchange->hedged ||
 	    exchange->route->attempts_max < 2)
 		return;
-	delay_ms = MAX(
-	    delay_ms, (uint64_t)run_ms(exchange) * HEDGE_LATENCY_FACTOR);
+	delay_ms =
+	    MAX(delay_ms, (uint64_t)run_ms(exchange) * HEDGE_LATENCY_FACTOR);
 	uv_timer_start(&exchange->hedge, handle_hedge, delay_ms, 0);
 }
 
@@ -153,8 +154,7 @@
 		exchange_answer_own(exchange, 503, "other_instance", false);
 		return;
 	}
-	start_attempt(
-	    exchange, upstream, exchange->hop.wait_ms, false, false);
+	start_attempt(exchange, upstream, exchange->hop.wait_ms, false, false);
 }
 
 static void
@@ -170,8 +170,8 @@
 	}
 	if (!hedge)
 		hedge_schedule(exchange);
-	start_attempt(exchange, choice.upstream,
-	    wait_allowed_ms(exchange), repeat, hedge);
+	start_attempt(exchange, choice.upstream, wait_allowed_ms(exchange),
+	    repeat, hedge);
 }
 
 /*
@@ -223,12 +223,12 @@
 }
 
 static void
-fail_from_peer(struct exchange *exchange, enum attempt_fate fate,
-    const char *reason)
+fail_from_peer(
+    struct exchange *exchange, enum attempt_fate fate, const char *reason)
 {
 	exchange->may_have_run = fate == ATTEMPT_FATE_UNKNOWN;
-	exchange_answer_own(exchange,
-	    fate == ATTEMPT_FATE_UNKNOWN ? 502 : 503, reason, false);
+	exchange_answer_own(
+	    exchange, fate == ATTEMPT_FATE_UNKNOWN ? 502 : 503, reason, false);
 }
 
 /* The answer that was being passed on broke off. */
@@ -268,8 +268,8 @@
 }
 
 static void
-handle_failed(struct attempt *attempt, enum attempt_fate fate,
-    const char *reason)
+handle_failed(
+    struct attempt *attempt, enum attempt_fate fate, const char *reason)
 {
 	struct exchange *exchange = attempt->exchange;
 	size_t index = attempt_index(exchange, attempt);
@@ -283,8 +283,7 @@
 					 : LOG_CLASS_FAILURE,
 	    fate == ATTEMPT_FATE_NOT_RUN ? "not_run" : "unknown", attempt,
 	    reason);
-	if (attempt == exchange->answering &&
-	    fail_answering(exchange, attempt))
+	if (attempt == exchange->answering && fail_answering(exchange, attempt))
 		return;
 	if (exchange->origin == CALLER_PEER) {
 		if (attempt->reached)
--- a/trefoilhill-proxy/follower.c
+++ b/trefoilhill-proxy/follower.c
@@ -14,10 +14,10 @@
 	FLEET_ASKS_EACH_MS = 400,
 	WATCH_WAIT_MIN_MS = 1500,
 	WATCH_WAIT_MAX_MS = 20000,
-	ZONES_USUAL = 3,      /* of a region */
+	ZONES_USUAL = 3, /* of a region */
 	ASK_GAP_MS = 20,
-	NEWS_GAP_MS = 400,    /* lets changes in quick succession share a call */
-	ROLE_CHECK_MS = 300,  /* how often a node looks whether it must read */
+	NEWS_GAP_MS = 400,   /* lets changes in quick succession share a call */
+	ROLE_CHECK_MS = 300, /* how often a node looks whether it must read */
 	/* With no peer known yet, as when everything starts at once. */
 	ALONE_GAP_MS = 1200,
 	/* A copy that was not confirmed for so long is doubted. */
@@ -44,7 +44,7 @@
 	struct item_source *source;
 	struct replica *replica;
 	bool whole_needed;
-	bool reading;            /* a call is in progress */
+	bool reading; /* a call is in progress */
 	bool was_reader;
 	int64_t fresh_ms;        /* when the store confirmed it; 0: never */
 	int64_t stale_spread_ms; /* this node's own part of the spread */
@@ -143,8 +143,8 @@
 
 	json_line_cstr(line, "reason", reason);
 	json_line_int(line, "age_ms", age_ms);
-	json_line_int(line, "revision",
-	    (int64_t)replica_revision(follower->replica));
+	json_line_int(
+	    line, "revision", (int64_t)replica_revision(follower->replica));
 	json_log_end(line);
 }
 
@@ -170,19 +170,19 @@
 note_failure(struct follower *follower, const struct source_result *result)
 {
 	struct proxy *proxy = follower->proxy;
-	uint64_t delay_ms = MIN(RETRY_FIRST_MS << MIN(follower->failures, 4),
-	    RETRY_MAX_MS);
+	uint64_t delay_ms =
+	    MIN(RETRY_FIRST_MS << MIN(follower->failures, 4), RETRY_MAX_MS);
 
 	proxy_count(&proxy->stats, STAT_STORE_FAILURES);
 	if (follower->lost_since_ms == 0) {
 		follower->lost_since_ms = proxy_now_ms(proxy);
-		log_store(follower, "store_lost",
-		    source_end_name(result->end), 0);
+		log_store(
+		    follower, "store_lost", source_end_name(result->end), 0);
 	}
 	follower->failures++;
 	if (!follower->was_reader)
-		delay_ms = MAX(delay_ms, (uint64_t)peer_count(follower) *
-			FLEET_RETRIES_EACH_MS);
+		delay_ms = MAX(delay_ms,
+		    (uint64_t)peer_count(follower) * FLEET_RETRIES_EACH_MS);
 	follower_after(follower, delay_ms + rng_below(proxy->rng, delay_ms));
 }
 
@@ -198,8 +198,7 @@
 	follower->catching_up = in_outage(follower);
 	if (follower->catching_up)
 		follower->doubt_until_ms = now_ms + OUTAGE_GRACE_MS;
-	log_store(follower, "store_back", "",
-	    now_ms - follower->lost_since_ms);
+	log_store(follower, "store_back", "", now_ms - follower->lost_since_ms);
 	follower->lost_since_ms = 0;
 }
 
@@ -232,15 +231,14 @@
 		note_success(follower);
 		if (result->whole)
 			follower->whole_needed = false;
-		items_put(follower, result->whole, result->items,
-		    result->revision);
+		items_put(
+		    follower, result->whole, result->items, result->revision);
 		follower->catching_up = false;
 		if (replica_revision(follower->replica) > before)
 			heartbeat_spread(follower->proxy->heartbeat);
 		follower_after(follower,
-		    replica_revision(follower->replica) > before
-			? NEWS_GAP_MS
-			: ASK_GAP_MS);
+		    replica_revision(follower->replica) > before ? NEWS_GAP_MS
+								 : ASK_GAP_MS);
 		break;
 	case SOURCE_COMPACTED:
 		log_store(follower, "store_compacted", result->detail, 0);
@@ -279,7 +277,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct fleet_peer *peer = value;
 
-		if (g_strcmp0(peer->zone, proxy->settings->node.zone.ptr) == 0 &&
+		if (g_strcmp0(peer->zone, proxy->settings->node.zone.ptr) ==
+			0 &&
 		    host_rank(peer->host) < own && !peer->stopping &&
 		    !fleet_peer_is_avoided(peer, now_ms))
 			before++;
@@ -308,11 +307,10 @@
 watch_wait_ms(const struct follower *follower)
 {
 	const struct proxy *proxy = follower->proxy;
-	uint32_t readers =
-	    MIN(peer_count(follower), proxy->settings->mesh.readers_per_zone *
-		    ZONES_USUAL);
-	uint32_t most = CLAMP(readers * FLEET_ASKS_EACH_MS, WATCH_WAIT_MIN_MS,
-	    WATCH_WAIT_MAX_MS);
+	uint32_t readers = MIN(peer_count(follower),
+	    proxy->settings->mesh.readers_per_zone * ZONES_USUAL);
+	uint32_t most = CLAMP(
+	    readers * FLEET_ASKS_EACH_MS, WATCH_WAIT_MIN_MS, WATCH_WAIT_MAX_MS);
 
 	return most / 4 + (uint32_t)rng_below(proxy->rng, most * 3 / 4);
 }
@@ -346,7 +344,8 @@
 	}
 	if (alone && follower->fresh_ms != 0 &&
 	    proxy_now_ms(follower->proxy) - follower->fresh_ms < ALONE_GAP_MS) {
-		follower_after(follower, ALONE_GAP_MS +
+		follower_after(follower,
+		    ALONE_GAP_MS +
 			rng_below(follower->proxy->rng, ALONE_GAP_MS));
 		return;
 	}
@@ -404,8 +403,7 @@
 
 	if (word->items != NULL && word->revision > before) {
 		follower->word_grace_ms = MAX(word->doubt_ms, 0);
-		items_put(
-		    follower, word->whole, word->items, word->revision);
+		items_put(follower, word->whole, word->items, word->revision);
 		follower->word_grace_ms = 0;
 		if (word->doubt_ms > 0)
 			follower->doubt_until_ms = MAX(
@@ -442,6 +440,5 @@
 int64_t
 follower_doubt_ms(const struct follower *follower)
 {
-	return MAX(
-	    follower->doubt_until_ms - proxy_now_ms(follower->proxy), 0);
+	return MAX(follower->doubt_until_ms - proxy_now_ms(follower->proxy), 0);
 }
--- a/trefoilhill-proxy/gate.c
+++ b/trefoilhill-proxy/gate.c
@@ -3,16 +3,16 @@
 #include "trefoilhill-proxy/gate.h"
 
 enum {
-	QUEUE_MAX = 256,        /* requests; their bodies are small or paused */
-	PAUSE_FIRST_MS = 50,    /* after a refused connection */
+	QUEUE_MAX = 256,     /* requests; their bodies are small or paused */
+	PAUSE_FIRST_MS = 50, /* after a refused connection */
 	PAUSE_MAX_MS = 400,
 	IDLE_CONNECTIONS_MAX = 32,
-	IDLE_DEFAULT_MS = 600,  /* when the upstream names no time of its own */
+	IDLE_DEFAULT_MS = 600, /* when the upstream names no time of its own */
 	IDLE_MAX_MS = 5000,
 	PERCENT = 100,
 	/* Of the rate that a cold upstream bears; arrivals may bunch. */
 	COLD_RATE_PERCENT = 110,
-	BULK_WEIGHT = 16,      /* a new size counts one part in so many */
+	BULK_WEIGHT = 16, /* a new size counts one part in so many */
 	/* Of the requests that would just fill the link. */
 	BULK_LIMIT_PERCENT = 130,
 	BITS = 8,
@@ -28,8 +28,8 @@
 	char *upstream_id;
 	uint64_t started_ms;
 	bool zone_out;
-	int64_t bulk_bytes;  /* mean size of a large answer */
-	int64_t bulk_run_ms; /* mean time until one begins */
+	int64_t bulk_bytes;            /* mean size of a large answer */
+	int64_t bulk_run_ms;           /* mean time until one begins */
 	int64_t assumed_cold_until_ms; /* not told, but to be expected */
 };
 
@@ -53,9 +53,8 @@
 	struct gate *gate;
 
 	if (!http_address_parse(address, &pool.address)) {
-		g_set_error(error, HTTP_LISTEN_ERROR,
-		    HTTP_LISTEN_ERROR_ADDRESS, "%.*s: not IP:PORT",
-		    STR_ARG(address));
+		g_set_error(error, HTTP_LISTEN_ERROR, HTTP_LISTEN_ERROR_ADDRESS,
+		    "%.*s: not IP:PORT", STR_ARG(address));
 		return NULL;
 	}
 	gate = g_new0(struct gate, 1);
@@ -241,8 +240,8 @@
 	}
 	limit = (gate->bulk_run_ms + transfer_ms) * BULK_LIMIT_PERCENT /
 	    PERCENT / transfer_ms;
-	admission_set_bulk(gate->admission, (uint32_t)MAX(limit, 2),
-	    (uint32_t)transfer_ms);
+	admission_set_bulk(
+	    gate->admission, (uint32_t)MAX(limit, 2), (uint32_t)transfer_ms);
 }
 
 /*
--- a/trefoilhill-proxy/heartbeat.c
+++ b/trefoilhill-proxy/heartbeat.c
@@ -5,13 +5,13 @@
 #include "trefoilhill-proxy/message.h"
 
 enum {
-	TIMEOUT_MS = 700,          /* a peer that is slower counts as lost */
+	TIMEOUT_MS = 700, /* a peer that is slower counts as lost */
 	PUSH_TIMEOUT_MS = 2000,
 	ANSWER_MAX_BYTES = 16 * 1024 * 1024,
-	SPREAD_PEERS = 3,          /* told of news at once */
-	DRAWS_MAX = 8,             /* to find a peer that fits */
+	SPREAD_PEERS = 3,  /* told of news at once */
+	DRAWS_MAX = 8,     /* to find a peer that fits */
 	NEWS_GAP_MS = 300, /* between news taken from peers */
-	EXPECT_MS = 400,           /* for items that a peer is sending */
+	EXPECT_MS = 400,   /* for items that a peer is sending */
 	IDLE_KEPT_MS = 8000,
 };
 
@@ -20,7 +20,7 @@
 struct heartbeat {
 	uv_timer_t *timer;
 	struct proxy *proxy;
-	GHashTable *pools; /* host address to struct http_pool */
+	GHashTable *pools;          /* host address to struct http_pool */
 	uint64_t expected_revision; /* a peer is sending items up to it */
 	int64_t expected_until_ms;
 	int64_t taken_ms; /* when a peer last sent news */
@@ -89,8 +89,7 @@
 add_items(
     struct heartbeat *heartbeat, struct message *message, uint64_t revision)
 {
-	struct replica *replica =
-	    follower_replica(heartbeat->proxy->follower);
+	struct replica *replica = follower_replica(heartbeat->proxy->follower);
 
 	if (replica_revision(replica) <= revision)
 		return;
@@ -108,8 +107,7 @@
 	const struct upstream *upstream = gate_upstream(proxy->gate);
 
 	return (struct message){
-		.revision =
-		    replica_revision(follower_replica(proxy->follower)),
+		.revision = replica_revision(follower_replica(proxy->follower)),
 		.age_ms = follower_age_ms(proxy->follower),
 		.doubt_ms = follower_doubt_ms(proxy->follower),
 		.stopping = proxy->stopping,
@@ -127,8 +125,7 @@
 	    catalog_upstream(proxy->catalog, str_from(message->upstream));
 
 	if (upstream != NULL && upstream != gate_upstream(proxy->gate))
-		upstream_learn(
-		    upstream, &message->load, proxy_now_ms(proxy));
+		upstream_learn(upstream, &message->load, proxy_now_ms(proxy));
 }
 
 static void
@@ -236,8 +233,8 @@
 	g_string_printf(text,
 	    "POST %s HTTP/1.1\r\nHost: node\r\nContent-Length: %zu\r\n\r\n",
 	    target, g_bytes_get_size(body));
-	g_string_append_len(text, g_bytes_get_data(body, NULL),
-	    (gssize)g_bytes_get_size(body));
+	g_string_append_len(
+	    text, g_bytes_get_data(body, NULL), (gssize)g_bytes_get_size(body));
 	settings.request = str_make(text->str, text->len);
 	beat->heartbeat = heartbeat;
 	beat->host = host;
@@ -257,8 +254,8 @@
 
 	take_message(heartbeat, message);
 	if (push ||
-	    message->revision >= replica_revision(follower_replica(
-				     heartbeat->proxy->follower)))
+	    message->revision >=
+		replica_revision(follower_replica(heartbeat->proxy->follower)))
 		return;
 	more = message_make(heartbeat);
 	add_items(heartbeat, &more, message->revision);
@@ -271,9 +268,8 @@
 	struct beat *beat = arg;
 	struct heartbeat *heartbeat = beat->heartbeat;
 	struct proxy *proxy = heartbeat->proxy;
-	struct fleet_peer *peer =
-	    g_hash_table_lookup(catalog_peers(proxy->catalog),
-		GUINT_TO_POINTER(beat->host.s_addr));
+	struct fleet_peer *peer = g_hash_table_lookup(
+	    catalog_peers(proxy->catalog), GUINT_TO_POINTER(beat->host.s_addr));
 	int64_t now_ms = proxy_now_ms(proxy);
 	struct message message;
 
@@ -300,9 +296,8 @@
 {
 	struct proxy *proxy = heartbeat->proxy;
 	guint count;
-	void **peers =
-	    g_hash_table_get_keys_as_array(catalog_peers(proxy->catalog),
-		&count);
+	void **peers = g_hash_table_get_keys_as_array(
+	    catalog_peers(proxy->catalog), &count);
 	const struct fleet_peer *found = NULL;
 
 	for (int i = 0; i < DRAWS_MAX && found == NULL && count > 0; i++) {
@@ -326,8 +321,8 @@
 	const struct fleet_peer *peer = draw_peer(heartbeat, own_zone);
 
 	if (peer != NULL)
-		send_message(heartbeat, peer->host, message_make(heartbeat),
-		    false);
+		send_message(
+		    heartbeat, peer->host, message_make(heartbeat), false);
 }
 
 /*
--- a/trefoilhill-proxy/hop.c
+++ b/trefoilhill-proxy/hop.c
@@ -3,7 +3,10 @@
 
 #include "trefoilhill-proxy/hop.h"
 
-#define NAME(text) { sizeof(text) - 1, text }
+#define NAME(text)                     \
+	{                              \
+		sizeof(text) - 1, text \
+	}
 
 static const struct str request_field = NAME("X-Trefoilhill-Hop");
 static const struct str caller_field = NAME("X-Trefoilhill-Caller");
@@ -49,8 +52,8 @@
 
 /* Copy a short value so that it ends with NUL; false: it is too long. */
 static bool
-value_copy(const struct http_head *head, struct str name, char *out,
-    size_t out_max)
+value_copy(
+    const struct http_head *head, struct str name, char *out, size_t out_max)
 {
 	struct str value = http_head_find(head, name);
 
@@ -89,15 +92,14 @@
  * Append the load of this node's upstream, and how long it took to answer.
  */
 void
-hop_write_load(
-    GString *text, const struct load_report *load, int64_t run_ms)
+hop_write_load(GString *text, const struct load_report *load, int64_t run_ms)
 {
 	char value[FIELD_TEXT_MAX];
 	int len = g_snprintf(value, sizeof(value),
 	    "%u %u %u %u %u %u %u %d %" G_GINT64_FORMAT, load->limit,
 	    load->in_flight, load->queued, load->latency_us, load->failing,
-	    load->bulk_waiting, load->bulk_transfer_ms,
-	    load->accepting ? 1 : 0, (gint64)run_ms);
+	    load->bulk_waiting, load->bulk_transfer_ms, load->accepting ? 1 : 0,
+	    (gint64)run_ms);
 
 	http_text_field(text, load_field, str_make(value, (size_t)len));
 }
--- a/trefoilhill-proxy/message.c
+++ b/trefoilhill-proxy/message.c
@@ -3,9 +3,9 @@
 #include "trefoilhill-proxy/message.h"
 
 enum {
-	PACK_MIN_BYTES = 2048,       /* smaller values go as they are */
-	VALUE_MAX_BYTES = 4 << 20,   /* of one item, unpacked */
-	PACK_LEVEL = 1,              /* the fastest */
+	PACK_MIN_BYTES = 2048,     /* smaller values go as they are */
+	VALUE_MAX_BYTES = 4 << 20, /* of one item, unpacked */
+	PACK_LEVEL = 1,            /* the fastest */
 };
 
 /*
@@ -183,8 +183,8 @@
 message_decode(struct str bytes, struct message *message)
 {
 	GBytes *copy = g_bytes_new(bytes.ptr, bytes.len);
-	GVariant *variant = g_variant_new_from_bytes(
-	    G_VARIANT_TYPE(MESSAGE_TYPE), copy, FALSE);
+	GVariant *variant =
+	    g_variant_new_from_bytes(G_VARIANT_TYPE(MESSAGE_TYPE), copy, FALSE);
 	struct load_report *load = &message->load;
 	gboolean stopping, accepting, has_items, whole;
 	guint64 revision, base;
--- a/trefoilhill-proxy/ops_listener.c
+++ b/trefoilhill-proxy/ops_listener.c
@@ -16,8 +16,8 @@
 	char *text = g_strdup_printf("HTTP/1.1 %s\r\n"
 				     "Content-Type: text/plain\r\n"
 				     "Content-Length: %zu\r\n%s\r\n%s",
-	    status, strlen(body), proxy->stopping ? "Connection: close\r\n" : "",
-	    body);
+	    status, strlen(body),
+	    proxy->stopping ? "Connection: close\r\n" : "", body);
 
 	http_stream_write(stream, str_from(text));
 	g_free(text);
@@ -37,8 +37,7 @@
 handle_message(struct http_stream *stream)
 {
 	struct proxy *proxy = stream->owner;
-	struct str target =
-	    http_head_span(stream->head, stream->head->target);
+	struct str target = http_head_span(stream->head, stream->head->target);
 	GString *metrics;
 
 	if (platform_is_readiness(target)) {
@@ -93,8 +92,7 @@
 
 	listener->proxy = proxy;
 	listener->listener = http_listener_new(proxy->loop,
-	    proxy->settings->node.operator_listen, handle_accept, proxy,
-	    error);
+	    proxy->settings->node.operator_listen, handle_accept, proxy, error);
 	if (listener->listener == NULL)
 		goto fail;
 	if (metrics.len == 0)
--- a/trefoilhill-proxy/proxy.c
+++ b/trefoilhill-proxy/proxy.c
@@ -76,8 +76,8 @@
     const char *detail, uint64_t revision)
 {
 	struct proxy *proxy = arg;
-	struct json_line *line = json_log_begin(
-	    proxy->log, LOG_CLASS_STATE, event_names[event]);
+	struct json_line *line =
+	    json_log_begin(proxy->log, LOG_CLASS_STATE, event_names[event]);
 
 	json_line_cstr(line, "subject", subject);
 	json_line_cstr(line, "detail", detail);
@@ -113,12 +113,11 @@
 {
 	int64_t gone_ms = proxy_now_ms(proxy) - proxy->stop_ms;
 	int64_t grace_ms = proxy->settings->node.grace_ms;
-	bool idle = proxy->exchanges == 0 &&
-	    g_hash_table_size(proxy->callers) == 0;
+	bool idle =
+	    proxy->exchanges == 0 && g_hash_table_size(proxy->callers) == 0;
 
 	if (gone_ms >= grace_ms * SERVE_PERCENT / PERCENT) {
-		http_listener_close(
-		    g_steal_pointer(&proxy->caller_listener));
+		http_listener_close(g_steal_pointer(&proxy->caller_listener));
 		http_listener_close(g_steal_pointer(&proxy->mesh_listener));
 		close_idle_callers(proxy);
 	}
@@ -217,8 +216,7 @@
 	if (!http_address_parse(
 		settings->node.mesh_listen, &proxy->mesh_address) ||
 	    !http_address_parse(settings->upstream.address, &upstream)) {
-		g_set_error(error, HTTP_LISTEN_ERROR,
-		    HTTP_LISTEN_ERROR_ADDRESS,
+		g_set_error(error, HTTP_LISTEN_ERROR, HTTP_LISTEN_ERROR_ADDRESS,
 		    "mesh_listen or the upstream's address: not IP:PORT");
 		return false;
 	}
@@ -227,7 +225,8 @@
 }
 
 /*
- * Build and start every part. The settings are taken over. NULL with error set when a part can't be made.
+ * Build and start every part. The settings are taken over. NULL with error set
+ * when a part can't be made.
  */
 struct proxy *
 proxy_new(uv_loop_t *loop, struct settings *settings, GError **error)
--- a/trefoilhill-proxy/shaper.c
+++ b/trefoilhill-proxy/shaper.c
@@ -2,9 +2,9 @@
 
 enum {
 	PIECE_BYTES = 8 * 1024,
-	BURST_MS = 24,       /* that may stand in the link's queue */
+	BURST_MS = 24, /* that may stand in the link's queue */
 	TURN_MS = 3,
-	RATE_PERCENT = 97,   /* of the link; headers of packets take the rest */
+	RATE_PERCENT = 97, /* of the link; headers of packets take the rest */
 	SOCKET_MAX_BYTES = 64 * 1024, /* a receiver that is slower waits */
 	BITS = 8,
 };
@@ -15,7 +15,7 @@
 	int64_t rate;   /* bytes a millisecond; 0: no bound */
 	int64_t tokens; /* bytes that may leave now */
 	uint64_t filled_ms;
-	GQueue flows;   /* struct shaper_flow, in turn */
+	GQueue flows; /* struct shaper_flow, in turn */
 };
 
 /*
@@ -155,8 +155,7 @@
  * called before this returns.
  */
 void
-shaper_write(
-    struct shaper *shaper, struct shaper_flow *flow, struct str bytes)
+shaper_write(struct shaper *shaper, struct shaper_flow *flow, struct str bytes)
 {
 	if (shaper->rate == 0) {
 		http_stream_write(flow->to, bytes);
--- a/trefoilhill-proxy/stats.c
+++ b/trefoilhill-proxy/stats.c
@@ -7,8 +7,7 @@
 	    "Requests by where they came from" },
 	[STAT_ANSWERED] = { "trefoilhill_ended_total{outcome=\"answered\"}",
 	    "Callers' requests by how they ended" },
-	[STAT_ANSWERED_FAILURE] = {
-	    "trefoilhill_ended_total{outcome=\"upstream_failure\"}",
+	[STAT_ANSWERED_FAILURE] = { "trefoilhill_ended_total{outcome=\"upstream_failure\"}",
 	    "Callers' requests by how they ended" },
 	[STAT_REFUSED] = { "trefoilhill_ended_total{outcome=\"refused\"}",
 	    "Callers' requests by how they ended" },
@@ -18,21 +17,17 @@
 	    "Callers' requests by how they ended" },
 	[STAT_CUT] = { "trefoilhill_ended_total{outcome=\"cut\"}",
 	    "Callers' requests by how they ended" },
-	[STAT_CALLER_GONE] = {
-	    "trefoilhill_ended_total{outcome=\"caller_gone\"}",
+	[STAT_CALLER_GONE] = { "trefoilhill_ended_total{outcome=\"caller_gone\"}",
 	    "Callers' requests by how they ended" },
-	[STAT_BAD_REQUESTS] = {
-	    "trefoilhill_ended_total{outcome=\"bad_request\"}",
+	[STAT_BAD_REQUESTS] = { "trefoilhill_ended_total{outcome=\"bad_request\"}",
 	    "Callers' requests by how they ended" },
 	[STAT_ATTEMPTS_LOCAL] = { "trefoilhill_attempts_total{to=\"local\"}",
 	    "Sends by where the upstream is" },
 	[STAT_ATTEMPTS_REMOTE] = { "trefoilhill_attempts_total{to=\"peer\"}",
 	    "Sends by where the upstream is" },
-	[STAT_ATTEMPTS_NOT_RUN] = {
-	    "trefoilhill_attempts_failed_total{fate=\"not_run\"}",
+	[STAT_ATTEMPTS_NOT_RUN] = { "trefoilhill_attempts_failed_total{fate=\"not_run\"}",
 	    "Sends without an answer by what is known of them" },
-	[STAT_ATTEMPTS_UNKNOWN] = {
-	    "trefoilhill_attempts_failed_total{fate=\"unknown\"}",
+	[STAT_ATTEMPTS_UNKNOWN] = { "trefoilhill_attempts_failed_total{fate=\"unknown\"}",
 	    "Sends without an answer by what is known of them" },
 	[STAT_REPEATS] = { "trefoilhill_repeats_total",
 	    "Requests sent to one more upstream" },
@@ -40,8 +35,7 @@
 	    "Repeats that the budget did not allow" },
 	[STAT_HEDGES] = { "trefoilhill_hedges_total",
 	    "Repeats beside an attempt that had not answered" },
-	[STAT_UPSTREAM_CONNECTIONS] = {
-	    "trefoilhill_upstream_connections_total",
+	[STAT_UPSTREAM_CONNECTIONS] = { "trefoilhill_upstream_connections_total",
 	    "Connections opened to the upstream" },
 	[STAT_ANSWERS_DISCARDED] = { "trefoilhill_answers_discarded_total",
 	    "Upstream answers that belonged to no request in progress" },
@@ -53,8 +47,7 @@
 	    "Heartbeats sent" },
 	[STAT_HEARTBEATS_LOST] = { "trefoilhill_heartbeats_lost_total",
 	    "Heartbeats without an answer" },
-	[STAT_CALLER_CONNECTIONS] = {
-	    "trefoilhill_caller_connections_total",
+	[STAT_CALLER_CONNECTIONS] = { "trefoilhill_caller_connections_total",
 	    "Connections accepted from callers" },
 };
 
--- a/trefoilhilld/setting_desc.c
+++ b/trefoilhilld/setting_desc.c
@@ -222,8 +222,8 @@
 }
 
 static bool
-thousandths_store(const struct setting_desc *desc, const char *text,
-    uint32_t *thousandths)
+thousandths_store(
+    const struct setting_desc *desc, const char *text, uint32_t *thousandths)
 {
 	char *end;
 	double number = g_ascii_strtod(text, &end);
