guard: what can still be on time goes before what can't

How long a caller has been trying shows in its deadline, which is that much shorter than the longest of its route. Such requests now wait behind the others.

--- a/guard/admission.c
+++ b/guard/admission.c
@@ -249,13 +249,17 @@
 	return (int64_t)MAX(MAX(by_limit, by_rate), by_link);
 }
 
-/* Does one go before another? More urgent first, then whose time is up first.
+/*
+ * Does one go before another? More urgent first, then what can still be on
+ * time, then whose time is up first.
  */
 static bool
 goes_before(const struct admission_waiter *a, const struct admission_waiter *b)
 {
 	if (a->priority != b->priority)
 		return a->priority < b->priority;
+	if (a->late != b->late)
+		return b->late;
 	return a->latest_start_ms < b->latest_start_ms;
 }
 
--- a/include/guard/admission.h
+++ b/include/guard/admission.h
@@ -9,8 +9,8 @@
 
 /*
  * Decides which requests the one upstream behind it gets, and when: a limit
- * of requests at once, a rate while the upstream is cold, and a short queue
- * by priority and then by the latest start. Pure state, without I/O; times are
+ * of requests at once, a rate while the upstream is cold, and a short queue:
+ * by priority, then what can still be on time, then by the latest start. Pure state, without I/O; times are
  * milliseconds of a steady clock.
  */
 struct admission;
@@ -45,6 +45,7 @@
 /* A request at the gate. The owner embeds it and fills the first part. */
 struct admission_waiter {
 	uint32_t priority;       /* 0 goes first */
+	bool late;               /* can't be answered within its objective */
 	int64_t latest_start_ms; /* no use in starting it later */
 	bool bulk;               /* its answer is large */
 	/* Its turn has come, or why it never will. */
--- a/include/trefoilhill-proxy/exchange.h
+++ b/include/trefoilhill-proxy/exchange.h
@@ -8,7 +8,7 @@
 #include "trefoilhill-proxy/shaper.h"
 
 enum {
-	EXCHANGE_ATTEMPTS_MAX = 6, /* sends of one request, refused ones too */
+	EXCHANGE_ATTEMPTS_MAX = 5, /* sends of one request, refused ones too */
 	EXCHANGE_ID_MAX = 128,
 };
 
@@ -38,6 +38,8 @@
 	struct hop_request hop;         /* from peers; views into head */
 	bool idempotent;
 	bool bulk; /* the answer is large */
+	bool late;        /* it can't be on time any more */
+	int64_t spent_ms; /* by the caller's tries before this one */
 	uint32_t priority;
 	uint32_t objective_ms;
 	/* Attempts, oldest first; ended ones are NULL. */
--- a/include/trefoilhill-proxy/hop.h
+++ b/include/trefoilhill-proxy/hop.h
@@ -19,6 +19,7 @@
 	uint32_t priority;
 	bool idempotent;
 	bool bulk; /* the answer is large */
+	bool late; /* the answer can't be within the objective any more */
 };
 
 enum hop_outcome {
--- a/route/run_times.c
+++ b/route/run_times.c
@@ -8,7 +8,8 @@
 };
 
 struct run_times {
-	GHashTable *routes; /* name to the mean, as a number */
+	GHashTable *routes;    /* name to the mean, as a number */
+	GHashTable *deadlines; /* name to the longest, as a number */
 };
 
 /*
@@ -21,6 +22,8 @@
 
 	times->routes =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	times->deadlines =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return times;
 }
 
@@ -33,6 +36,7 @@
 	if (times == NULL)
 		return;
 	g_hash_table_destroy(times->routes);
+	g_hash_table_destroy(times->deadlines);
 	g_free(times);
 }
 
@@ -51,6 +55,26 @@
 	    times->routes, g_strdup(route), GINT_TO_POINTER((int)MAX(mean, 1)));
 }
 
+/*
+ * Return how long a caller has been trying, by the deadline that it gives.
+ */
+int64_t
+run_times_spent_ms(
+    struct run_times *times, const char *route, int64_t deadline_ms)
+{
+	int64_t longest =
+	    GPOINTER_TO_INT(g_hash_table_lookup(times->deadlines, route));
+
+	if (deadline_ms < 0)
+		return 0;
+	if (deadline_ms > longest && deadline_ms <= G_MAXINT) {
+		g_hash_table_insert(times->deadlines, g_strdup(route),
+		    GINT_TO_POINTER((int)deadline_ms));
+		return 0;
+	}
+	return longest - deadline_ms;
+}
+
 /*
  * Return the mean time of a route in milliseconds.
  */
--- a/tests/guard/test_admission.c
+++ b/tests/guard/test_admission.c
@@ -118,6 +118,32 @@
 	admission_free(f.admission);
 }
 
+/* What can't be on time any more waits behind what can. */
+static void
+test_late_goes_last(void)
+{
+	struct noted *late, *fresh;
+	struct admission_waiter *waiter;
+	enum admission_reason reason;
+	struct fixture f;
+
+	fixture_init(&f);
+	fill(&f, 0);
+	late = &f.noted[f.used++];
+	waiter = &late->waiter;
+	waiter->priority = 1;
+	waiter->late = true;
+	waiter->latest_start_ms = 60;
+	waiter->handle_turn = handle_turn;
+	CU_ASSERT_EQUAL(admission_offer(f.admission, waiter, 0, &reason),
+	    ADMISSION_QUEUED);
+	CU_ASSERT_EQUAL(offer(&f, 1, 900, 0, &fresh), ADMISSION_QUEUED);
+	finish(&f, ADMISSION_GOOD, 1000, 10);
+	CU_ASSERT_TRUE(fresh->told);
+	CU_ASSERT_FALSE(late->told);
+	admission_free(f.admission);
+}
+
 static void
 test_full_queue_displaces_less_urgent(void)
 {
@@ -303,6 +329,7 @@
 static const struct test_case cases[] = {
 	{ "limit and order", test_limit_and_order },
 	{ "what is short of time goes first", test_short_of_time_goes_first },
+	{ "what is late goes last", test_late_goes_last },
 	{ "a full queue displaces what is less urgent",
 	    test_full_queue_displaces_less_urgent },
 	{ "what would come too late is refused",
--- a/trefoilhill-proxy/attempt.c
+++ b/trefoilhill-proxy/attempt.c
@@ -400,6 +400,7 @@
 	}
 	attempt->pool = gate_pool(gate);
 	attempt->waiter.bulk = attempt->exchange->bulk;
+	attempt->waiter.late = attempt->exchange->late;
 	attempt->waiter.priority = attempt->exchange->priority;
 	attempt->waiter.latest_start_ms = now_ms + attempt->wait_ms;
 	attempt->waiter.handle_turn = handle_turn;
--- a/trefoilhill-proxy/attempt_request.c
+++ b/trefoilhill-proxy/attempt_request.c
@@ -55,6 +55,7 @@
 		.priority = exchange->priority,
 		.idempotent = exchange->idempotent,
 		.bulk = exchange->bulk,
+		.late = exchange->late,
 	};
 
 	if (attempt->local)
--- a/trefoilhill-proxy/exchange.c
+++ b/trefoilhill-proxy/exchange.c
@@ -274,6 +274,8 @@
 	exchange->priority = exchange->route->priority;
 	exchange->objective_ms = exchange->route->objective_ms;
 	exchange->service = choose_service(exchange);
+	exchange->spent_ms = run_times_spent_ms(
+	    proxy->run_times, exchange->route->name, caller_ms);
 	repeat_budget_fresh(
 	    proxy->repeats, exchange->service, exchange->begun_ms);
 	if (caller_ms < 0 || caller_ms > exchange->route->timeout_ms)
@@ -302,6 +304,7 @@
 	}
 	exchange->idempotent = exchange->hop.idempotent;
 	exchange->bulk = exchange->hop.bulk;
+	exchange->late = exchange->hop.late;
 	exchange->priority = exchange->hop.priority;
 	deadline_set(exchange, exchange->hop.left_ms);
 }
--- a/trefoilhill-proxy/exchange_dispatch.c
+++ b/trefoilhill-proxy/exchange_dispatch.c
@@ -14,6 +14,8 @@
 	 * within the objective, but for this share of it at least, percent.
 	 */
 	WAIT_MIN_PERCENT = 25,
+	/* One that is late already waits for this share of what is left. */
+	LATE_WAIT_PERCENT = 40,
 };
 
 static void handle_hedge(uv_timer_t *timer);
@@ -53,15 +55,18 @@
 
 /* How long the request may wait for its turn at the gate. */
 static int64_t
-wait_allowed_ms(const struct exchange *exchange)
+wait_allowed_ms(struct exchange *exchange)
 {
 	int64_t now_ms = proxy_now_ms(exchange->proxy);
-	int64_t objective_left =
-	    exchange->begun_ms + exchange->objective_ms - now_ms;
+	int64_t objective_left = exchange->begun_ms + exchange->objective_ms -
+	    exchange->spent_ms - now_ms;
 	int64_t least =
 	    (int64_t)exchange->objective_ms * WAIT_MIN_PERCENT / 100;
 	int64_t most = exchange_left_ms(exchange) - run_ms(exchange);
 
+	exchange->late = objective_left < run_ms(exchange);
+	if (exchange->late)
+		least = exchange_left_ms(exchange) * LATE_WAIT_PERCENT / 100;
 	return MAX(0, MIN(MAX(objective_left - run_ms(exchange), least), most));
 }
 
--- a/trefoilhill-proxy/hop.c
+++ b/trefoilhill-proxy/hop.c
@@ -40,10 +40,10 @@
 {
 	char value[FIELD_TEXT_MAX];
 	int len = g_snprintf(value, sizeof(value),
-	    "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %u %d %d",
+	    "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %u %d %d %d",
 	    (gint64)request->left_ms, (gint64)request->wait_ms,
 	    request->priority, request->idempotent ? 1 : 0,
-	    request->bulk ? 1 : 0);
+	    request->bulk ? 1 : 0, request->late ? 1 : 0);
 
 	http_text_field(text, request_field, str_make(value, (size_t)len));
 	http_text_field(text, instance_field, request->instance);
@@ -72,13 +72,15 @@
 {
 	char value[FIELD_TEXT_MAX];
 	gint64 left_ms, wait_ms;
-	int idempotent, bulk;
+	int idempotent, bulk, late;
 
 	if (!value_copy(head, request_field, value, sizeof(value)) ||
-	    sscanf(value, "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %u %d %d",
-		&left_ms, &wait_ms, &request->priority, &idempotent,
-		&bulk) != 5)
+	    sscanf(value,
+		"%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %u %d %d %d",
+		&left_ms, &wait_ms, &request->priority, &idempotent, &bulk,
+		&late) != 6)
 		return false;
+	request->late = late != 0;
 	request->bulk = bulk != 0;
 	request->left_ms = left_ms;
 	request->wait_ms = wait_ms;
