http, guard, trefoilhill-proxy: split files that grew

The parser and the writer of streams, what the ends of requests teach the admission, the answer of an attempt and the beginning of an exchange have files of their own.

--- a/guard/admission.c
+++ b/guard/admission.c
@@ -1,40 +1,6 @@
 #include <string.h>
 
-#include "guard/admission.h"
-
-enum {
-	COLD_WINDOW_MS = 1000, /* cold rates are given a second */
-	COLD_STARTS_MAX = 4096,
-	LATENCY_PRIOR_US = 100000, /* until an answer has been seen */
-	LATENCY_WEIGHT = 32,       /* a new answer counts one part in so many */
-	FAILING_WEIGHT = 16,
-	FAILING_SCALE = 1000,
-	FAILING_HALF_LIFE_MS = 1500, /* old failures say little */
-	LIMIT_SCALE = 16,            /* the limit moves in sixteenths */
-	LIMIT_FLOOR_DIVISOR = 2,     /* sheds take it down to this part of it */
-};
-
-struct admission {
-	struct admission_bounds settings;
-	bool open;
-	uint32_t slots;
-	uint32_t limit; /* in parts of LIMIT_SCALE */
-	uint32_t in_flight;
-	uint32_t bulk_limit; /* 0: none */
-	uint32_t bulk_transfer_ms;
-	uint32_t bulk_in_flight;
-	uint32_t bulk_queued;
-	GQueue queue; /* struct admission_waiter, next first */
-	int64_t cold_until_ms;
-	double cold_per_s;
-	GQueue starts; /* times of recent starts, oldest first */
-	uint32_t latency_us;
-	uint32_t failing;
-	int64_t failing_ms; /* when it was learned */
-	uint32_t pause_ms;  /* length of the last pause; 0: reachable */
-	int64_t paused_until_ms;
-	bool returned;
-};
+#include "guard/admission_private.h"
 
 static const char *const reason_names[] = {
 	[ADMISSION_OK] = "ok",
@@ -98,8 +64,12 @@
 	waiter->handle_turn(waiter, reason);
 }
 
-static void
-queue_refuse_all(struct admission *admission, enum admission_reason reason)
+/*
+ * Refuse all that is queued.
+ */
+void
+admission_refuse_queued(
+    struct admission *admission, enum admission_reason reason)
 {
 	while (!g_queue_is_empty(&admission->queue))
 		turn_give(
@@ -136,7 +106,7 @@
 {
 	admission->open = open;
 	if (!open)
-		queue_refuse_all(admission, ADMISSION_CLOSED);
+		admission_refuse_queued(admission, ADMISSION_CLOSED);
 }
 
 /*
@@ -341,112 +311,6 @@
 		queue_remove(admission, waiter);
 }
 
-static void
-learn_good(struct admission *admission, uint32_t latency_us)
-{
-	int64_t change =
-	    ((int64_t)latency_us - admission->latency_us) / LATENCY_WEIGHT;
-
-	admission->latency_us =
-	    (uint32_t)((int64_t)admission->latency_us + change);
-	if (admission->limit < admission->slots * LIMIT_SCALE)
-		admission->limit++;
-	if (admission->pause_ms > 0) {
-		admission->pause_ms = 0;
-		admission->returned = true;
-	}
-}
-
-static void
-learn_refused(struct admission *admission, int64_t now_ms)
-{
-	uint32_t next = admission->pause_ms == 0
-	    ? admission->settings.pause_first_ms
-	    : admission->pause_ms * 2;
-
-	admission->pause_ms = MIN(next, admission->settings.pause_max_ms);
-	admission->paused_until_ms = now_ms + admission->pause_ms;
-	queue_refuse_all(admission, ADMISSION_UNREACHABLE);
-}
-
-/* Failures in a thousand, fading while no answers come. */
-static uint32_t
-failing_now(const struct admission *admission, int64_t now_ms)
-{
-	int64_t halvings =
-	    (now_ms - admission->failing_ms) / FAILING_HALF_LIFE_MS;
-
-	return halvings >= 16 ? 0 : admission->failing >> halvings;
-}
-
-static void
-learn_failing(struct admission *admission, bool failed, int64_t now_ms)
-{
-	int32_t target = failed ? FAILING_SCALE : 0;
-	int32_t change;
-
-	admission->failing = failing_now(admission, now_ms);
-	admission->failing_ms = now_ms;
-	change = target - (int32_t)admission->failing;
-
-	/* Rounding away from zero, so that both ends are reached. */
-	if (change > 0)
-		change = (change + FAILING_WEIGHT - 1) / FAILING_WEIGHT;
-	else
-		change = (change - FAILING_WEIGHT + 1) / FAILING_WEIGHT;
-	admission->failing = (uint32_t)((int32_t)admission->failing + change);
-}
-
-/*
- * No more run there than it has slots. So it either still works on something
- * that was given up, or sheds for reasons of its own: step down a little.
- */
-static void
-learn_shed(struct admission *admission)
-{
-	uint32_t least = admission->slots * LIMIT_SCALE / LIMIT_FLOOR_DIVISOR;
-
-	if (admission->limit >= least + LIMIT_SCALE)
-		admission->limit -= LIMIT_SCALE;
-}
-
-/*
- * Note how a started request ended.
- */
-void
-admission_finish(struct admission *admission,
-    const struct admission_waiter *waiter, enum admission_outcome outcome,
-    uint32_t latency_us, int64_t now_ms)
-{
-	admission->in_flight--;
-	admission->bulk_in_flight -= waiter->bulk;
-	switch (outcome) {
-	case ADMISSION_GOOD:
-		learn_good(admission, latency_us);
-		learn_failing(admission, false, now_ms);
-		break;
-	case ADMISSION_SHED:
-		learn_shed(admission);
-		learn_failing(admission, true, now_ms);
-		break;
-	case ADMISSION_FAILED:
-	case ADMISSION_BROKEN:
-		learn_failing(admission, true, now_ms);
-		if (outcome == ADMISSION_FAILED && admission->pause_ms > 0)
-			admission->pause_ms = 0;
-		break;
-	case ADMISSION_REFUSED_CONNECTION:
-		learn_refused(admission, now_ms);
-		break;
-	case ADMISSION_MISSED:
-		learn_good(admission, latency_us);
-		break;
-	case ADMISSION_CANCELLED:
-		break;
-	}
-	admission_poll(admission, now_ms);
-}
-
 /* The first that may start; those that wait for the link are passed over. */
 static struct admission_waiter *
 queue_next(struct admission *admission)
@@ -530,7 +394,7 @@
 		.in_flight = admission->in_flight,
 		.queued = g_queue_get_length((GQueue *)&admission->queue),
 		.latency_us = admission->latency_us,
-		.failing = failing_now(admission, now_ms),
+		.failing = admission_failing(admission, now_ms),
 		.bulk_waiting = bulk_is_full(admission)
 		    ? admission->bulk_queued + 1
 		    : admission->bulk_queued,
--- /dev/null
+++ b/guard/admission_learn.c
@@ -0,0 +1,111 @@
+#include "guard/admission_private.h"
+
+/* What the ends of requests say of the upstream. */
+
+static void
+learn_good(struct admission *admission, uint32_t latency_us)
+{
+	int64_t change =
+	    ((int64_t)latency_us - admission->latency_us) / LATENCY_WEIGHT;
+
+	admission->latency_us =
+	    (uint32_t)((int64_t)admission->latency_us + change);
+	if (admission->limit < admission->slots * LIMIT_SCALE)
+		admission->limit++;
+	if (admission->pause_ms > 0) {
+		admission->pause_ms = 0;
+		admission->returned = true;
+	}
+}
+
+static void
+learn_refused(struct admission *admission, int64_t now_ms)
+{
+	uint32_t next = admission->pause_ms == 0
+	    ? admission->settings.pause_first_ms
+	    : admission->pause_ms * 2;
+
+	admission->pause_ms = MIN(next, admission->settings.pause_max_ms);
+	admission->paused_until_ms = now_ms + admission->pause_ms;
+	admission_refuse_queued(admission, ADMISSION_UNREACHABLE);
+}
+
+/*
+ * Return the failures in a thousand, which fade while no answers come.
+ */
+uint32_t
+admission_failing(const struct admission *admission, int64_t now_ms)
+{
+	int64_t halvings =
+	    (now_ms - admission->failing_ms) / FAILING_HALF_LIFE_MS;
+
+	return halvings >= 16 ? 0 : admission->failing >> halvings;
+}
+
+static void
+learn_failing(struct admission *admission, bool failed, int64_t now_ms)
+{
+	int32_t target = failed ? FAILING_SCALE : 0;
+	int32_t change;
+
+	admission->failing = admission_failing(admission, now_ms);
+	admission->failing_ms = now_ms;
+	change = target - (int32_t)admission->failing;
+
+	/* Rounding away from zero, so that both ends are reached. */
+	if (change > 0)
+		change = (change + FAILING_WEIGHT - 1) / FAILING_WEIGHT;
+	else
+		change = (change - FAILING_WEIGHT + 1) / FAILING_WEIGHT;
+	admission->failing = (uint32_t)((int32_t)admission->failing + change);
+}
+
+/*
+ * No more run there than it has slots. So it either still works on something
+ * that was given up, or sheds for reasons of its own: step down a little.
+ */
+static void
+learn_shed(struct admission *admission)
+{
+	uint32_t least = admission->slots * LIMIT_SCALE / LIMIT_FLOOR_DIVISOR;
+
+	if (admission->limit >= least + LIMIT_SCALE)
+		admission->limit -= LIMIT_SCALE;
+}
+
+/*
+ * Note how a started request ended.
+ */
+void
+admission_finish(struct admission *admission,
+    const struct admission_waiter *waiter, enum admission_outcome outcome,
+    uint32_t latency_us, int64_t now_ms)
+{
+	admission->in_flight--;
+	admission->bulk_in_flight -= waiter->bulk;
+	switch (outcome) {
+	case ADMISSION_GOOD:
+		learn_good(admission, latency_us);
+		learn_failing(admission, false, now_ms);
+		break;
+	case ADMISSION_SHED:
+		learn_shed(admission);
+		learn_failing(admission, true, now_ms);
+		break;
+	case ADMISSION_FAILED:
+	case ADMISSION_BROKEN:
+		learn_failing(admission, true, now_ms);
+		if (outcome == ADMISSION_FAILED && admission->pause_ms > 0)
+			admission->pause_ms = 0;
+		break;
+	case ADMISSION_REFUSED_CONNECTION:
+		learn_refused(admission, now_ms);
+		break;
+	case ADMISSION_MISSED:
+		learn_good(admission, latency_us);
+		break;
+	case ADMISSION_CANCELLED:
+		break;
+	}
+	admission_poll(admission, now_ms);
+}
--- /dev/null
+++ b/http/stream_parse.c
@@ -0,0 +1,222 @@
+#include "http/stream_private.h"
+
+/* The message parser: what it calls back, and how it is fed. */
+
+/* Store the field under construction. */
+static int
+field_flush(struct http_stream *stream)
+{
+	bool stored;
+
+	if (stream->name->len == 0)
+		return 0;
+	stored = http_head_add(stream->head,
+	    str_make(stream->name->str, stream->name->len),
+	    str_make(stream->value->str, stream->value->len));
+	g_string_truncate(stream->name, 0);
+	g_string_truncate(stream->value, 0);
+	return stored ? 0 : -1;
+}
+
+static int
+head_count(struct http_stream *stream, size_t len)
+{
+	stream->head_bytes += (uint32_t)len;
+	return stream->head_bytes > stream->head_max_bytes ? -1 : 0;
+}
+
+static int
+handle_begin(http_parser *parser)
+{
+	struct http_stream *stream = parser->data;
+
+	http_head_clear(stream->head);
+	stream->head_bytes = 0;
+	stream->body_bytes = 0;
+	stream->in_value = false;
+	stream->head_done = false;
+	g_string_truncate(stream->name, 0);
+	g_string_truncate(stream->value, 0);
+	return 0;
+}
+
+static int
+handle_url(http_parser *parser, const char *at, size_t len)
+{
+	struct http_stream *stream = parser->data;
+	struct http_head *head = stream->head;
+
+	if (head->target.len == 0)
+		head->target.offset = (uint32_t)head->text->len;
+	g_string_append_len(head->text, at, (gssize)len);
+	head->target.len += (uint32_t)len;
+	return head_count(stream, len);
+}
+
+static int
+handle_field(http_parser *parser, const char *at, size_t len)
+{
+	struct http_stream *stream = parser->data;
+
+	if (stream->head_done) /* a trailer */
+		return 0;
+	if (stream->in_value && field_flush(stream) != 0)
+		return -1;
+	stream->in_value = false;
+	g_string_append_len(stream->name, at, (gssize)len);
+	return head_count(stream, len + 4);
+}
+
+static int
+handle_value(http_parser *parser, const char *at, size_t len)
+{
+	struct http_stream *stream = parser->data;
+
+	if (stream->head_done)
+		return 0;
+	stream->in_value = true;
+	g_string_append_len(stream->value, at, (gssize)len);
+	return head_count(stream, len);
+}
+
+static int
+handle_headers(http_parser *parser)
+{
+	struct http_stream *stream = parser->data;
+	struct http_head *head = stream->head;
+	bool chunked = (parser->flags & F_CHUNKED) != 0;
+
+	if (field_flush(stream) != 0)
+		return -1;
+	stream->head_done = true;
+	stream->has_length = !chunked && parser->content_length != (uint64_t)-1;
+	stream->length = stream->has_length ? parser->content_length : 0;
+	stream->keep_alive = http_should_keep_alive(parser) != 0;
+	if (stream->side == HTTP_SIDE_SERVER) {
+		struct str method =
+		    str_from(http_method_str((enum http_method)parser->method));
+
+		if (!stream->has_length && !chunked)
+			stream->has_length = true;
+		head->method.offset = (uint32_t)head->text->len;
+		head->method.len = (uint32_t)method.len;
+		g_string_append_len(head->text, method.ptr, (gssize)method.len);
+		if (parser->upgrade)
+			return -1;
+	} else {
+		head->status = parser->status_code;
+		if (head->status / 100 == 1)
+			return 0;
+	}
+	stream->ops->handle_head(stream);
+	if (stream->closing)
+		return -1;
+	return stream->side == HTTP_SIDE_CLIENT && stream->skip_body ? 1 : 0;
+}
+
+static int
+handle_body(http_parser *parser, const char *at, size_t len)
+{
+	struct http_stream *stream = parser->data;
+
+	stream->body_bytes += len;
+	stream->ops->handle_body(stream, str_make(at, len));
+	return stream->closing ? -1 : 0;
+}
+
+static int
+handle_complete(http_parser *parser)
+{
+	struct http_stream *stream = parser->data;
+
+	/* An interim answer is not the answer. */
+	if (stream->side == HTTP_SIDE_CLIENT && stream->head->status / 100 == 1)
+		return 0;
+	stream->message_done = true;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+	.on_message_begin = handle_begin,
+	.on_url = handle_url,
+	.on_header_field = handle_field,
+	.on_header_value = handle_value,
+	.on_headers_complete = handle_headers,
+	.on_body = handle_body,
+	.on_message_complete = handle_complete,
+};
+
+static void
+parse_failed(struct http_stream *stream)
+{
+	stream_read_stop(stream);
+	stream_fail(stream,
+	    stream->head_bytes > stream->head_max_bytes ||
+		    HTTP_PARSER_ERRNO(&stream->parser) == HPE_HEADER_OVERFLOW
+		? HTTP_END_TOO_LARGE
+		: HTTP_END_MALFORMED);
+}
+
+/*
+ * Parse bytes, or tell the parser that no more will come. The stream may be
+ * closed when this returns.
+ */
+void
+stream_parse(struct http_stream *stream, const char *bytes, size_t len)
+{
+	enum http_errno error;
+	size_t used;
+
+	if (!stream->message_begun && len > 0) {
+		stream->message_begun = true;
+		if (stream->ops->handle_first_byte != NULL)
+			stream->ops->handle_first_byte(stream);
+		if (stream->closing)
+			return;
+	}
+	stream->parsing = true;
+	used =
+	    http_parser_execute(&stream->parser, &parser_settings, bytes, len);
+	stream->parsing = false;
+	if (stream->closing)
+		return;
+	error = HTTP_PARSER_ERRNO(&stream->parser);
+	if (stream->message_done) {
+		/* http_parser counts the byte it stopped before. */
+		http_parser_pause(&stream->parser, 0);
+		if (used < len &&
+		    !stream_pending_add(stream, bytes + used, len - used))
+			stream_read_stop(stream);
+		stream->ops->handle_message(stream);
+		return;
+	}
+	if (error != HPE_OK || (len > 0 && used < len))
+		parse_failed(stream);
+}
+
+/*
+ * Get ready for the next message. Bytes that came early are read at once, so
+ * the stream may be closed when this returns.
+ */
+void
+http_stream_next(struct http_stream *stream)
+{
+	GByteArray *pending = stream->pending;
+
+	if (stream->closing)
+		return;
+	stream->message_done = false;
+	stream->message_begun = false;
+	stream->head_done = false;
+	stream->skip_body = false;
+	http_parser_init(&stream->parser,
+	    stream->side == HTTP_SIDE_SERVER ? HTTP_REQUEST : HTTP_RESPONSE);
+	stream->parser.data = stream;
+	stream->pending = NULL;
+	http_stream_resume(stream);
+	if (pending == NULL)
+		return;
+	stream_parse(stream, (const char *)pending->data, pending->len);
+	g_byte_array_free(pending, TRUE);
+}
--- /dev/null
+++ b/http/stream_write.c
@@ -0,0 +1,137 @@
+#include <string.h>
+
+#include "http/stream_private.h"
+
+struct write_request {
+	uv_write_t request; /* first */
+	uv_buf_t buffer;
+};
+
+static void
+handle_written(uv_write_t *request, int status)
+{
+	struct write_request *write = (struct write_request *)request;
+	struct http_stream *stream = (struct http_stream *)request->handle;
+
+	g_free(write->buffer.base);
+	g_free(write);
+	if (stream->closing)
+		return;
+	if (status != 0) {
+		stream_fail(stream, HTTP_END_RESET);
+		return;
+	}
+	if (stream->over_high &&
+	    http_stream_queued(stream) < HTTP_WRITE_LOW_BYTES) {
+		stream->over_high = false;
+		if (stream->ops->handle_drain != NULL)
+			stream->ops->handle_drain(stream);
+	}
+}
+
+/*
+ * Return how many bytes wait for the socket.
+ */
+size_t
+http_stream_queued(const struct http_stream *stream)
+{
+	return uv_stream_get_write_queue_size(
+	    (const uv_stream_t *)&stream->tcp);
+}
+
+/* Queue what the socket did not take: total bytes, of which some were sent. */
+static void
+write_rest(struct http_stream *stream, struct str first, struct str second,
+    size_t sent)
+{
+	struct write_request *write = g_new0(struct write_request, 1);
+	size_t from_first = sent < first.len ? first.len - sent : 0;
+	size_t skip = sent > first.len ? sent - first.len : 0;
+
+	write->buffer.len = from_first + second.len - skip;
+	write->buffer.base = g_malloc(write->buffer.len);
+	if (from_first > 0)
+		memcpy(write->buffer.base, first.ptr + sent, from_first);
+	if (second.ptr != NULL)
+		memcpy(write->buffer.base + from_first, second.ptr + skip,
+		    second.len - skip);
+	if (uv_write(&write->request, (uv_stream_t *)&stream->tcp,
+		&write->buffer, 1, handle_written) != 0) {
+		/* The connection is broken: its reading side tells. */
+		g_free(write->buffer.base);
+		g_free(write);
+		return;
+	}
+	if (http_stream_queued(stream) > HTTP_WRITE_HIGH_BYTES)
+		stream->over_high = true;
+}
+
+/*
+ * Send two runs of bytes as one. A failure is told by handle_end, later.
+ */
+void
+http_stream_write2(
+    struct http_stream *stream, struct str first, struct str second)
+{
+	uv_buf_t buffers[2] = {
+		uv_buf_init((char *)first.ptr, (unsigned)first.len),
+		uv_buf_init((char *)second.ptr, (unsigned)second.len),
+	};
+	unsigned count = second.len > 0 ? 2 : 1;
+	size_t total = first.len + second.len, sent = 0;
+	int taken = UV_EAGAIN;
+
+	if (stream->closing || total == 0)
+		return;
+	if (http_stream_queued(stream) == 0)
+		taken =
+		    uv_try_write((uv_stream_t *)&stream->tcp, buffers, count);
+	if (taken > 0)
+		sent = (size_t)taken;
+	if (sent < total)
+		write_rest(stream, first, second, sent);
+}
+
+/*
+ * Send bytes.
+ */
+void
+http_stream_write(struct http_stream *stream, struct str bytes)
+{
+	http_stream_write2(stream, bytes, (struct str){ 0 });
+}
+
+static void
+handle_shutdown(uv_shutdown_t *request, int status)
+{
+	uv_handle_t *handle = (uv_handle_t *)request->handle;
+
+	g_free(request);
+	if (!uv_is_closing(handle))
+		uv_close(handle, stream_handle_closed);
+}
+
+/*
+ * Close in order: what is queued is still sent. The stream must not be used
+ * afterwards and calls nobody back.
+ */
+void
+http_stream_finish(struct http_stream *stream)
+{
+	uv_shutdown_t *request;
+
+	if (stream->closing)
+		return;
+	stream->closing = true;
+	/* Unread bytes would turn the close into a reset. */
+	if (http_stream_queued(stream) == 0) {
+		uv_close((uv_handle_t *)&stream->tcp, stream_handle_closed);
+		return;
+	}
+	request = g_new0(uv_shutdown_t, 1);
+	if (uv_shutdown(
+		request, (uv_stream_t *)&stream->tcp, handle_shutdown) != 0) {
+		g_free(request);
+		uv_close((uv_handle_t *)&stream->tcp, stream_handle_closed);
+	}
+}
--- a/include/guard/admission.h
+++ b/include/guard/admission.h
@@ -10,8 +10,8 @@
 /*
  * Decides which requests the one upstream behind it gets, and when: a limit
  * of requests at once, a rate while the upstream is cold, and a short queue:
- * by priority, then what can still be on time, then by the latest start. Pure state, without I/O; times are
- * milliseconds of a steady clock.
+ * by priority, then what can still be on time, then by the latest start. Pure
+ * state, without I/O; times are milliseconds of a steady clock.
  */
 struct admission;
 
--- /dev/null
+++ b/include/guard/admission_private.h
@@ -0,0 +1,45 @@
+#ifndef TREFOILHILL_GUARD_ADMISSION_PRIVATE_H
+#define TREFOILHILL_GUARD_ADMISSION_PRIVATE_H
+
+#include "guard/admission.h"
+
+/* Insides of the admission, shared by its sources alone. */
+enum {
+	COLD_WINDOW_MS = 1000, /* cold rates are given a second */
+	COLD_STARTS_MAX = 4096,
+	LATENCY_PRIOR_US = 100000, /* until an answer has been seen */
+	LATENCY_WEIGHT = 32,       /* a new answer counts one part in so many */
+	FAILING_WEIGHT = 16,
+	FAILING_SCALE = 1000,
+	FAILING_HALF_LIFE_MS = 1500, /* old failures say little */
+	LIMIT_SCALE = 16,            /* the limit moves in sixteenths */
+	LIMIT_FLOOR_DIVISOR = 2,     /* sheds take it down to this part of it */
+};
+
+struct admission {
+	struct admission_bounds settings;
+	bool open;
+	uint32_t slots;
+	uint32_t limit; /* in parts of LIMIT_SCALE */
+	uint32_t in_flight;
+	uint32_t bulk_limit; /* 0: none */
+	uint32_t bulk_transfer_ms;
+	uint32_t bulk_in_flight;
+	uint32_t bulk_queued;
+	GQueue queue; /* struct admission_waiter, next first */
+	int64_t cold_until_ms;
+	double cold_per_s;
+	GQueue starts; /* times of recent starts, oldest first */
+	uint32_t latency_us;
+	uint32_t failing;
+	int64_t failing_ms; /* when it was learned */
+	uint32_t pause_ms;  /* length of the last pause; 0: reachable */
+	int64_t paused_until_ms;
+	bool returned;
+};
+
+uint32_t admission_failing(const struct admission *admission, int64_t now_ms);
+void admission_refuse_queued(
+    struct admission *admission, enum admission_reason reason);
+
+#endif
--- a/include/trefoilhill-proxy/attempt.h
+++ b/include/trefoilhill-proxy/attempt.h
@@ -71,6 +71,9 @@
 /* Shared by its sources alone. */
 void attempt_fail(
     struct attempt *attempt, enum attempt_fate fate, const char *reason);
+void attempt_handle_head(struct http_stream *stream);
+void attempt_handle_body(struct http_stream *stream, struct str bytes);
+void attempt_handle_message(struct http_stream *stream);
 void attempt_connect(struct attempt *attempt);
 void attempt_release(struct attempt *attempt, enum admission_outcome outcome);
 extern const struct http_stream_ops attempt_stream_ops;
--- a/include/trefoilhill-proxy/exchange.h
+++ b/include/trefoilhill-proxy/exchange.h
@@ -37,7 +37,7 @@
 	const char *service;            /* of the route */
 	struct hop_request hop;         /* from peers; views into head */
 	bool idempotent;
-	bool bulk; /* the answer is large */
+	bool bulk;        /* the answer is large */
 	bool late;        /* it can't be on time any more */
 	int64_t spent_ms; /* by the caller's tries before this one */
 	uint32_t priority;
@@ -75,6 +75,7 @@
 
 /* Shared by its sources alone. */
 extern const struct attempt_ops exchange_attempt_ops;
+void exchange_handle_deadline(uv_timer_t *timer);
 void exchange_push_body(struct exchange *exchange);
 void exchange_dispatch(struct exchange *exchange);
 void exchange_answer_own(
--- a/include/trefoilhill-proxy/shaper.h
+++ b/include/trefoilhill-proxy/shaper.h
@@ -6,7 +6,8 @@
 /*
  * Keeps the queue of the host's link short: large answers leave in pieces, at
  * the rate that the link and the small answers leave them, so that a small
- * answer never stands behind a large one.
+ * answer never stands behind a large one. Of the large ones, the one that began
+ * first is finished first: sharing the link would make all of them late.
  */
 struct shaper;
 
@@ -15,10 +16,12 @@
 	struct http_stream *to;
 	/* Some bytes have left; may end the flow. */
 	void (*handle_room)(struct shaper_flow *flow);
+	bool late; /* goes behind those that can be on time */
 	/* The shaper's own. */
 	GList link;
 	GByteArray *bytes; /* NULL: the flow has not begun */
 	size_t sent;
+	uint64_t number; /* in the order of beginning */
 	bool queued;
 };
 
--- a/tests/guard/test_admission.c
+++ b/tests/guard/test_admission.c
@@ -135,8 +135,8 @@
 	waiter->late = true;
 	waiter->latest_start_ms = 60;
 	waiter->handle_turn = handle_turn;
-	CU_ASSERT_EQUAL(admission_offer(f.admission, waiter, 0, &reason),
-	    ADMISSION_QUEUED);
+	CU_ASSERT_EQUAL(
+	    admission_offer(f.admission, waiter, 0, &reason), ADMISSION_QUEUED);
 	CU_ASSERT_EQUAL(offer(&f, 1, 900, 0, &fresh), ADMISSION_QUEUED);
 	finish(&f, ADMISSION_GOOD, 1000, 10);
 	CU_ASSERT_TRUE(fresh->told);
--- /dev/null
+++ b/trefoilhill-proxy/attempt_answer.c
@@ -0,0 +1,167 @@
+#include <stdio.h>
+
+#include "platform/headers.h"
+#include "trefoilhill-proxy/attempt.h"
+#include "trefoilhill-proxy/exchange.h"
+#include "trefoilhill-proxy/gate.h"
+
+/* Keep the connection if the rest of the answer comes soon. */
+static void
+stream_drain(struct attempt *attempt)
+{
+	struct http_stream *stream = attempt->stream;
+
+	attempt->stream = NULL;
+	if (attempt->body_ended)
+		http_pool_drain(attempt->pool, stream);
+	else
+		http_stream_abort(stream);
+}
+
+static void
+fail_and_drain(
+    struct attempt *attempt, enum attempt_fate fate, const char *reason)
+{
+	stream_drain(attempt);
+	attempt_fail(attempt, fate, reason);
+}
+
+/*
+ * Give up an attempt whose answer has begun but is of no use.
+ */
+void
+attempt_discard(struct attempt *attempt)
+{
+	attempt->ended = true;
+	stream_drain(attempt);
+	attempt_release(attempt, ADMISSION_FAILED);
+}
+
+/* An answer from the upstream on this host: is it one to this request? */
+static void
+read_upstream_head(struct attempt *attempt)
+{
+	const struct http_head *head = attempt->stream->head;
+	struct answer_marks marks;
+
+	platform_read_answer(head, &marks);
+	if (marks.id.len > 0 && !str_equal(marks.id, attempt->exchange->id)) {
+		/* A second answer to an earlier request comes first. */
+		attempt->discarding = true;
+		proxy_count(&attempt->proxy->stats, STAT_ANSWERS_DISCARDED);
+		return;
+	}
+	if (marks.not_run || head->status == 421) {
+		attempt->reached = true;
+		fail_and_drain(attempt, ATTEMPT_FATE_NOT_RUN,
+		    head->status == 421 ? "other_instance" : "shed");
+		return;
+	}
+	if (http_head_find(head, str_from("content-encoding")).len > 0) {
+		attempt_fail(attempt, ATTEMPT_FATE_UNKNOWN, "answer_encoded");
+		return;
+	}
+	if (head->status < 300 && (!marks.is_signed || marks.id.len == 0)) {
+		attempt_fail(attempt, ATTEMPT_FATE_UNKNOWN, "answer_unsigned");
+		return;
+	}
+	attempt->answered = true;
+	attempt->status = head->status;
+	attempt->run_ms = proxy_now_ms(attempt->proxy) - attempt->sent_ms;
+	attempt->ops->handle_head(attempt);
+}
+
+/* An answer from a peer: its own word, or an upstream's answer. */
+static void
+read_peer_head(struct attempt *attempt)
+{
+	struct upstream *upstream = attempt->upstream;
+	const struct http_head *head = attempt->stream->head;
+	int64_t now_ms = proxy_now_ms(attempt->proxy);
+	struct hop_answer answer;
+	char reason[64];
+
+	hop_read_answer(head, &answer);
+	fleet_peer_heard(upstream->peer, now_ms);
+	if (answer.has_load)
+		upstream_learn(upstream, &answer.load, now_ms);
+	if (answer.outcome != HOP_ANSWER) {
+		attempt->reached = answer.reached;
+		g_snprintf(
+		    reason, sizeof(reason), "%.*s", STR_ARG(answer.reason));
+		fail_and_drain(attempt,
+		    answer.outcome == HOP_NOT_RUN ? ATTEMPT_FATE_NOT_RUN
+						  : ATTEMPT_FATE_UNKNOWN,
+		    reason);
+		return;
+	}
+	attempt->answered = true;
+	attempt->status = head->status;
+	attempt->run_ms = answer.run_ms;
+	attempt->ops->handle_head(attempt);
+}
+
+/*
+ * Read the head of what came on the connection.
+ */
+void
+attempt_handle_head(struct http_stream *stream)
+{
+	struct attempt *attempt = stream->owner;
+
+	if (attempt->local)
+		read_upstream_head(attempt);
+	else
+		read_peer_head(attempt);
+}
+
+/*
+ * Pass a part of the answer on.
+ */
+void
+attempt_handle_body(struct http_stream *stream, struct str bytes)
+{
+	struct attempt *attempt = stream->owner;
+
+	if (attempt->discarding)
+		return;
+	attempt->answer_bytes += bytes.len;
+	attempt->ops->handle_body(attempt, bytes);
+}
+
+static enum admission_outcome
+answer_outcome(const struct attempt *attempt)
+{
+	if (attempt->status == 504)
+		return ADMISSION_MISSED;
+	return attempt->status >= 500 ? ADMISSION_FAILED : ADMISSION_GOOD;
+}
+
+/*
+ * The answer is whole: keep the connection, and end the attempt.
+ */
+void
+attempt_handle_message(struct http_stream *stream)
+{
+	struct attempt *attempt = stream->owner;
+
+	if (attempt->discarding) {
+		attempt->discarding = false;
+		http_stream_next(stream);
+		return;
+	}
+	attempt->ended = true;
+	attempt->stream = NULL;
+	proxy_latency(&attempt->proxy->stats, LATENCY_UPSTREAM,
+	    proxy_now_ms(attempt->proxy) - attempt->sent_ms);
+	/* Bytes of a body that was not read would be taken for a request. */
+	if (attempt->body_ended)
+		http_pool_give(attempt->pool, stream);
+	else
+		http_stream_abort(stream);
+	if (attempt->local && attempt->exchange->bulk)
+		gate_learn_bulk(attempt->proxy->gate, attempt->answer_bytes,
+		    attempt->run_ms);
+	attempt->ops->handle_end(attempt);
+	attempt_release(attempt, answer_outcome(attempt));
+}
--- a/trefoilhill-proxy/exchange_answer.c
+++ b/trefoilhill-proxy/exchange_answer.c
@@ -101,6 +101,7 @@
 		return;
 	}
 	exchange->flow.to = to;
+	exchange->flow.late = exchange->late;
 	exchange->flow.handle_room = handle_room;
 	shaper_write(shaper, &exchange->flow, bytes);
 }
--- /dev/null
+++ b/trefoilhill-proxy/exchange_begin.c
@@ -0,0 +1,151 @@
+#include "trefoilhill-proxy/exchange.h"
+#include "trefoilhill-proxy/heartbeat.h"
+
+enum {
+	DEADLINE_DEFAULT_MS = 10000, /* when nobody names one */
+};
+
+static struct exchange *
+exchange_new(struct caller *caller)
+{
+	struct exchange *exchange = g_new0(struct exchange, 1);
+	struct http_stream *stream = caller->stream;
+
+	exchange->caller = caller;
+	exchange->proxy = caller->proxy;
+	exchange->origin = caller->origin;
+	exchange->begun_ms = proxy_now_ms(caller->proxy);
+	exchange->head = stream->head;
+	stream->head = http_head_new();
+	exchange->body = g_byte_array_new();
+	exchange->held = g_byte_array_new();
+	exchange->answer_head = g_string_new(NULL);
+	exchange->has_length = stream->has_length;
+	exchange->length = stream->length;
+	exchange->body_whole = stream->has_length && stream->length == 0;
+	exchange->http_1_0 = stream->parser.http_major < 1 ||
+	    (stream->parser.http_major == 1 && stream->parser.http_minor < 1);
+	exchange->is_head_method =
+	    str_equal(http_head_span(exchange->head, exchange->head->method),
+		str_from("HEAD"));
+	uv_timer_init(exchange->proxy->loop, &exchange->timer);
+	uv_timer_init(exchange->proxy->loop, &exchange->hedge);
+	exchange->hedge.data = exchange;
+	exchange->proxy->exchanges++;
+	caller->exchange = exchange;
+	return exchange;
+}
+
+static void
+deadline_set(struct exchange *exchange, int64_t ms)
+{
+	exchange->deadline_ms = exchange->begun_ms + ms;
+	uv_timer_start(&exchange->timer, exchange_handle_deadline,
+	    (uint64_t)MAX(ms, 1), 0);
+}
+
+/* The part of a weighted route that this request goes to. */
+static const char *
+choose_service(struct exchange *exchange)
+{
+	const GArray *parts = exchange->route->parts;
+	uint64_t total = 0, drawn;
+
+	for (guint i = 0; i < parts->len; i++)
+		total += g_array_index(parts, struct route_part, i).weight;
+	if (total == 0)
+		return g_array_index(parts, struct route_part, 0).service;
+	drawn = rng_below(exchange->proxy->rng, total);
+	for (guint i = 0; i < parts->len; i++) {
+		const struct route_part *part =
+		    &g_array_index(parts, struct route_part, i);
+
+		if (drawn < part->weight)
+			return part->service;
+		drawn -= part->weight;
+	}
+	return g_array_index(parts, struct route_part, 0).service;
+}
+
+/* Decide by the configuration in force; false: answered already. */
+static bool
+route_find(struct exchange *exchange, int64_t caller_ms)
+{
+	struct proxy *proxy = exchange->proxy;
+	struct mesh_config *config = catalog_config(proxy->catalog);
+	const struct http_head *head = exchange->head;
+
+	if (config == NULL) {
+		exchange_answer_own(exchange, 503, "no_configuration", true);
+		return false;
+	}
+	exchange->config = mesh_config_ref(config);
+	exchange->route =
+	    mesh_config_match(config, http_head_find(head, str_from("host")),
+		http_head_span(head, head->target));
+	if (exchange->route == NULL) {
+		proxy_count(&proxy->stats, STAT_NO_ROUTE);
+		exchange_answer_own(exchange, 404, "no_route", false);
+		return false;
+	}
+	exchange->idempotent = exchange->route->idempotent;
+	exchange->bulk = exchange->route->bulk;
+	exchange->priority = exchange->route->priority;
+	exchange->objective_ms = exchange->route->objective_ms;
+	exchange->service = choose_service(exchange);
+	exchange->spent_ms = run_times_spent_ms(
+	    proxy->run_times, exchange->route->name, caller_ms);
+	repeat_budget_fresh(
+	    proxy->repeats, exchange->service, exchange->begun_ms);
+	if (caller_ms < 0 || caller_ms > exchange->route->timeout_ms)
+		caller_ms = exchange->route->timeout_ms;
+	deadline_set(exchange, caller_ms);
+	if (exchange->has_length &&
+	    exchange->length > config->limits.body_max_bytes) {
+		exchange_answer_own(exchange, 413, "body_too_large", false);
+		return false;
+	}
+	return true;
+}
+
+static void
+begin_from_peer(struct exchange *exchange)
+{
+	const struct http_head *head = exchange->head;
+
+	proxy_count(&exchange->proxy->stats, STAT_PEER_REQUESTS);
+	deadline_set(exchange, DEADLINE_DEFAULT_MS);
+	if (heartbeat_is_target(http_head_span(head, head->target)))
+		return;
+	if (!hop_read_request(head, &exchange->hop)) {
+		exchange_answer_own(exchange, 400, "not_from_a_node", false);
+		return;
+	}
+	exchange->idempotent = exchange->hop.idempotent;
+	exchange->bulk = exchange->hop.bulk;
+	exchange->late = exchange->hop.late;
+	exchange->priority = exchange->hop.priority;
+	deadline_set(exchange, exchange->hop.left_ms);
+}
+
+/*
+ * Begin the exchange of the request whose head the caller's connection has
+ * just read.
+ */
+void
+exchange_begin(struct caller *caller)
+{
+	struct exchange *exchange = exchange_new(caller);
+	struct request_marks marks;
+
+	platform_read_request(exchange->head, &marks);
+	exchange->id = marks.id;
+	if (exchange->origin == CALLER_PEER) {
+		begin_from_peer(exchange);
+		return;
+	}
+	proxy_count(&exchange->proxy->stats, STAT_REQUESTS);
+	deadline_set(exchange,
+	    marks.deadline_ms < 0 ? DEADLINE_DEFAULT_MS : marks.deadline_ms);
+	route_find(exchange, marks.deadline_ms);
+}
--- a/trefoilhill-proxy/shaper.c
+++ b/trefoilhill-proxy/shaper.c
@@ -16,7 +16,8 @@
 	int64_t rate;   /* bytes a millisecond; 0: no bound */
 	int64_t tokens; /* bytes that may leave now */
 	uint64_t filled_ms;
-	GQueue flows; /* struct shaper_flow, in turn */
+	GQueue flows;     /* struct shaper_flow, next first */
+	uint64_t numbers; /* of flows begun */
 };
 
 /*
@@ -121,26 +122,52 @@
 	return true;
 }
 
+static int
+flow_compare(const struct shaper_flow *left, const struct shaper_flow *right)
+{
+	if (left->late != right->late)
+		return left->late ? 1 : -1;
+	return (left->number > right->number) - (left->number < right->number);
+}
+
 static void
-take_turns(struct shaper *shaper)
+flow_queue(struct shaper *shaper, struct shaper_flow *flow)
 {
-	guint blocked = 0;
+	GList *before = shaper->flows.head;
 
-	fill(shaper);
-	while (shaper->tokens > 0 &&
-	    blocked < g_queue_get_length(&shaper->flows)) {
-		struct shaper_flow *flow = g_queue_peek_head(&shaper->flows);
+	while (before != NULL && flow_compare(before->data, flow) < 0)
+		before = before->next;
+	flow->link.data = flow;
+	g_queue_insert_before_link(&shaper->flows, before, &flow->link);
+	flow->queued = true;
+}
 
-		g_queue_unlink(&shaper->flows, &flow->link);
-		flow->queued = false;
-		blocked = send_piece(shaper, flow) ? 0 : blocked + 1;
-		if (shaper_flow_waiting(flow) > 0) {
-			g_queue_push_tail_link(&shaper->flows, &flow->link);
-			flow->queued = true;
+/* Send the next piece; false when every receiver is behind. */
+static bool
+send_next(struct shaper *shaper)
+{
+	for (GList *link = shaper->flows.head; link != NULL;
+	     link = link->next) {
+		struct shaper_flow *flow = link->data;
+
+		if (!send_piece(shaper, flow))
+			continue;
+		if (shaper_flow_waiting(flow) == 0) {
+			g_queue_unlink(&shaper->flows, &flow->link);
+			flow->queued = false;
 		}
-		if (blocked == 0)
-			flow->handle_room(flow);
+		flow->handle_room(flow);
+		return true;
 	}
+	return false;
+}
+
+static void
+take_turns(struct shaper *shaper)
+{
+	fill(shaper);
+	while (shaper->tokens > 0 && send_next(shaper))
+		;
 	if (g_queue_is_empty(&shaper->flows))
 		uv_timer_stop(shaper->timer);
 }
@@ -162,15 +189,14 @@
 		http_stream_write(flow->to, bytes);
 		return;
 	}
-	if (flow->bytes == NULL)
+	if (flow->bytes == NULL) {
 		flow->bytes = g_byte_array_new();
+		flow->number = shaper->numbers++;
+	}
 	g_byte_array_append(
 	    flow->bytes, (const guint8 *)bytes.ptr, (guint)bytes.len);
-	if (!flow->queued && bytes.len > 0) {
-		flow->link.data = flow;
-		g_queue_push_tail_link(&shaper->flows, &flow->link);
-		flow->queued = true;
-	}
+	if (!flow->queued && bytes.len > 0)
+		flow_queue(shaper, flow);
 	if (!uv_is_active((uv_handle_t *)shaper->timer))
 		uv_timer_start(shaper->timer, handle_timer, 0, TURN_MS);
 }
