http: hand the socket one buffer by its own name

The sanitizer build warned that uv_write reads past a member of the request; it copies the list of buffers.

--- a/http/stream_write.c
+++ b/http/stream_write.c
@@ -4,7 +4,7 @@
 
 struct write_request {
 	uv_write_t request; /* first */
-	uv_buf_t buffer;
+	char *bytes;
 };
 
 static void
@@ -13,7 +13,7 @@
 	struct write_request *write = (struct write_request *)request;
 	struct http_stream *stream = (struct http_stream *)request->handle;
 
-	g_free(write->buffer.base);
+	g_free(write->bytes);
 	g_free(write);
 	if (stream->closing)
 		return;
@@ -47,18 +47,20 @@
 	struct write_request *write = g_new0(struct write_request, 1);
 	size_t from_first = sent < first.len ? first.len - sent : 0;
 	size_t skip = sent > first.len ? sent - first.len : 0;
+	size_t len = from_first + second.len - skip;
+	uv_buf_t buffer;
 
-	write->buffer.len = from_first + second.len - skip;
-	write->buffer.base = g_malloc(write->buffer.len);
+	write->bytes = g_malloc(len);
 	if (from_first > 0)
-		memcpy(write->buffer.base, first.ptr + sent, from_first);
+		memcpy(write->bytes, first.ptr + sent, from_first);
 	if (second.ptr != NULL)
-		memcpy(write->buffer.base + from_first, second.ptr + skip,
+		memcpy(write->bytes + from_first, second.ptr + skip,
 		    second.len - skip);
-	if (uv_write(&write->request, (uv_stream_t *)&stream->tcp,
-		&write->buffer, 1, handle_written) != 0) {
+	buffer = uv_buf_init(write->bytes, (unsigned)len);
+	if (uv_write(&write->request, (uv_stream_t *)&stream->tcp, &buffer, 1,
+		handle_written) != 0) {
 		/* The connection is broken: its reading side tells. */
-		g_free(write->buffer.base);
+		g_free(write->bytes);
 		g_free(write);
 		return;
 	}
