attempt: never send again on a peer's reset connection for nothing

A peer's kept connection that ends without an answer was taken for one that had been closed while idle, and the request was sent there again, unpaid and uncounted; but a peer that stops may have run it after some time in its queue. It is now a failure like others.

The errors of platform/ get a name of their own; source/ had the same one.

--- a/include/platform/json_fields.h
+++ b/include/platform/json_fields.h
@@ -6,15 +6,15 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define PLATFORM_ERROR (platform_error_quark())
+#define CODEC_ERROR (codec_error_quark())
 
-enum platform_error {
-	PLATFORM_ERROR_SYNTAX, /* not JSON, not base64, not a string of text */
-	PLATFORM_ERROR_FIELD,  /* missing, of another type, or out of range */
-	PLATFORM_ERROR_WORD,   /* a word that is not known */
+enum codec_error {
+	CODEC_ERROR_SYNTAX, /* not JSON, not base64, not a string of text */
+	CODEC_ERROR_FIELD,  /* missing, of another type, or out of range */
+	CODEC_ERROR_WORD,   /* a word that is not known */
 };
 
-GQuark platform_error_quark(void);
+GQuark codec_error_quark(void);
 
 /*
  * Read one field of an object. Each returns false with error set when the
--- a/tests/soak/mesh.py
+++ b/tests/soak/mesh.py
@@ -17,6 +17,7 @@
 ZONES = ("a", "b", "c")
 SERVICES = ("desk", "ledger")
 GRACE_MS = 3000
+ATTEMPTS_MAX = 2
 COLD_PER_S = 20
 COLD_MS = 1000
 
@@ -137,7 +138,7 @@
         def route(prefix, kind, service, timeout=1500):
             return {"host": "shop.example", "prefix": prefix, "kind": kind,
                     "timeoutMs": timeout, "targetLatencyMs": 300,
-                    "priority": 1, "maxAttempts": 2, "service": service}
+                    "priority": 1, "maxAttempts": ATTEMPTS_MAX, "service": service}
 
         routes = {"r-get": route("/get/", "safe", "desk"),
                   "r-post": route("/post/", "unsafe", "ledger"),
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -21,8 +21,8 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
 from callers import Callers  # noqa: E402
-from mesh import (CALLER_PORT, COLD_MS, COLD_PER_S, SERVICES,  # noqa: E402
-                  ZONES, Mesh)
+from mesh import (ATTEMPTS_MAX, CALLER_PORT, COLD_MS,  # noqa: E402
+                  COLD_PER_S, SERVICES, ZONES, Mesh)
 
 CALLERS_PER_HOST = 3
 APPLY_S = 2.0       # a change is in force everywhere, in calm
@@ -193,6 +193,9 @@
             runs = self.mesh.record.runs.get(request, [])
             if request in self.posts and len(runs) > 1:
                 self.fail(f"{request}: can't be repeated, ran {runs}")
+            if len(runs) > ATTEMPTS_MAX:
+                self.fail(f"{request}: ran more often than its route "
+                          f"allows: {runs}")
         sent = {f"q{n:08x}" for n in range(1, self.callers.number + 1)}
         for request in self.mesh.record.runs:
             if request not in sent and not request.startswith("p"):
--- a/trefoilhill-proxy/attempt.c
+++ b/trefoilhill-proxy/attempt.c
@@ -159,18 +159,6 @@
 	attempt_write_request(attempt);
 }
 
-/*
- * A kept connection of a peer had been closed before it was used. One of an
- * upstream may have been reset after the upstream ran the request.
- */
-static bool
-may_redial(const struct attempt *attempt)
-{
-	return !attempt->local && attempt->reused &&
-	    attempt->exchange->idempotent && !attempt->answered &&
-	    attempt->body_sent == 0 && !attempt->stream->message_begun;
-}
-
 static void
 handle_end(struct http_stream *stream, enum http_end end)
 {
@@ -186,12 +174,6 @@
 		attempt_fail(attempt, ATTEMPT_FATE_NOT_RUN, "unreachable");
 		return;
 	}
-	if (may_redial(attempt)) {
-		stream_abort(attempt);
-		attempt->sent_ms = 0;
-		attempt_dial(attempt);
-		return;
-	}
 	if (attempt->answered)
 		reason = "answer_cut";
 	else if (end == HTTP_END_MALFORMED || end == HTTP_END_TOO_LARGE)
