exchange: refuse what a stopping node could not finish

Ruled out: the upstream, which was at work or had answered. A request whose time would outlast the process is now refused at once. tests/soak/test_stop_late fails on the code before.

--- a/include/trefoilhill-proxy/proxy.h
+++ b/include/trefoilhill-proxy/proxy.h
@@ -57,6 +57,8 @@
 int64_t proxy_now_ms(const struct proxy *proxy);
 /* May callers be sent here? */
 bool proxy_is_ready(const struct proxy *proxy);
+/* Does the process end before this time, so that nothing may run until then? */
+bool proxy_ends_before(const struct proxy *proxy, int64_t at_ms);
 /* So near its end that peers' requests might not be answered any more. */
 bool proxy_refuses_peers(const struct proxy *proxy);
 void proxy_render_metrics(struct proxy *proxy, GString *out);
--- a/trefoilhill-proxy/exchange_begin.c
+++ b/trefoilhill-proxy/exchange_begin.c
@@ -100,6 +100,10 @@
 	if (caller_ms < 0 || caller_ms > exchange->route->timeout_ms)
 		caller_ms = exchange->route->timeout_ms;
 	deadline_set(exchange, caller_ms);
+	if (proxy_ends_before(proxy, exchange->deadline_ms)) {
+		exchange_answer_own(exchange, 503, "stopping", true);
+		return false;
+	}
 	if (exchange->has_length &&
 	    exchange->length > config->limits.body_max_bytes) {
 		exchange_answer_own(exchange, 413, "body_too_large", false);
--- a/trefoilhill-proxy/proxy.c
+++ b/trefoilhill-proxy/proxy.c
@@ -57,6 +57,19 @@
 	return !proxy->stopping && catalog_config(proxy->catalog) != NULL;
 }
 
+/*
+ * Tell whether a shutdown ends before a time: a request that may take so long
+ * would be cut.
+ */
+bool
+proxy_ends_before(const struct proxy *proxy, int64_t at_ms)
+{
+	int64_t grace_ms = proxy->settings->node.grace_ms;
+
+	return proxy->stopping &&
+	    at_ms > proxy->stop_ms + grace_ms * FINISH_PERCENT / PERCENT;
+}
+
 /*
  * Tell whether requests of peers are refused, so that they go to another
  * upstream while there is time.
