--- a/trefoilhill-proxy/follower.c
+++ b/trefoilhill-proxy/follower.c
@@ -32,7 +32,8 @@
 	 * within the grace; those that don't are gone.
 	 */
 	OUTAGE_MIN_MS = 1000,
-	OUTAGE_GRACE_MS = 2200,
+	OUTAGE_GRACE_MS =
+	    1700, /* less than a leaving upstream may still get work */
 	/* A watch that did not tell what peers know already is dead. */
 	WATCH_DOUBT_MS = 700,
 };
