wire: hold frames while a connection is made, not for 200 ms

Cause of the red transport test: frames were given up as unreachable 200 ms after they were held, and on a busy host the first connection takes longer. A frame now waits for as long as one attempt to connect may take, 1 s, and is given up at once when the attempt fails, as a socket monitor tells.

Test: 'frames wait for a slow connection' puts a relay of half a second in between; it fails on the code before, 4 assertions.

--- a/include/wire/peer.h
+++ b/include/wire/peer.h
@@ -11,6 +11,7 @@
 struct peer {
 	char *address;
 	void *socket;     /* DEALER */
+	void *monitor;    /* PAIR; tells of attempts to connect that failed */
 	GQueue held;      /* struct outgoing *: wait for the connection */
 	bool unreachable; /* the last hold ended without a connection */
 	int64_t used_at_us;
--- a/tests/wire/test_transport.c
+++ b/tests/wire/test_transport.c
@@ -1,5 +1,8 @@
+#include <arpa/inet.h>
+#include <poll.h>
 #include <pthread.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 #include <zmq.h>
 
@@ -13,6 +16,15 @@
 	WAIT_US = 3 * 1000 * 1000,
 	PORT_FIRST = 23100,
 	PORT_COUNT = 400,
+	SLOW_CONNECTION_MS = 500,
+};
+
+/* Passes the bytes of one connection on, the first of them late. */
+struct relay {
+	pthread_t thread;
+	int listener;
+	char address[32];
+	struct sockaddr_in target;
 };
 
 struct inbox {
@@ -146,6 +158,89 @@
 	node_close(&b);
 }
 
+static bool
+pass_bytes(int from, int to)
+{
+	char bytes[4096];
+	ssize_t count = read(from, bytes, sizeof(bytes));
+
+	return count > 0 && write(to, bytes, (size_t)count) == count;
+}
+
+static void *
+relay_run(void *arg)
+{
+	struct relay *relay = arg;
+	struct pollfd ends[2] = { { .events = POLLIN }, { .events = POLLIN } };
+	bool open = true;
+
+	ends[0].fd = accept(relay->listener, NULL, NULL);
+	usleep(SLOW_CONNECTION_MS * 1000);
+	ends[1].fd = socket(AF_INET, SOCK_STREAM, 0);
+	open = connect(ends[1].fd, (struct sockaddr *)&relay->target,
+		   sizeof(relay->target)) == 0;
+	while (open && poll(ends, 2, -1) > 0) {
+		if (ends[0].revents != 0)
+			open = pass_bytes(ends[0].fd, ends[1].fd);
+		if (open && ends[1].revents != 0)
+			open = pass_bytes(ends[1].fd, ends[0].fd);
+	}
+	close(ends[0].fd);
+	close(ends[1].fd);
+	return NULL;
+}
+
+static void
+relay_open(struct relay *relay, const char *target)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t len = sizeof(address);
+
+	relay->target = address;
+	relay->target.sin_port = htons((uint16_t)atoi(strchr(target, ':') + 1));
+	inet_pton(AF_INET, "127.0.0.1", &relay->target.sin_addr);
+	inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+	relay->listener = socket(AF_INET, SOCK_STREAM, 0);
+	g_assert_cmpint(
+	    bind(relay->listener, (struct sockaddr *)&address, sizeof(address)),
+	    ==, 0);
+	g_assert_cmpint(listen(relay->listener, 1), ==, 0);
+	getsockname(relay->listener, (struct sockaddr *)&address, &len);
+	g_snprintf(relay->address, sizeof(relay->address), "127.0.0.1:%d",
+	    ntohs(address.sin_port));
+	pthread_create(&relay->thread, NULL, relay_run, relay);
+}
+
+static void
+relay_close(struct relay *relay)
+{
+	pthread_join(relay->thread, NULL);
+	close(relay->listener);
+}
+
+/*
+ * On a busy host the first connection takes a while: the frames wait for it.
+ */
+static void
+test_frames_wait_for_a_slow_connection(void)
+{
+	struct node a, b;
+	struct relay relay;
+
+	node_open(&a, NULL);
+	node_open(&b, NULL);
+	relay_open(&relay, b.address);
+	send_head(&a, relay.address, "first");
+	send_head(&a, relay.address, "second");
+	CU_ASSERT_TRUE(wait_for(&b.inbox, &b.inbox.count, 2));
+	CU_ASSERT_STRING_EQUAL(b.inbox.heads[0], "first");
+	CU_ASSERT_STRING_EQUAL(b.inbox.heads[1], "second");
+	CU_ASSERT_EQUAL(inbox_count(&a.inbox, &a.inbox.drops), 0);
+	node_close(&a);
+	node_close(&b);
+	relay_close(&relay);
+}
+
 static void
 test_body_is_carried(void)
 {
@@ -270,6 +365,8 @@
 	static const struct test_case cases[] = {
 		{ "frames arrive in order and are answered",
 		    test_frames_arrive_in_order_and_are_answered },
+		{ "frames wait for a slow connection",
+		    test_frames_wait_for_a_slow_connection },
 		{ "body is carried", test_body_is_carried },
 		{ "frame for dead peer is never late",
 		    test_frame_for_dead_peer_is_never_late },
--- a/wire/peer.c
+++ b/wire/peer.c
@@ -5,14 +5,16 @@
 #include "wire/peer.h"
 
 enum {
-	HOLD_US = 200 * 1000,
 	/* What was sent and not acknowledged for so long ends a connection. */
 	UNACKNOWLEDGED_MAX_MS = 2000,
 	HEARTBEAT_INTERVAL_MS = 10000,
 	HEARTBEAT_TIMEOUT_MS = 20000,
+	ENDPOINT_MAX = 64,
 	RECONNECT_MIN_MS = 50,
 	RECONNECT_MAX_MS = 1000,
 	CONNECT_TIMEOUT_MS = 1000,
+	/* A frame waits for as long as one attempt to connect may take. */
+	HOLD_US = CONNECT_TIMEOUT_MS * 1000,
 	HANDSHAKE_TIMEOUT_MS = 1000,
 };
 
@@ -60,6 +62,44 @@
 	return fd;
 }
 
+/*
+ * Return a socket that tells when an attempt to connect has failed; NULL when
+ * none is left.
+ */
+static void *
+monitor_open(void *zmq, void *socket)
+{
+	char endpoint[ENDPOINT_MAX];
+	void *monitor = NULL;
+
+	g_snprintf(endpoint, sizeof(endpoint), "inproc://monitor-%p", socket);
+	if (zmq_socket_monitor(socket, endpoint, ZMQ_EVENT_CLOSED) != 0)
+		return NULL;
+	monitor = zmq_socket(zmq, ZMQ_PAIR);
+	if (monitor == NULL)
+		return NULL;
+	set_int(monitor, ZMQ_LINGER, 0);
+	if (zmq_connect(monitor, endpoint) == 0)
+		return monitor;
+	zmq_close(monitor);
+	return NULL;
+}
+
+/*
+ * Take all that the monitor tells; true when an attempt to connect has failed
+ * since the last call.
+ */
+static bool
+monitor_take(void *monitor)
+{
+	char bytes[ENDPOINT_MAX];
+	bool failed = false;
+
+	while (zmq_recv(monitor, bytes, sizeof(bytes), ZMQ_DONTWAIT) >= 0)
+		failed = true;
+	return failed;
+}
+
 /*
  * Begin to connect to a peer. NULL when the address is no IP:PORT or no
  * socket is left.
@@ -67,24 +107,24 @@
 struct peer *
 peer_new(void *zmq, const char *address, uint32_t high_water)
 {
-	struct peer *peer = NULL;
+	struct peer *peer = g_new0(struct peer, 1);
 	char *endpoint = g_strdup_printf("tcp://%s", address);
-	void *socket = zmq_socket(zmq, ZMQ_DEALER);
-
-	if (socket == NULL)
-		goto out;
-	socket_configure(socket, high_water);
-	if (zmq_connect(socket, endpoint) != 0) {
-		zmq_close(socket);
-		goto out;
-	}
-	peer = g_new0(struct peer, 1);
+
 	peer->address = g_strdup(address);
-	peer->socket = socket;
 	g_queue_init(&peer->held);
-out:
+	peer->socket = zmq_socket(zmq, ZMQ_DEALER);
+	if (peer->socket == NULL)
+		goto fail;
+	socket_configure(peer->socket, high_water);
+	peer->monitor = monitor_open(zmq, peer->socket);
+	if (peer->monitor == NULL || zmq_connect(peer->socket, endpoint) != 0)
+		goto fail;
 	g_free(endpoint);
 	return peer;
+fail:
+	g_free(endpoint);
+	peer_free(peer);
+	return NULL;
 }
 
 /*
@@ -97,13 +137,16 @@
 
 	while ((out = g_queue_pop_head(&peer->held)) != NULL)
 		outgoing_free(out);
-	zmq_close(peer->socket);
+	if (peer->socket != NULL)
+		zmq_close(peer->socket);
+	if (peer->monitor != NULL)
+		zmq_close(peer->monitor);
 	g_free(peer->address);
 	g_free(peer);
 }
 
 /*
- * Send a frame, or hold it for a moment while the first connection is made.
+ * Send a frame, or hold it while a connection is made.
  * Frames leave in the order in which they came. A peer that was found
  * unreachable gets no second hold until a frame goes through.
  */
@@ -112,8 +155,10 @@
 {
 	enum send_result result = SEND_FULL;
 
-	if (g_queue_is_empty(&peer->held))
+	if (g_queue_is_empty(&peer->held)) {
+		monitor_take(peer->monitor);
 		result = outgoing_send(out, peer->socket);
+	}
 	if (result == SEND_DONE) {
 		peer->unreachable = false;
 		return PEER_SENT;
@@ -138,7 +183,10 @@
 	if (first == NULL)
 		return PEER_FLUSH_NONE;
 	result = outgoing_send(first, peer->socket);
-	if (result == SEND_FULL && now_us - first->queued_at_us < HOLD_US)
+	if (result == SEND_FULL && !peer->unreachable)
+		peer->unreachable = monitor_take(peer->monitor);
+	if (result == SEND_FULL && !peer->unreachable &&
+	    now_us - first->queued_at_us < HOLD_US)
 		return PEER_FLUSH_NONE;
 	*out = g_queue_pop_head(&peer->held);
 	peer->unreachable = result != SEND_DONE;
