trefoilhill-timeline: read the logs of nodes

Cause: what happened to a request on the users' platform had to be put together by hand from the JSON lines of several nodes, as the time line only read the events of the project's own operator listeners. Ids that are no hexadecimal numbers are taken too; the calls that an upstream makes for a request come along with it.

Left out: the story as JSON.

--- a/include/trefoilhill-timeline/timeline.h
+++ b/include/trefoilhill-timeline/timeline.h
@@ -2,19 +2,21 @@
 #define TREFOILHILL_TIMELINE_TIMELINE_H
 
 #include <glib.h>
+#include <jansson.h>
 #include <stdbool.h>
 #include <stdint.h>
 #include <stdio.h>
 
-/* One event of one node, as docs/PROTOCOL.md has it. */
+/* One event of one node: from its ring, or a line of its log. */
 struct timeline_event {
 	char *node;
 	char *kind;
 	char *subject;
+	bool logged; /* from a log: subject holds all fields of the line */
 	uint64_t sequence;
 	int64_t at_us; /* wall clock of the node */
 	uint64_t version;
-	uint64_t request;
+	uint64_t request; /* see timeline_request_number */
 	int64_t value;
 };
 
@@ -29,6 +31,9 @@
 struct timeline {
 	GPtrArray *streams; /* struct timeline_stream * */
 	GPtrArray *merged;  /* struct timeline_event *, borrowed */
+	bool skip;          /* lines that are no events are passed over */
+	uint64_t skipped;   /* such lines */
+	uint64_t lines;     /* log lines so far; number them */
 };
 
 #define TIMELINE_ERROR (timeline_error_quark())
@@ -42,11 +47,25 @@
 GQuark timeline_error_quark(void);
 void timeline_init(struct timeline *timeline);
 void timeline_clear(struct timeline *timeline);
-/* Add JSON lines; name is for messages. */
+/*
+ * Add JSON lines, events or log lines; name is for messages. What stands
+ * before the first brace of a line is passed over.
+ */
 bool timeline_read(struct timeline *timeline, const char *name,
     const char *text, GError **error);
+/* "-" is standard input. */
 bool timeline_read_file(
     struct timeline *timeline, const char *path, GError **error);
+/* Pass over lines that are no events; skipped counts them. */
+void timeline_skip_others(struct timeline *timeline);
+/* A log line as an event, or NULL. */
+struct timeline_event *timeline_event_from_log(json_t *json);
+/*
+ * The number of a request's id: up to 16 hexadecimal digits are taken as they
+ * are, other texts are hashed. What follows a point, as in the ids of calls
+ * that an upstream makes for a request, does not count; 0 for an empty id.
+ */
+uint64_t timeline_request_number(const char *id);
 void timeline_merge(struct timeline *timeline);
 
 /* Which events to show; NULL, 0 and the whole range show all. */
--- a/tests/tools/test_timeline.c
+++ b/tests/tools/test_timeline.c
@@ -236,6 +236,63 @@
 	timeline_clear(&timeline);
 }
 
+#define LOG(node, ms, event, more)                                    \
+	"   1.25 " node " {\"steady_ms\":1,\"wall_ms\":" #ms          \
+	",\"node\":\"" node "\",\"incarnation\":7,\"event\":\"" event \
+	"\"," more "}\n"
+
+/* One story over the entry and the guards that it asked, from their logs. */
+static void
+test_logs_tell_what_happened(void)
+{
+	static const char logs[] = "not of a node\n" LOG(
+	    "a", 10000, "store_lost", "\"age_ms\":900") LOG("a", 10500,
+	    "chosen", "\"request\":\"ff\",\"upstream\":\"i-2\",\"in_flight\":3")
+	    LOG("c", 10550, "store_lost", "\"age_ms\":1") LOG("b", 10501,
+		"refused", "\"request\":\"ff\",\"reason\":\"too_late\"")
+		LOG("b", 10600, "answered", "\"request\":\"ff.1\"")
+		    LOG("b", 10601, "answered", "\"request\":\"fe\"");
+	struct timeline timeline;
+	GError *error = NULL;
+	size_t len;
+	char *text;
+	FILE *out = open_memstream(&text, &len);
+
+	timeline_init(&timeline);
+	CU_ASSERT_FALSE(timeline_read(&timeline, "logs", logs, &error));
+	CU_ASSERT_TRUE(
+	    g_error_matches(error, TIMELINE_ERROR, TIMELINE_ERROR_SYNTAX));
+	g_clear_error(&error);
+	timeline_skip_others(&timeline);
+	CU_ASSERT_TRUE(timeline_read(&timeline, "logs", logs, NULL));
+	CU_ASSERT_EQUAL(timeline.skipped, 1);
+	timeline_merge(&timeline);
+	CU_ASSERT_TRUE(
+	    timeline_print_why(&timeline, timeline_request_number("FF"), out));
+	fclose(out);
+	CU_ASSERT_PTR_NOT_NULL(
+	    strstr(text, "chosen request=ff upstream=i-2 in_flight=3"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(
+	    text, "b refused it (request=ff reason=too_late): it did not run"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(text, "request=ff.1"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(text, "store_lost age_ms=900"));
+	CU_ASSERT_PTR_NULL(strstr(text, "store_lost age_ms=1\n"));
+	CU_ASSERT_PTR_NULL(strstr(text, "request=fe"));
+	free(text);
+	timeline_clear(&timeline);
+}
+
+static void
+test_request_numbers(void)
+{
+	CU_ASSERT_EQUAL(timeline_request_number("ff"), 255);
+	CU_ASSERT_EQUAL(timeline_request_number("00FF.abc"), 255);
+	CU_ASSERT_EQUAL(timeline_request_number(""), 0);
+	CU_ASSERT_EQUAL(timeline_request_number(".1"), 0);
+	CU_ASSERT_NOT_EQUAL(timeline_request_number("order-1"),
+	    timeline_request_number("order-2"));
+}
+
 static const struct test_case cases[] = {
 	{ "merge keeps causes before effects",
 	    test_merge_keeps_causes_before_effects },
@@ -249,6 +306,8 @@
 	{ "late tells arrivals", test_late_tells_arrivals },
 	{ "why tells what happened", test_why_tells_what_happened },
 	{ "picture is whole and escaped", test_picture_is_whole_and_escaped },
+	{ "logs tell what happened", test_logs_tell_what_happened },
+	{ "numbers of requests", test_request_numbers },
 	{ NULL, NULL },
 };
 
--- a/trefoilhill-timeline/main.c
+++ b/trefoilhill-timeline/main.c
@@ -6,7 +6,6 @@
 #include "trefoilhillctl/command.h"
 
 enum {
-	HEX = 16,
 	DECIMAL = 10,
 	SECOND_US = 1000000,
 	MARGIN_US = 200000, /* shown before and after what is asked about */
@@ -26,11 +25,13 @@
 static const char usage[] =
     "usage: trefoilhill-timeline [OPTION]... [FILE]...\n"
     "Merge the events of many nodes into one time line. They come from the\n"
-    "nodes named, or from FILEs of JSON lines as GET /v1/events answers.\n"
+    "nodes named, or from FILEs of JSON lines: as GET /v1/events answers,\n"
+    "or logs of trefoilhill-proxy; - is standard input.\n"
+    "  --mixed               pass over lines that are no events\n"
     "  --node IP:PORT[,...]  operator listeners; may be repeated\n"
     "                        (else TREFOILHILL_NODES, if no FILE is given)\n"
     "  --late VERSION        when each node had the version in force\n"
-    "  --why REQUEST         what happened to one request (hexadecimal id)\n"
+    "  --why REQUEST         what happened to one request, by its id\n"
     "  --svg FILE            draw the events as a picture\n"
     "  --html FILE           the same as a page\n"
     "Which events to show:\n"
@@ -44,6 +45,7 @@
     "Exit status: 0 done, 1 failed or a node did not answer, 2 wrong usage.\n";
 
 static const struct option own_options[] = {
+	{ "mixed", no_argument, NULL, 'm' },
 	{ "late", required_argument, NULL, 'l' },
 	{ "why", required_argument, NULL, 'w' },
 	{ "svg", required_argument, NULL, 's' },
@@ -58,12 +60,12 @@
 };
 
 static bool
-parse_number(const char *text, guint base, uint64_t *number)
+parse_number(const char *text, uint64_t *number)
 {
 	guint64 value;
 
 	if (!g_ascii_string_to_unsigned(
-		text, base, 1, G_MAXUINT64, &value, NULL)) {
+		text, DECIMAL, 1, G_MAXUINT64, &value, NULL)) {
 		fprintf(
 		    stderr, "trefoilhill-timeline: %s: not a number\n", text);
 		return false;
@@ -72,6 +74,16 @@
 	return true;
 }
 
+static bool
+parse_request(const char *text, uint64_t *number)
+{
+	*number = timeline_request_number(text);
+	if (*number == 0)
+		fprintf(
+		    stderr, "trefoilhill-timeline: %s: not a request\n", text);
+	return *number != 0;
+}
+
 static bool
 parse_time(const char *text, int64_t *us)
 {
@@ -91,13 +103,16 @@
 {
 	switch (option) {
 	case 'l':
-		return parse_number(optarg, DECIMAL, &run->late);
+		return parse_number(optarg, &run->late);
 	case 'w':
-		return parse_number(optarg, HEX, &run->why);
+		return parse_request(optarg, &run->why);
 	case 'r':
-		return parse_number(optarg, HEX, &run->filter.request);
+		return parse_request(optarg, &run->filter.request);
+	case 'm':
+		timeline_skip_others(&run->timeline);
+		return true;
 	case 'v':
-		return parse_number(optarg, DECIMAL, &run->filter.version);
+		return parse_number(optarg, &run->filter.version);
 	case 'S':
 		return parse_time(optarg, &run->filter.since_us);
 	case 'U':
@@ -179,6 +194,11 @@
 		if (!timeline_read_file(&run->timeline, argv[i], &error))
 			good = complain(g_steal_pointer(&error));
 	g_ptr_array_unref(answers);
+	if (run->timeline.skipped > 0)
+		fprintf(stderr,
+		    "trefoilhill-timeline: %" G_GUINT64_FORMAT
+		    " lines are no events\n",
+		    (guint64)run->timeline.skipped);
 	timeline_merge(&run->timeline);
 	return good;
 }
--- a/trefoilhill-timeline/read.c
+++ b/trefoilhill-timeline/read.c
@@ -6,6 +6,7 @@
 
 enum {
 	FILE_BYTES_MAX = 256 * 1024 * 1024,
+	READ_BYTES = 64 * 1024,
 	SECOND_US = 1000000,
 };
 
@@ -39,6 +40,17 @@
 {
 	timeline->streams = g_ptr_array_new_with_free_func(stream_free);
 	timeline->merged = g_ptr_array_new();
+	timeline->skip = false;
+	timeline->skipped = timeline->lines = 0;
+}
+
+/*
+ * Let lines that are no events be passed over and counted.
+ */
+void
+timeline_skip_others(struct timeline *timeline)
+{
+	timeline->skip = true;
 }
 
 /*
@@ -70,9 +82,8 @@
 }
 
 static struct timeline_event *
-event_parse(const char *line)
+event_from_ring(json_t *json)
 {
-	json_t *json = json_loads(line, 0, NULL);
 	const char *node, *kind, *at, *subject = "";
 	json_int_t seq, version = 0, request = 0, value = 0;
 	struct timeline_event *event = NULL;
@@ -83,7 +94,7 @@
 		"request", &request, "value", &value, "subject",
 		&subject) != 0 ||
 	    !time_parse(at, &at_us))
-		goto done;
+		return NULL;
 	event = g_new0(struct timeline_event, 1);
 	event->node = g_strdup(node);
 	event->kind = g_strdup(kind);
@@ -93,7 +104,22 @@
 	event->version = (uint64_t)version;
 	event->request = (uint64_t)request;
 	event->value = value;
-done:
+	return event;
+}
+
+static struct timeline_event *
+event_parse(struct timeline *timeline, const char *line)
+{
+	const char *begin = strchr(line, '{');
+	json_t *json =
+	    json_loads(begin == NULL ? line : begin, JSON_ALLOW_NUL, NULL);
+	struct timeline_event *event = event_from_ring(json);
+
+	if (event == NULL) {
+		event = timeline_event_from_log(json);
+		if (event != NULL)
+			event->sequence = ++timeline->lines;
+	}
 	json_decref(json);
 	return event;
 }
@@ -137,10 +163,12 @@
 
 		if (*lines[i] == '\0')
 			continue;
-		event = event_parse(lines[i]);
-		good = event != NULL;
-		if (good)
+		event = event_parse(timeline, lines[i]);
+		good = event != NULL || timeline->skip;
+		if (event != NULL)
 			add_event(timeline, current, event);
+		else if (good)
+			timeline->skipped++;
 		else
 			g_set_error(error, TIMELINE_ERROR,
 			    TIMELINE_ERROR_SYNTAX,
@@ -151,8 +179,28 @@
 	return good;
 }
 
+/* Read standard input to its end, up to the most that is taken of a file. */
+static bool
+read_standard_input(char **text, GError **error)
+{
+	GString *whole = g_string_new(NULL);
+	char bytes[READ_BYTES];
+	size_t count;
+
+	while ((count = fread(bytes, 1, sizeof(bytes), stdin)) > 0 &&
+	    whole->len <= FILE_BYTES_MAX)
+		g_string_append_len(whole, bytes, (gssize)count);
+	*text = g_string_free(whole, FALSE);
+	if (ferror(stdin) == 0 && feof(stdin) != 0)
+		return true;
+	g_set_error(error, TIMELINE_ERROR, TIMELINE_ERROR_TOO_LARGE,
+	    "standard input: over %d bytes, or not readable", FILE_BYTES_MAX);
+	return false;
+}
+
 /*
- * As timeline_read, from a file of at most 256 MiB.
+ * As timeline_read, from a file of at most 256 MiB or, for "-", from standard
+ * input.
  */
 bool
 timeline_read_file(struct timeline *timeline, const char *path, GError **error)
@@ -161,6 +209,12 @@
 	char *text = NULL;
 	bool good;
 
+	if (strcmp(path, "-") == 0) {
+		good = read_standard_input(&text, error) &&
+		    timeline_read(timeline, "standard input", text, error);
+		g_free(text);
+		return good;
+	}
 	if (g_stat(path, &about) == 0 && about.st_size > FILE_BYTES_MAX) {
 		g_set_error(error, TIMELINE_ERROR, TIMELINE_ERROR_TOO_LARGE,
 		    "%s: over %d bytes", path, FILE_BYTES_MAX);
--- a/trefoilhill-timeline/text.c
+++ b/trefoilhill-timeline/text.c
@@ -33,7 +33,7 @@
 	if (event->version != 0)
 		g_string_append_printf(
 		    text, " version=%" PRIu64, event->version);
-	if (event->request != 0)
+	if (event->request != 0 && !event->logged)
 		g_string_append_printf(
 		    text, " request=%016" PRIx64, event->request);
 	if (event->value != 0)
@@ -110,42 +110,67 @@
 static void
 print_meaning(const struct timeline_event *event, FILE *out)
 {
-	if (timeline_event_is(event, "call_refused"))
+	if (timeline_event_is(event, "call_refused") ||
+	    timeline_event_is(event, "refused"))
 		fprintf(out, "%s refused it (%s): it did not run.\n",
 		    event->node, event->subject);
-	else if (timeline_event_is(event, "call_unknown"))
+	else if (timeline_event_is(event, "call_unknown") ||
+	    timeline_event_is(event, "failed"))
 		fprintf(out, "%s gave it up (%s): it may have run.\n",
 		    event->node, event->subject);
+	else if (timeline_event_is(event, "answer_cut"))
+		fprintf(out, "%s cut its answer (%s): it has run.\n",
+		    event->node, event->subject);
+	else if (timeline_event_is(event, "caller_gone"))
+		fprintf(out, "%s saw its caller leave (%s).\n", event->node,
+		    event->subject);
 	else if (timeline_event_is(event, "call_retried"))
 		fprintf(out,
 		    "%s tried it again after attempt %" PRId64 " (%s).\n",
 		    event->node, event->value, event->subject);
 }
 
-/* Does the event help to see why a call at the node ended badly? */
+/* Has a node to do with the events of a request? */
+static bool
+takes_part(const GPtrArray *events, const char *node)
+{
+	for (guint i = 0; i < events->len; i++) {
+		const struct timeline_event *event = events->pdata[i];
+
+		if (strcmp(event->node, node) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Does the event help to see why a call ended badly? */
 static bool
-is_context(const struct timeline_event *event, const char *node)
+is_context(const struct timeline_event *event, const GPtrArray *call)
 {
-	if (g_str_has_prefix(event->kind, "call_"))
+	const struct timeline_event *first = call->pdata[0];
+
+	if (event->request != 0 || g_str_has_prefix(event->kind, "call_"))
 		return false;
-	return strcmp(event->node, node) == 0 ||
+	if (event->logged)
+		return takes_part(call, event->node);
+	return strcmp(event->node, first->node) == 0 ||
 	    !(g_str_has_prefix(event->kind, "version_") ||
 		timeline_event_is(event, "state_adopted"));
 }
 
 /* What led to it: the last changes of state up to its end. */
 static void
-print_context(const struct timeline *timeline,
-    const struct timeline_event *first, const struct timeline_event *last,
-    FILE *out)
+print_context(const struct timeline *timeline, const GPtrArray *call, FILE *out)
 {
+	const struct timeline_event *first = call->pdata[0];
+	const struct timeline_event *last = call->pdata[call->len - 1];
 	struct timeline_filter filter = { .since_us = first->at_us - CONTEXT_US,
 		.until_us = last->at_us };
 	GPtrArray *around = timeline_select(timeline, &filter);
 	guint left = 0;
 
 	for (guint i = 0; i < around->len; i++)
-		if (is_context(around->pdata[i], first->node))
+		if (is_context(around->pdata[i], call))
 			around->pdata[left++] = around->pdata[i];
 	g_ptr_array_set_size(around, (int)left);
 	if (left > CONTEXT_MAX)
@@ -179,8 +204,7 @@
 	timeline_print(events, out);
 	for (guint i = 0; i < events->len; i++)
 		print_meaning(events->pdata[i], out);
-	print_context(
-	    timeline, events->pdata[0], events->pdata[events->len - 1], out);
+	print_context(timeline, events, out);
 done:
 	g_ptr_array_unref(events);
 	return found;
