guard, route: keep the places that large answers were promised, and judge lateness by what is sure

They now queue in turn, and one that the link can't carry in time is refused at once. - The run time of a route ended with the answer's head; a large answer takes as long again on the link. Its time now ends with its last byte, and such a request gets no second send beside the first, which costs the link twice. - What a caller had spent was taken from the longest deadline of the route, but first deadlines differ by 15%, so a third of all first tries counted as late, went last, and so were late. The reference is now the deadline that nine tenths exceed. Besides, a wait at the gate leaves a second run time free, at most a quarter of the objective: with none, half of those that waited their full time were late.

--- a/guard/admission.c
+++ b/guard/admission.c
@@ -202,6 +202,21 @@
 	return MIN(*oldest + COLD_WINDOW_MS, admission->cold_until_ms);
 }
 
+/* Large answers that come before this one, which is queued. */
+static uint32_t
+bulk_ahead(
+    const struct admission *admission, const struct admission_waiter *waiter)
+{
+	uint32_t ahead = admission->bulk_in_flight + 1 > admission->bulk_limit
+	    ? admission->bulk_in_flight + 1 - admission->bulk_limit
+	    : 0;
+
+	for (GList *link = admission->queue.head;
+	     link != NULL && link->data != waiter; link = link->next)
+		ahead += ((struct admission_waiter *)link->data)->bulk;
+	return ahead;
+}
+
 /* Time until the turn of one that has so many before it. */
 static int64_t
 wait_expected_ms(const struct admission *admission,
@@ -214,7 +229,7 @@
 	if (is_cold(admission, now_ms) && admission->cold_per_s > 0)
 		by_rate = (double)(ahead + 1) * 1000 / admission->cold_per_s;
 	if (waiter->bulk && admission->bulk_limit > 0)
-		by_link = (double)admission->bulk_queued *
+		by_link = (double)bulk_ahead(admission, waiter) *
 		    admission->bulk_transfer_ms;
 	return (int64_t)MAX(MAX(by_limit, by_rate), by_link);
 }
@@ -230,6 +245,9 @@
 		return a->priority < b->priority;
 	if (a->late != b->late)
 		return b->late;
+	/* In turn, so that each keeps the place that it was promised. */
+	if (a->bulk && b->bulk)
+		return false;
 	return a->latest_start_ms < b->latest_start_ms;
 }
 
--- a/include/route/run_times.h
+++ b/include/route/run_times.h
@@ -14,8 +14,9 @@
 void run_times_learn(
     struct run_times *times, const char *route, int64_t run_ms);
 /*
- * How long the caller has been trying: its deadline is that much shorter than
- * the longest that was seen on the route. Learns from each call.
+ * How many milliseconds the caller has been trying at least: its deadline is
+ * that much shorter than usual on the route; 0 for a deadline below 0, which
+ * says nothing. Learns from each call.
  */
 int64_t run_times_spent_ms(
     struct run_times *times, const char *route, int64_t deadline_ms);
--- a/include/trefoilhill-proxy/exchange.h
+++ b/include/trefoilhill-proxy/exchange.h
@@ -54,6 +54,8 @@
 	bool may_have_run; /* by an attempt that has failed */
 	/* The answer. */
 	struct attempt *answering;
+	int64_t answer_ms;       /* when its head came */
+	int64_t answer_run_ms;   /* that the upstream took until then */
 	GString *answer_head;    /* rendered, not yet sent */
 	GByteArray *held;        /* body bytes that are not yet sent */
 	struct shaper_flow flow; /* of a large answer */
--- a/route/run_times.c
+++ b/route/run_times.c
@@ -5,11 +5,14 @@
 enum {
 	WEIGHT = 16, /* a new time counts one part in so many */
 	SCALE = 16,  /* times are kept in sixteenths of a millisecond */
+	/* Nine up for one down: a tenth of the deadlines is shorter. */
+	DEADLINE_STEP_UP_MS = 4,
+	DEADLINE_STEP_DOWN_MS = 9 * DEADLINE_STEP_UP_MS,
 };
 
 struct run_times {
 	GHashTable *routes;    /* name to the mean, as a number */
-	GHashTable *deadlines; /* name to the longest, as a number */
+	GHashTable *deadlines; /* name to the usual least, as a number */
 };
 
 /*
@@ -56,23 +59,29 @@
 }
 
 /*
- * Return how long a caller has been trying, by the deadline that it gives.
+ * Return how long a caller has been trying at least, by the deadline that it
+ * gives. Callers differ in their first deadlines, so what is within the usual
+ * spread of a route says nothing: the reference is the deadline that all but
+ * a few requests exceed.
  */
 int64_t
 run_times_spent_ms(
     struct run_times *times, const char *route, int64_t deadline_ms)
 {
-	int64_t longest =
+	int64_t usual =
 	    GPOINTER_TO_INT(g_hash_table_lookup(times->deadlines, route));
 
-	if (deadline_ms < 0)
+	if (deadline_ms < 0 || deadline_ms > G_MAXINT)
 		return 0;
-	if (deadline_ms > longest && deadline_ms <= G_MAXINT) {
-		g_hash_table_insert(times->deadlines, g_strdup(route),
-		    GINT_TO_POINTER((int)deadline_ms));
-		return 0;
-	}
-	return longest - deadline_ms;
+	if (usual == 0)
+		usual = deadline_ms;
+	else if (deadline_ms < usual)
+		usual -= MIN(usual - deadline_ms, DEADLINE_STEP_DOWN_MS);
+	else
+		usual += MIN(deadline_ms - usual, DEADLINE_STEP_UP_MS);
+	g_hash_table_insert(
+	    times->deadlines, g_strdup(route), GINT_TO_POINTER((int)usual));
+	return MAX(usual - deadline_ms, 0);
 }
 
 /*
--- a/tests/guard/test_admission.c
+++ b/tests/guard/test_admission.c
@@ -306,6 +306,44 @@
 	admission_free(f.admission);
 }
 
+static enum admission_verdict
+offer_bulk(struct fixture *f, int64_t latest_ms, struct noted **out)
+{
+	struct noted *noted = &f->noted[f->used++];
+	enum admission_reason reason;
+
+	noted->waiter.bulk = true;
+	noted->waiter.latest_start_ms = latest_ms;
+	noted->waiter.handle_turn = handle_turn;
+	*out = noted;
+	return admission_offer(f->admission, &noted->waiter, 0, &reason);
+}
+
+/*
+ * A large answer keeps the place that it was promised: a later request that
+ * is in more of a hurry does not go before it, and is refused at once when
+ * the link can't carry it in time.
+ */
+static void
+test_bulk_in_turn(void)
+{
+	struct noted *first, *second, *third, *hurried;
+	struct admission_waiter ended = { .bulk = true };
+	struct fixture f;
+
+	fixture_init(&f);
+	admission_set_bulk(f.admission, 1, 80);
+	CU_ASSERT_EQUAL(offer_bulk(&f, FOREVER_MS, &first), ADMISSION_RUN);
+	CU_ASSERT_EQUAL(offer_bulk(&f, 500, &second), ADMISSION_QUEUED);
+	CU_ASSERT_EQUAL(offer_bulk(&f, 100, &hurried), ADMISSION_REFUSED);
+	CU_ASSERT_EQUAL(offer_bulk(&f, 300, &third), ADMISSION_QUEUED);
+	admission_finish(f.admission, &ended, ADMISSION_GOOD, 1000, 80);
+	CU_ASSERT_TRUE(second->told);
+	CU_ASSERT_EQUAL(second->reason, ADMISSION_OK);
+	CU_ASSERT_FALSE(third->told);
+	admission_free(f.admission);
+}
+
 static void
 test_closing_refuses_all(void)
 {
@@ -340,6 +378,7 @@
 	    test_refused_connections_pause_and_return },
 	{ "sheds leave half of the slots", test_sheds_leave_half_of_the_slots },
 	{ "large answers leave slots to short requests", test_bulk_limit },
+	{ "large answers have their turn in order", test_bulk_in_turn },
 	{ "closing refuses all", test_closing_refuses_all },
 	{ NULL, NULL },
 };
--- a/trefoilhill-proxy/exchange_answer.c
+++ b/trefoilhill-proxy/exchange_answer.c
@@ -211,6 +211,11 @@
 relay_done(struct exchange *exchange)
 {
 	count_answer(exchange);
+	if (exchange->bulk && exchange->route != NULL && exchange->status < 500)
+		run_times_learn(exchange->proxy->run_times,
+		    exchange->route->name,
+		    exchange->answer_run_ms + proxy_now_ms(exchange->proxy) -
+			exchange->answer_ms);
 	caller_answered(exchange->caller);
 }
 
--- a/trefoilhill-proxy/exchange_dispatch.c
+++ b/trefoilhill-proxy/exchange_dispatch.c
@@ -14,6 +14,12 @@
 	 * within the objective, but for this share of it at least, percent.
 	 */
 	WAIT_MIN_PERCENT = 25,
+	/*
+	 * Run times vary: as much again is kept free, or half of those that
+	 * wait their full time would be late; but no more than this share of
+	 * the objective, percent.
+	 */
+	WAIT_MARGIN_PERCENT = 25,
 	/* One that is late already waits for this share of what is left. */
 	LATE_WAIT_PERCENT = 40,
 };
@@ -64,6 +70,8 @@
 	    (int64_t)exchange->objective_ms * WAIT_MIN_PERCENT / 100;
 	int64_t most = exchange_left_ms(exchange) - run_ms(exchange);
 
+	objective_left -= MIN(run_ms(exchange),
+	    exchange->objective_ms * WAIT_MARGIN_PERCENT / 100);
 	exchange->late = objective_left < run_ms(exchange);
 	if (exchange->late)
 		least = exchange_left_ms(exchange) * LATE_WAIT_PERCENT / 100;
@@ -96,7 +104,7 @@
 	uint64_t delay_ms =
 	    (uint64_t)exchange->objective_ms * HEDGE_OBJECTIVE_PERCENT / 100;
 
-	if (!exchange->idempotent || exchange->hedged ||
+	if (!exchange->idempotent || exchange->hedged || exchange->bulk ||
 	    exchange->route->attempts_max < 2)
 		return;
 	delay_ms =
@@ -344,7 +352,9 @@
 
 	if (retry_failure(exchange, attempt))
 		return;
-	if (exchange->route != NULL && attempt->status < 500)
+	exchange->answer_ms = proxy_now_ms(exchange->proxy);
+	exchange->answer_run_ms = attempt->run_ms;
+	if (exchange->route != NULL && attempt->status < 500 && !exchange->bulk)
 		run_times_learn(exchange->proxy->run_times,
 		    exchange->route->name, attempt->run_ms);
 	exchange->answering = attempt;
