--- a/include/trefoilhilld/settings.h
+++ b/include/trefoilhilld/settings.h
@@ -64,6 +64,7 @@
 	uint32_t slots;
 	uint32_t connections;
 	uint32_t cold_limit;
+	uint32_t cold_allowance;
 	uint32_t queue_limit;
 	uint32_t queue_wait_ms;
 	uint32_t tick_ms;
--- a/trefoilhill-proxy/gate.c
+++ b/trefoilhill-proxy/gate.c
@@ -10,8 +10,6 @@
 	IDLE_DEFAULT_MS = 600, /* when the upstream names no time of its own */
 	IDLE_MAX_MS = 5000,
 	PERCENT = 100,
-	/* Of the rate that a cold upstream bears; arrivals may bunch. */
-	COLD_RATE_PERCENT = 110,
 	BULK_WEIGHT = 16, /* a new size counts one part in so many */
 	/* Of the requests that would just fill the link. */
 	BULK_LIMIT_PERCENT = 130,
@@ -170,7 +168,7 @@
 	gate->zone_out = zone_out;
 	admission_set_cold(gate->admission,
 	    MAX(gate->upstream->cold_until_ms, gate->assumed_cold_until_ms),
-	    service->cold_per_s * COLD_RATE_PERCENT / PERCENT);
+	    service->cold_per_s + gate->proxy->settings->guard.cold_allowance);
 }
 
 /*
--- a/trefoilhilld/setting_desc.c
+++ b/trefoilhilld/setting_desc.c
@@ -77,6 +77,8 @@
 	    1, 4096, NULL },
 	{ "guard", "cold_limit", "1", SETTING_NUMBER, AT(guard.cold_limit), 1,
 	    4096, NULL },
+	{ "guard", "cold_allowance", "1", SETTING_NUMBER,
+	    AT(guard.cold_allowance), 0, 4096, NULL },
 	{ "guard", "queue_limit", "24", SETTING_NUMBER, AT(guard.queue_limit),
 	    0, 65536, NULL },
 	{ "guard", "queue_wait_ms", "250", SETTING_NUMBER,
