catalog, gate: a restart takes the place of what was at its address

One socket belongs to one process, so an entry that started earlier at the address of a newer one is dropped at once. A guard that is asked for another instance reports that it takes nothing, as does one whose upstream says 421, for 500 ms. Left: upstreams that register seconds after their start.

Test: 'a restart takes the place of the old', fails on the code before.

--- a/include/trefoilhill-proxy/attempt.h
+++ b/include/trefoilhill-proxy/attempt.h
@@ -48,6 +48,7 @@
 	bool discarding;            /* another request's answer is passing */
 	bool answered;              /* the answer's head is in */
 	bool reached;               /* the upstream itself said "not run" */
+	bool misdirected;           /* another instance is at the address */
 	bool ended;
 	unsigned status;
 	int64_t run_ms;     /* from sending to the answer's head */
--- a/include/trefoilhill-proxy/exchange.h
+++ b/include/trefoilhill-proxy/exchange.h
@@ -50,6 +50,7 @@
 	uint32_t attempt_count;
 	uint32_t runs;    /* attempts that may have run */
 	uint32_t reaches; /* sends that an upstream saw */
+	bool misdirected; /* meant for another instance than is here */
 	bool hedged;
 	bool may_have_run; /* by an attempt that has failed */
 	/* The answer. */
--- a/tests/fleet/test_catalog.c
+++ b/tests/fleet/test_catalog.c
@@ -143,6 +143,29 @@
 	catalog_free(f.catalog);
 }
 
+/* A start anew at the same address is known before the old entry runs out. */
+static void
+test_restart_takes_the_place_of_the_old(void)
+{
+	const struct upstream_group *group;
+	struct fixture f;
+
+	fixture_init(&f);
+	apply(&f, entry("i-1", "10.0.0.1", 1000, 1), false);
+	apply(&f, entry("i-9", "10.0.0.2", 1000, 1), false);
+	apply(&f, entry("i-2", "10.0.0.1", 5000, 1), false);
+	CU_ASSERT_PTR_NULL(find(&f, "i-1"));
+	CU_ASSERT_PTR_NOT_NULL(find(&f, "i-9"));
+	group = catalog_group(f.catalog, "orders");
+	CU_ASSERT_EQUAL(group->upstreams->len, 2);
+	CU_ASSERT_EQUAL(g_hash_table_size(catalog_peers(f.catalog)), 2);
+	/* The old entry's end says nothing more. */
+	remove_upstream(&f, "i-1", 100, 500);
+	catalog_expire(f.catalog, 10000);
+	CU_ASSERT_PTR_NOT_NULL(find(&f, "i-2"));
+	catalog_free(f.catalog);
+}
+
 static void
 test_older_configuration_never_returns(void)
 {
@@ -168,6 +191,8 @@
 	{ "grace of a missing upstream", test_grace_of_a_missing_upstream },
 	{ "a reused address names the newest",
 	    test_reused_address_names_the_newest },
+	{ "a restart takes the place of the old",
+	    test_restart_takes_the_place_of_the_old },
 	{ "an older configuration never returns",
 	    test_older_configuration_never_returns },
 	{ NULL, NULL },
--- a/trefoilhill-proxy/attempt_answer.c
+++ b/trefoilhill-proxy/attempt_answer.c
@@ -53,6 +53,9 @@
 	}
 	if (marks.not_run || head->status == 421) {
 		attempt->reached = true;
+		attempt->misdirected = head->status == 421;
+		if (attempt->misdirected)
+			gate_doubt_instance(attempt->proxy->gate);
 		fail_and_drain(attempt, ATTEMPT_FATE_NOT_RUN,
 		    head->status == 421 ? "other_instance" : "shed");
 		return;
--- a/trefoilhill-proxy/exchange_answer.c
+++ b/trefoilhill-proxy/exchange_answer.c
@@ -62,6 +62,9 @@
 	if (exchange->origin != CALLER_PEER)
 		return;
 	load = gate_report(exchange->proxy->gate);
+	/* The load of what is here says nothing of the one that was meant. */
+	if (exchange->misdirected)
+		load.accepting = false;
 	hop_write_load(exchange->answer_head, &load, run_ms);
 }
 
--- a/trefoilhill-proxy/exchange_dispatch.c
+++ b/trefoilhill-proxy/exchange_dispatch.c
@@ -164,6 +164,7 @@
 	}
 	if (upstream == NULL ||
 	    !str_equal(str_from(upstream->entry.id), exchange->hop.instance)) {
+		exchange->misdirected = true;
 		exchange_answer_own(exchange, 503, "other_instance", false);
 		return;
 	}
--- a/trefoilhill-proxy/gate.c
+++ b/trefoilhill-proxy/gate.c
@@ -9,6 +9,9 @@
 	IDLE_CONNECTIONS_MAX = 32,
 	IDLE_DEFAULT_MS = 600, /* when the upstream names no time of its own */
 	IDLE_MAX_MS = 5000,
+	/* A change of the platform's store usually is known within this time.
+	 */
+	DOUBT_MS = 500,
 	PERCENT = 100,
 	BULK_WEIGHT = 16, /* a new size counts one part in so many */
 	/* Of the requests that would just fill the link. */
@@ -28,6 +31,7 @@
 	bool zone_out;
 	int64_t bulk_bytes;            /* mean size of a large answer */
 	int64_t bulk_run_ms;           /* mean time until one begins */
+	int64_t doubted_until_ms;      /* another instance answered here */
 	int64_t assumed_cold_until_ms; /* not told, but to be expected */
 };
 
@@ -141,6 +145,7 @@
 	g_free(gate->upstream_id);
 	gate->upstream_id = g_strdup(upstream->entry.id);
 	gate->started_ms = upstream->entry.started_ms;
+	gate->doubted_until_ms = 0;
 	admission_reset(gate->admission);
 	http_pool_flush(gate->pool);
 	log_state(gate, "gate_upstream", true, upstream->entry.cold_ms);
@@ -242,6 +247,20 @@
 	    gate->admission, (uint32_t)MAX(limit, 2), (uint32_t)transfer_ms);
 }
 
+/*
+ * Note that another instance than the registered one answered: requests go
+ * elsewhere for a moment, until its own registration is known.
+ */
+void
+gate_doubt_instance(struct gate *gate)
+{
+	int64_t now_ms = proxy_now_ms(gate->proxy);
+
+	if (gate->doubted_until_ms <= now_ms)
+		log_state(gate, "gate_instance_doubted", true, 0);
+	gate->doubted_until_ms = now_ms + DOUBT_MS;
+}
+
 /*
  * Return what peers may know of the load here.
  */
@@ -251,7 +270,8 @@
 	struct load_report report =
 	    admission_report(gate->admission, proxy_now_ms(gate->proxy));
 
-	if (gate->proxy->stopping)
+	if (gate->proxy->stopping ||
+	    gate->doubted_until_ms > proxy_now_ms(gate->proxy))
 		report.accepting = false;
 	return report;
 }
