--- a/route/balance.c
+++ b/route/balance.c
@@ -10,7 +10,7 @@
 	 * zones, which are dear, above all for large answers.
 	 */
 	OTHER_ZONE_MS = 30,
-	OTHER_ZONE_BULK_MS = 120,
+	OTHER_ZONE_BULK_MS = 250,
 	OTHER_HOST_MS = 4, /* one more hop */
 	JITTER_MS = 6,     /* keeps entries from choosing alike */
 	/* The own zone is preferred while it answers within this share. */
