--- a/guard/admission.c
+++ b/guard/admission.c
@@ -48,34 +48,6 @@
 	g_free(admission);
 }
 
-static void
-queue_remove(struct admission *admission, struct admission_waiter *waiter)
-{
-	g_queue_unlink(&admission->queue, &waiter->link);
-	waiter->queued = false;
-	admission->bulk_queued -= waiter->bulk;
-}
-
-static void
-turn_give(struct admission *admission, struct admission_waiter *waiter,
-    enum admission_reason reason)
-{
-	queue_remove(admission, waiter);
-	waiter->handle_turn(waiter, reason);
-}
-
-/*
- * Refuse all that is queued.
- */
-void
-admission_refuse_queued(
-    struct admission *admission, enum admission_reason reason)
-{
-	while (!g_queue_is_empty(&admission->queue))
-		turn_give(
-		    admission, g_queue_peek_head(&admission->queue), reason);
-}
-
 /*
  * Set how many requests at once the upstream works on.
  */
@@ -135,8 +107,11 @@
 	admission->bulk_transfer_ms = transfer_ms;
 }
 
-static bool
-bulk_is_full(const struct admission *admission)
+/*
+ * Tell whether as many large answers run as the link carries.
+ */
+bool
+admission_bulk_is_full(const struct admission *admission)
 {
 	return admission->bulk_limit > 0 &&
 	    admission->bulk_in_flight >= admission->bulk_limit;
@@ -202,21 +177,6 @@
 	return MIN(*oldest + COLD_WINDOW_MS, admission->cold_until_ms);
 }
 
-/* Large answers that come before this one, which is queued. */
-static uint32_t
-bulk_ahead(
-    const struct admission *admission, const struct admission_waiter *waiter)
-{
-	uint32_t ahead = admission->bulk_in_flight + 1 > admission->bulk_limit
-	    ? admission->bulk_in_flight + 1 - admission->bulk_limit
-	    : 0;
-
-	for (GList *link = admission->queue.head;
-	     link != NULL && link->data != waiter; link = link->next)
-		ahead += ((struct admission_waiter *)link->data)->bulk;
-	return ahead;
-}
-
 /* Time until the turn of one that has so many before it. */
 static int64_t
 wait_expected_ms(const struct admission *admission,
@@ -229,46 +189,11 @@
 	if (is_cold(admission, now_ms) && admission->cold_per_s > 0)
 		by_rate = (double)(ahead + 1) * 1000 / admission->cold_per_s;
 	if (waiter->bulk && admission->bulk_limit > 0)
-		by_link = (double)bulk_ahead(admission, waiter) *
+		by_link = (double)admission_bulk_ahead(admission, waiter) *
 		    admission->bulk_transfer_ms;
 	return (int64_t)MAX(MAX(by_limit, by_rate), by_link);
 }
 
-/*
- * Does one go before another? More urgent first, then what can still be on
- * time, then whose time is up first.
- */
-static bool
-goes_before(const struct admission_waiter *a, const struct admission_waiter *b)
-{
-	if (a->priority != b->priority)
-		return a->priority < b->priority;
-	if (a->late != b->late)
-		return b->late;
-	/* In turn, so that each keeps the place that it was promised. */
-	if (a->bulk && b->bulk)
-		return false;
-	return a->latest_start_ms < b->latest_start_ms;
-}
-
-/* Place in the queue; returns how many stand before it. */
-static uint32_t
-queue_insert(struct admission *admission, struct admission_waiter *waiter)
-{
-	GList *before = admission->queue.head;
-	uint32_t ahead = 0;
-
-	for (; before != NULL; before = before->next, ahead++) {
-		if (goes_before(waiter, before->data))
-			break;
-	}
-	waiter->link.data = waiter;
-	g_queue_insert_before_link(&admission->queue, before, &waiter->link);
-	waiter->queued = true;
-	admission->bulk_queued += waiter->bulk;
-	return ahead;
-}
-
 /*
  * Offer a request. A queued one is told later; a refused one was never
  * started.
@@ -294,12 +219,13 @@
 	if (g_queue_get_length(&admission->queue) == admission->bulk_queued &&
 	    admission->in_flight < limit_now(admission) &&
 	    !(waiter->bulk &&
-		(admission->bulk_queued > 0 || bulk_is_full(admission))) &&
+		(admission->bulk_queued > 0 ||
+		    admission_bulk_is_full(admission))) &&
 	    start_allowed_ms(admission, now_ms) <= now_ms) {
 		start_note(admission, waiter, now_ms);
 		return ADMISSION_RUN;
 	}
-	ahead = queue_insert(admission, waiter);
+	ahead = admission_enqueue(admission, waiter);
 	if (now_ms + wait_expected_ms(admission, waiter, ahead, now_ms) >
 	    waiter->latest_start_ms)
 		*reason = ADMISSION_TOO_LATE;
@@ -311,38 +237,14 @@
 	if (*reason == ADMISSION_FULL &&
 	    g_queue_peek_tail(&admission->queue) != waiter) {
 		*reason = ADMISSION_OK;
-		turn_give(admission, g_queue_peek_tail(&admission->queue),
-		    ADMISSION_DISPLACED);
+		admission_give_turn(admission,
+		    g_queue_peek_tail(&admission->queue), ADMISSION_DISPLACED);
 		return ADMISSION_QUEUED;
 	}
 	admission_withdraw(admission, waiter);
 	return ADMISSION_REFUSED;
 }
 
-/*
- * Take a request out of the queue. Nothing happens if it is not there.
- */
-void
-admission_withdraw(struct admission *admission, struct admission_waiter *waiter)
-{
-	if (waiter->queued)
-		queue_remove(admission, waiter);
-}
-
-/* The first that may start; those that wait for the link are passed over. */
-static struct admission_waiter *
-queue_next(struct admission *admission)
-{
-	for (GList *link = admission->queue.head; link != NULL;
-	     link = link->next) {
-		struct admission_waiter *waiter = link->data;
-
-		if (!waiter->bulk || !bulk_is_full(admission))
-			return waiter;
-	}
-	return NULL;
-}
-
 /*
  * Let queued requests have their turn, and expire those whose time is up.
  * Returns when it has to be called again at the latest; 0 when only the end
@@ -359,14 +261,15 @@
 
 		next = link->next;
 		if (waiter->latest_start_ms < now_ms) {
-			turn_give(admission, waiter, ADMISSION_EXPIRED);
+			admission_give_turn(
+			    admission, waiter, ADMISSION_EXPIRED);
 			next = admission->queue.head;
 		} else if (wake_ms == 0 || waiter->latest_start_ms < wake_ms) {
 			wake_ms = waiter->latest_start_ms + 1;
 		}
 	}
 	while (admission->in_flight < limit_now(admission)) {
-		struct admission_waiter *waiter = queue_next(admission);
+		struct admission_waiter *waiter = admission_next(admission);
 		int64_t allowed_ms = start_allowed_ms(admission, now_ms);
 
 		if (waiter == NULL)
@@ -375,7 +278,7 @@
 			return wake_ms == 0 ? allowed_ms
 					    : MIN(wake_ms, allowed_ms);
 		start_note(admission, waiter, now_ms);
-		turn_give(admission, waiter, ADMISSION_OK);
+		admission_give_turn(admission, waiter, ADMISSION_OK);
 	}
 	return g_queue_is_empty(&admission->queue) ? 0 : wake_ms;
 }
@@ -413,7 +316,7 @@
 		.queued = g_queue_get_length((GQueue *)&admission->queue),
 		.latency_us = admission->latency_us,
 		.failing = admission_failing(admission, now_ms),
-		.bulk_waiting = bulk_is_full(admission)
+		.bulk_waiting = admission_bulk_is_full(admission)
 		    ? admission->bulk_queued + 1
 		    : admission->bulk_queued,
 		.bulk_transfer_ms = admission->bulk_transfer_ms,
--- a/include/guard/admission_private.h
+++ b/include/guard/admission_private.h
@@ -38,6 +38,14 @@
 	bool returned;
 };
 
+bool admission_bulk_is_full(const struct admission *admission);
+uint32_t admission_enqueue(
+    struct admission *admission, struct admission_waiter *waiter);
+uint32_t admission_bulk_ahead(
+    const struct admission *admission, const struct admission_waiter *waiter);
+struct admission_waiter *admission_next(struct admission *admission);
+void admission_give_turn(struct admission *admission,
+    struct admission_waiter *waiter, enum admission_reason reason);
 uint32_t admission_failing(const struct admission *admission, int64_t now_ms);
 void admission_refuse_queued(
     struct admission *admission, enum admission_reason reason);
--- a/trefoilhill-proxy/follower.c
+++ b/trefoilhill-proxy/follower.c
@@ -1,28 +1,17 @@
 #include <string.h>
 
 #include "platform/codec.h"
-#include "trefoilhill-proxy/follower.h"
+#include "trefoilhill-proxy/follower_private.h"
 #include "trefoilhill-proxy/gate.h"
 #include "trefoilhill-proxy/heartbeat.h"
 
 enum {
 	READ_TIMEOUT_MS = 2500, /* for a page of a slow store */
-	/*
-	 * A watch may go silent without being closed. All readers together ask
-	 * anew about this often, and tell each other what they find.
-	 */
-	FLEET_ASKS_EACH_MS = 400,
-	WATCH_WAIT_MIN_MS = 1500,
-	WATCH_WAIT_MAX_MS = 20000,
-	ZONES_USUAL = 3, /* of a region */
 	ASK_GAP_MS = 20,
 	NEWS_GAP_MS = 400,   /* lets changes in quick succession share a call */
 	ROLE_CHECK_MS = 300, /* how often a node looks whether it must read */
 	/* With no peer known yet, as when everything starts at once. */
 	ALONE_GAP_MS = 1200,
-	/* A copy that was not confirmed for so long is doubted. */
-	STALE_MS = 3000,
-	STALE_SPREAD_MS = 1500, /* so that not all begin to read at once */
 	RETRY_FIRST_MS = 150,
 	RETRY_MAX_MS = 1500,
 	/* Between the failing reads of all that are not readers by rank. */
@@ -38,24 +27,6 @@
 	WATCH_DOUBT_MS = 700,
 };
 
-struct follower {
-	uv_timer_t *timer;       /* the next read */
-	uv_timer_t *doubt_timer; /* the watch's time to prove itself */
-	struct proxy *proxy;
-	struct item_source *source;
-	struct replica *replica;
-	bool whole_needed;
-	bool reading; /* a call is in progress */
-	bool was_reader;
-	int64_t fresh_ms;        /* when the store confirmed it; 0: never */
-	int64_t stale_spread_ms; /* this node's own part of the spread */
-	int64_t doubt_until_ms;  /* removals may be taken back until then */
-	int64_t word_grace_ms;   /* of the items being taken from a peer */
-	uint32_t failures;       /* in a row */
-	int64_t lost_since_ms;   /* 0: the store answers */
-	bool catching_up;        /* the first answer after an outage */
-};
-
 static void follower_next(struct follower *follower);
 
 static bool
@@ -103,7 +74,7 @@
 	follower->proxy = proxy;
 	follower->source = source;
 	follower->stale_spread_ms =
-	    (int64_t)rng_below(proxy->rng, STALE_SPREAD_MS);
+	    (int64_t)rng_below(proxy->rng, FOLLOWER_STALE_SPREAD_MS);
 	follower->replica = replica_new(ops);
 	follower->timer = g_new0(uv_timer_t, 1);
 	uv_timer_init(proxy->loop, follower->timer);
@@ -135,20 +106,6 @@
 	g_free(follower);
 }
 
-static void
-log_store(struct follower *follower, const char *event, const char *reason,
-    int64_t age_ms)
-{
-	struct json_line *line =
-	    json_log_begin(follower->proxy->log, LOG_CLASS_STATE, event);
-
-	json_line_cstr(line, "reason", reason);
-	json_line_int(line, "age_ms", age_ms);
-	json_line_int(
-	    line, "revision", (int64_t)replica_revision(follower->replica));
-	json_log_end(line);
-}
-
 static void
 handle_timer(uv_timer_t *timer)
 {
@@ -161,12 +118,6 @@
 	uv_timer_start(follower->timer, handle_timer, delay_ms, 0);
 }
 
-static uint32_t
-peer_count(const struct follower *follower)
-{
-	return g_hash_table_size(catalog_peers(follower->proxy->catalog));
-}
-
 static void
 note_failure(struct follower *follower, const struct source_result *result)
 {
@@ -177,13 +128,14 @@
 	proxy_count(&proxy->stats, STAT_STORE_FAILURES);
 	if (follower->lost_since_ms == 0) {
 		follower->lost_since_ms = proxy_now_ms(proxy);
-		log_store(
+		follower_log(
 		    follower, "store_lost", source_end_name(result->end), 0);
 	}
 	follower->failures++;
 	if (!follower->was_reader)
 		delay_ms = MAX(delay_ms,
-		    (uint64_t)peer_count(follower) * FLEET_RETRIES_EACH_MS);
+		    (uint64_t)follower_peer_count(follower) *
+			FLEET_RETRIES_EACH_MS);
 	follower_after(follower, delay_ms + rng_below(proxy->rng, delay_ms));
 }
 
@@ -199,7 +151,8 @@
 	follower->catching_up = in_outage(follower);
 	if (follower->catching_up)
 		follower->doubt_until_ms = now_ms + OUTAGE_GRACE_MS;
-	log_store(follower, "store_back", "", now_ms - follower->lost_since_ms);
+	follower_log(
+	    follower, "store_back", "", now_ms - follower->lost_since_ms);
 	follower->lost_since_ms = 0;
 }
 
@@ -242,7 +195,7 @@
 								 : ASK_GAP_MS);
 		break;
 	case SOURCE_COMPACTED:
-		log_store(follower, "store_compacted", result->detail, 0);
+		follower_log(follower, "store_compacted", result->detail, 0);
 		follower->whole_needed = true;
 		follower_after(follower, ASK_GAP_MS);
 		break;
@@ -254,68 +207,6 @@
 	}
 }
 
-/* Places of hosts in an order that every node works out alike. */
-static uint32_t
-host_rank(struct in_addr host)
-{
-	uint64_t mixed = host.s_addr * UINT64_C(0x9e3779b97f4a7c15);
-
-	return (uint32_t)(mixed >> 32);
-}
-
-/* Is this node one of the first of its zone, by rank, that are alive? */
-static bool
-is_reader(const struct follower *follower)
-{
-	const struct proxy *proxy = follower->proxy;
-	uint32_t own = host_rank(proxy->host);
-	int64_t now_ms = proxy_now_ms(proxy);
-	uint32_t before = 0;
-	GHashTableIter iter;
-	void *value;
-
-	g_hash_table_iter_init(&iter, catalog_peers(proxy->catalog));
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct fleet_peer *peer = value;
-
-		if (g_strcmp0(peer->zone, proxy->settings->node.zone.ptr) ==
-			0 &&
-		    host_rank(peer->host) < own && !peer->stopping &&
-		    !fleet_peer_is_avoided(peer, now_ms))
-			before++;
-	}
-	return before < proxy->settings->mesh.readers_per_zone;
-}
-
-static bool
-is_stale(const struct follower *follower)
-{
-	return proxy_now_ms(follower->proxy) - follower->fresh_ms >
-	    STALE_MS + follower->stale_spread_ms;
-}
-
-static void
-role_set(struct follower *follower, bool reader)
-{
-	if (reader != follower->was_reader)
-		log_store(follower, reader ? "reader_began" : "reader_ended",
-		    "rank in the zone", follower_age_ms(follower));
-	follower->was_reader = reader;
-}
-
-/* Drawn at random, since a change lets all readers ask at the same time. */
-static uint32_t
-watch_wait_ms(const struct follower *follower)
-{
-	const struct proxy *proxy = follower->proxy;
-	uint32_t readers = MIN(peer_count(follower),
-	    proxy->settings->mesh.readers_per_zone * ZONES_USUAL);
-	uint32_t most = CLAMP(
-	    readers * FLEET_ASKS_EACH_MS, WATCH_WAIT_MIN_MS, WATCH_WAIT_MAX_MS);
-
-	return most / 4 + (uint32_t)rng_below(proxy->rng, most * 3 / 4);
-}
-
 static void
 read_whole(struct follower *follower, struct source_handler handler)
 {
@@ -334,11 +225,11 @@
 		.handle_result = handle_result,
 		.arg = follower,
 	};
-	bool alone = peer_count(follower) <= 1;
+	bool alone = follower_peer_count(follower) <= 1;
 
 	if (follower->reading)
 		return;
-	role_set(follower, is_reader(follower));
+	follower_take_role(follower);
 	if (revision == 0 || follower->whole_needed) {
 		read_whole(follower, handler);
 		return;
@@ -350,14 +241,14 @@
 			rng_below(follower->proxy->rng, ALONE_GAP_MS));
 		return;
 	}
-	if (!alone && !follower->was_reader && !is_stale(follower)) {
+	if (!alone && !follower->was_reader && !follower_is_stale(follower)) {
 		follower_after(follower, ROLE_CHECK_MS);
 		return;
 	}
 	follower->reading = true;
 	proxy_count(&follower->proxy->stats, STAT_STORE_READS);
-	follower->source->ops->read_changes(
-	    follower->source, revision, watch_wait_ms(follower), handler);
+	follower->source->ops->read_changes(follower->source, revision,
+	    follower_watch_wait_ms(follower), handler);
 }
 
 /*
@@ -385,7 +276,7 @@
 
 	if (!follower->reading)
 		return;
-	log_store(follower, "watch_restarted", "peers know more",
+	follower_log(follower, "watch_restarted", "peers know more",
 	    follower_age_ms(follower));
 	follower->source->ops->cancel(follower->source);
 	follower->reading = false;
--- a/trefoilhill-proxy/main.c
+++ b/trefoilhill-proxy/main.c
@@ -1,18 +1,9 @@
-#include <getopt.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 
 #include "trefoilhill-proxy/proxy.h"
-
-enum {
-	EXIT_USAGE = 2,
-};
-
-struct options {
-	const char *config;
-	bool check;
-};
+#include "trefoilhilld/daemon_options.h"
 
 static const char usage[] =
     "usage: trefoilhill-proxy --config FILE [--check]\n"
@@ -34,47 +25,6 @@
 	const char *config;
 };
 
-/*
- * Parse the command line. Returns -1 to go on, or the status to exit with.
- */
-static int
-options_parse(int argc, char **argv, struct options *options)
-{
-	static const struct option longs[] = {
-		{ "config", required_argument, NULL, 'c' },
-		{ "check", no_argument, NULL, 'C' },
-		{ "help", no_argument, NULL, 'h' },
-		{ "version", no_argument, NULL, 'v' },
-		{ NULL, 0, NULL, 0 },
-	};
-	int option;
-
-	while ((option = getopt_long(argc, argv, "c:Chv", longs, NULL)) != -1) {
-		switch (option) {
-		case 'c':
-			options->config = optarg;
-			break;
-		case 'C':
-			options->check = true;
-			break;
-		case 'h':
-			fputs(usage, stdout);
-			return EXIT_SUCCESS;
-		case 'v':
-			puts("trefoilhill-proxy " TREFOILHILL_VERSION);
-			return EXIT_SUCCESS;
-		default:
-			fputs(usage, stderr);
-			return EXIT_USAGE;
-		}
-	}
-	if (options->config == NULL || optind != argc) {
-		fputs(usage, stderr);
-		return EXIT_USAGE;
-	}
-	return -1;
-}
-
 static void
 handle_stop(uv_signal_t *signal, int number)
 {
@@ -120,24 +70,16 @@
 int
 main(int argc, char **argv)
 {
-	struct options options = { 0 };
+	struct daemon_options options = {
+		.program = "trefoilhill-proxy",
+		.usage = usage,
+	};
 	struct settings *settings;
-	GError *error = NULL;
 	int status;
 
-	status = options_parse(argc, argv, &options);
+	status = daemon_options_load(&options, argc, argv, &settings);
 	if (status >= 0)
 		return status;
-	settings = settings_load(options.config, &error);
-	if (settings == NULL) {
-		fprintf(stderr, "trefoilhill-proxy: %s\n", error->message);
-		g_error_free(error);
-		return EXIT_USAGE;
-	}
-	if (options.check) {
-		settings_free(settings);
-		return EXIT_SUCCESS;
-	}
 	signal(SIGPIPE, SIG_IGN);
 	return run(settings, options.config);
 }
--- a/trefoilhilld/main.c
+++ b/trefoilhilld/main.c
@@ -1,22 +1,15 @@
 #include <curl/curl.h>
-#include <getopt.h>
 #include <signal.h>
-#include <stdio.h>
 #include <stdlib.h>
 
+#include "trefoilhilld/daemon_options.h"
 #include "trefoilhilld/log.h"
 #include "trefoilhilld/node.h"
 
 enum {
-	EXIT_USAGE = 2,
 	IDLE_POLL_MS = 50,
 };
 
-struct options {
-	const char *config;
-	bool check;
-};
-
 static const char usage[] =
     "usage: trefoilhilld --config FILE [--check]\n"
     "\n"
@@ -30,47 +23,6 @@
     "\n"
     "SIGTERM and SIGINT begin a graceful shutdown.\n";
 
-/*
- * Parse the command line. Returns -1 to go on, or the status to exit with.
- */
-static int
-options_parse(int argc, char **argv, struct options *options)
-{
-	static const struct option longs[] = {
-		{ "config", required_argument, NULL, 'c' },
-		{ "check", no_argument, NULL, 'C' },
-		{ "help", no_argument, NULL, 'h' },
-		{ "version", no_argument, NULL, 'v' },
-		{ NULL, 0, NULL, 0 },
-	};
-	int option;
-
-	while ((option = getopt_long(argc, argv, "c:Chv", longs, NULL)) != -1) {
-		switch (option) {
-		case 'c':
-			options->config = optarg;
-			break;
-		case 'C':
-			options->check = true;
-			break;
-		case 'h':
-			fputs(usage, stdout);
-			return EXIT_SUCCESS;
-		case 'v':
-			puts("trefoilhilld " TREFOILHILL_VERSION);
-			return EXIT_SUCCESS;
-		default:
-			fputs(usage, stderr);
-			return EXIT_USAGE;
-		}
-	}
-	if (options->config == NULL || optind != argc) {
-		fputs(usage, stderr);
-		return EXIT_USAGE;
-	}
-	return -1;
-}
-
 /* Wait for a signal that ends the node, or for an operator's drain. */
 static void
 drain_wait(struct node *node, const sigset_t *signals)
@@ -119,25 +71,17 @@
 int
 main(int argc, char **argv)
 {
-	struct options options = { 0 };
+	struct daemon_options options = {
+		.program = "trefoilhilld",
+		.usage = usage,
+	};
 	struct settings *settings;
-	GError *error = NULL;
 	sigset_t signals;
 	int status;
 
-	status = options_parse(argc, argv, &options);
+	status = daemon_options_load(&options, argc, argv, &settings);
 	if (status >= 0)
 		return status;
-	settings = settings_load(options.config, &error);
-	if (settings == NULL) {
-		fprintf(stderr, "trefoilhilld: %s\n", error->message);
-		g_error_free(error);
-		return EXIT_USAGE;
-	}
-	if (options.check) {
-		settings_free(settings);
-		return EXIT_SUCCESS;
-	}
 	sigemptyset(&signals);
 	sigaddset(&signals, SIGTERM);
 	sigaddset(&signals, SIGINT);
