gate: serve what was meant for the instance that a restart replaced

Cause: until a restarted upstream's new id has spread, peers ask its host for the old one, and the guard refused them although the same service runs there; at a power-off of everything each such request cost one of its sends. An id that was never there, or of another service, is still refused.

--- a/include/trefoilhill-proxy/gate.h
+++ b/include/trefoilhill-proxy/gate.h
@@ -21,6 +21,7 @@
 /* A large answer went out: its size, and how long the upstream took. */
 void gate_learn_bulk(struct gate *gate, uint64_t bytes, int64_t run_ms);
 struct load_report gate_report(struct gate *gate);
+bool gate_serves(const struct gate *gate, struct str instance);
 void gate_doubt_instance(struct gate *gate);
 
 #endif
--- a/trefoilhill-proxy/exchange_dispatch.c
+++ b/trefoilhill-proxy/exchange_dispatch.c
@@ -162,8 +162,7 @@
 		exchange_answer_own(exchange, 503, "stopping", false);
 		return;
 	}
-	if (upstream == NULL ||
-	    !str_equal(str_from(upstream->entry.id), exchange->hop.instance)) {
+	if (!gate_serves(exchange->proxy->gate, exchange->hop.instance)) {
 		exchange->misdirected = true;
 		exchange_answer_own(exchange, 503, "other_instance", false);
 		return;
--- a/trefoilhill-proxy/gate.c
+++ b/trefoilhill-proxy/gate.c
@@ -27,6 +27,8 @@
 	struct sockaddr_in address;
 	struct upstream *upstream; /* counted; NULL: none is registered */
 	char *upstream_id;
+	char *service;
+	char *replaced_id; /* what ran here before, for the same service */
 	uint64_t started_ms;
 	bool zone_out;
 	int64_t bulk_bytes;            /* mean size of a large answer */
@@ -89,6 +91,8 @@
 	admission_free(gate->admission);
 	http_pool_free(gate->pool);
 	g_free(gate->upstream_id);
+	g_free(gate->replaced_id);
+	g_free(gate->service);
 	g_free(gate);
 }
 
@@ -131,6 +135,19 @@
 	json_log_end(line);
 }
 
+/* Remember the id that peers may still know the upstream by. */
+static void
+note_replaced(struct gate *gate, const struct upstream *upstream)
+{
+	if (g_strcmp0(gate->upstream_id, upstream->entry.id) == 0)
+		return;
+	g_clear_pointer(&gate->replaced_id, g_free);
+	if (g_strcmp0(gate->service, upstream->entry.service) == 0)
+		gate->replaced_id = g_strdup(gate->upstream_id);
+	g_free(gate->service);
+	gate->service = g_strdup(upstream->entry.service);
+}
+
 /* Another upstream, or a new start of the same, is at the address now. */
 static void
 take_upstream(struct gate *gate, struct upstream *upstream)
@@ -142,6 +159,7 @@
 	if (g_strcmp0(gate->upstream_id, upstream->entry.id) == 0 &&
 	    gate->started_ms == upstream->entry.started_ms)
 		return;
+	note_replaced(gate, upstream);
 	g_free(gate->upstream_id);
 	gate->upstream_id = g_strdup(upstream->entry.id);
 	gate->started_ms = upstream->entry.started_ms;
@@ -247,6 +265,20 @@
 	    gate->admission, (uint32_t)MAX(limit, 2), (uint32_t)transfer_ms);
 }
 
+/*
+ * Tell whether a request for an instance may run here: it is the one that is
+ * registered, or the one whose place that has taken for the same service.
+ */
+bool
+gate_serves(const struct gate *gate, struct str instance)
+{
+	if (gate->upstream == NULL)
+		return false;
+	return str_equal(str_from(gate->upstream->entry.id), instance) ||
+	    (gate->replaced_id != NULL &&
+		str_equal(str_from(gate->replaced_id), instance));
+}
+
 /*
  * Note that another instance than the registered one answered: requests go
  * elsewhere for a moment, until its own registration is known.
