gate: ask an upstream that started along with the node which instance it is

A node that starts now asks its upstream once by the health path; an instance other than the registered one serves in its place until its own registration comes.

Ruled out: asking also when an upstream answers 421. Only the settings of a process that has just started name the service that is here, so it is asked then alone, and nothing is taken over when the registration names another service.

--- a/tests/soak/mesh.py
+++ b/tests/soak/mesh.py
@@ -9,7 +9,7 @@
 import signal
 
 from store import Store
-from upstream import Record, Upstream
+from upstream import HEALTH_PATH, Record, Upstream
 from wire import Wire
 
 CALLER_PORT, MESH_PORT, READY_PORT, APP_PORT = 7101, 7102, 7103, 7104
@@ -144,7 +144,7 @@
                   "r-post": route("/post/", "unsafe", "ledger"),
                   "r-bulk": route("/bulk/", "download", "desk", 3000),
                   "r-probe": route("/probe/", "safe", probed)}
-        services = {name: {"healthPath": "/h", "maxConnections": 100,
+        services = {name: {"healthPath": HEALTH_PATH, "maxConnections": 100,
                            "coldStartS": COLD_MS / 1000, "coldPerS": COLD_PER_S}
                     for name in SERVICES}
         self.store.put("op/config", {
--- a/tests/soak/upstream.py
+++ b/tests/soak/upstream.py
@@ -4,6 +4,7 @@
 import random
 
 SIGNATURE = "X-Response-Signature"
+HEALTH_PATH = "/h"
 
 
 class Record:
@@ -85,6 +86,11 @@
         if length:
             await reader.readexactly(length)
         request = fields.get("x-attempt-id", "")
+        if head.split(" ", 2)[1] == HEALTH_PATH:
+            left = self.cold_until - asyncio.get_running_loop().time()
+            return await self.reply(
+                writer, 200, b"", "", f"X-Instance-Id: {self.id}\r\n"
+                f"X-Cold-Remaining: {max(int(left * 1000), 0)}\r\n")
         if fields.get("x-expected-instance", self.id) != self.id:
             return await self.reply(writer, 421, b"", "")
         if (self.running >= self.slots or
--- a/trefoilhill-proxy/gate.c
+++ b/trefoilhill-proxy/gate.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "trefoilhill-proxy/gate.h"
+#include "trefoilhill-proxy/instance_probe.h"
 
 enum {
 	QUEUE_MAX = 256,     /* requests; their bodies are small or paused */
@@ -25,7 +26,11 @@
 	struct admission *admission;
 	struct http_pool *pool;
 	struct sockaddr_in address;
+	struct instance_probe *probe;
 	struct upstream *upstream; /* counted; NULL: none is registered */
+	/* Answers here in place of the registered one; counted, or NULL. */
+	struct upstream *seen;
+	char *seen_for; /* id of that registered one */
 	char *upstream_id;
 	char *service;
 	char *replaced_id; /* what ran here before, for the same service */
@@ -37,6 +42,8 @@
 	int64_t assumed_cold_until_ms; /* not told, but to be expected */
 };
 
+static void handle_seen(void *arg, const struct instance_seen *seen);
+
 /*
  * Return the gate to the upstream that the settings name.
  */
@@ -54,6 +61,7 @@
 		.idle_max_ms = IDLE_MAX_MS,
 	};
 	struct str address = proxy->settings->upstream.address;
+	struct instance_probe_ops ops = { .handle_seen = handle_seen };
 	struct gate *gate;
 
 	if (!http_address_parse(address, &pool.address)) {
@@ -66,6 +74,8 @@
 	gate->address = pool.address;
 	gate->admission = admission_new(&settings);
 	gate->pool = http_pool_new(proxy->loop, &pool);
+	ops.arg = gate;
+	gate->probe = instance_probe_new(proxy, gate->pool, &ops);
 	gate->timer = g_new0(uv_timer_t, 1);
 	uv_timer_init(proxy->loop, gate->timer);
 	gate->timer->data = gate;
@@ -87,7 +97,10 @@
 	if (gate == NULL)
 		return;
 	uv_close((uv_handle_t *)gate->timer, handle_timer_closed);
+	instance_probe_free(gate->probe);
 	upstream_unref(gate->upstream);
+	upstream_unref(gate->seen);
+	g_free(gate->seen_for);
 	admission_free(gate->admission);
 	http_pool_free(gate->pool);
 	g_free(gate->upstream_id);
@@ -148,6 +161,57 @@
 	gate->service = g_strdup(upstream->entry.service);
 }
 
+/*
+ * Ask the upstream which instance it is, as its registration may be older than
+ * its last start. Only done when this process starts: its settings are new,
+ * and so name the service that is here now, which an instance does not tell.
+ */
+static void
+probe_start(struct gate *gate)
+{
+	const struct mesh_config *config = catalog_config(gate->proxy->catalog);
+	const struct mesh_service *service = config == NULL
+	    ? NULL
+	    : mesh_config_service(config, gate->upstream->entry.service);
+
+	if (service != NULL &&
+	    str_equal(gate->proxy->settings->upstream.service,
+		str_from(service->name)))
+		instance_probe_start(gate->probe, service->health_path);
+}
+
+/*
+ * The upstream said which instance it is. One that is not the registered one
+ * serves in its place until its own registration comes.
+ */
+static void
+handle_seen(void *arg, const struct instance_seen *seen)
+{
+	struct gate *gate = arg;
+	struct upstream *registered =
+	    catalog_upstream_at(gate->proxy->catalog, &gate->address);
+	struct upstream_entry entry;
+
+	if (registered == NULL || registered->entry.draining ||
+	    !str_equal(gate->proxy->settings->upstream.service,
+		str_from(registered->entry.service)) ||
+	    str_equal(str_from(registered->entry.id), seen->id))
+		return;
+	entry = registered->entry;
+	entry.id = str_dup_cstr(seen->id);
+	entry.service = g_strdup(registered->entry.service);
+	entry.zone = g_strdup(registered->entry.zone);
+	entry.started_ms = registered->entry.started_ms + 1;
+	entry.cold_ms = (uint32_t)MIN(seen->cold_ms, G_MAXINT32);
+	upstream_unref(gate->seen);
+	gate->seen = upstream_new(&entry, registered->peer);
+	gate->seen->cold_until_ms =
+	    proxy_now_ms(gate->proxy) + gate->seen->entry.cold_ms;
+	g_free(gate->seen_for);
+	gate->seen_for = g_strdup(registered->entry.id);
+	gate_refresh(gate);
+}
+
 /* Another upstream, or a new start of the same, is at the address now. */
 static void
 take_upstream(struct gate *gate, struct upstream *upstream)
@@ -159,6 +223,8 @@
 	if (g_strcmp0(gate->upstream_id, upstream->entry.id) == 0 &&
 	    gate->started_ms == upstream->entry.started_ms)
 		return;
+	if (gate->upstream_id == NULL)
+		probe_start(gate);
 	note_replaced(gate, upstream);
 	g_free(gate->upstream_id);
 	gate->upstream_id = g_strdup(upstream->entry.id);
@@ -194,14 +260,33 @@
 	    service->cold_per_s + gate->proxy->settings->guard.cold_allowance);
 }
 
+/*
+ * Return the upstream that is registered here, or what was seen to have taken
+ * its place; NULL: none is registered.
+ */
+static struct upstream *
+upstream_here(struct gate *gate)
+{
+	struct upstream *registered =
+	    catalog_upstream_at(gate->proxy->catalog, &gate->address);
+
+	if (gate->seen == NULL)
+		return registered;
+	if (registered != NULL &&
+	    g_strcmp0(registered->entry.id, gate->seen_for) == 0)
+		return gate->seen;
+	upstream_unref(gate->seen);
+	gate->seen = NULL;
+	return registered;
+}
+
 /*
  * Look again which upstream is registered here and in what state it is.
  */
 void
 gate_refresh(struct gate *gate)
 {
-	struct upstream *upstream =
-	    catalog_upstream_at(gate->proxy->catalog, &gate->address);
+	struct upstream *upstream = upstream_here(gate);
 	int64_t now_ms = proxy_now_ms(gate->proxy);
 
 	if (upstream != gate->upstream ||
--- /dev/null
+++ b/trefoilhill-proxy/instance_probe.c
@@ -0,0 +1,139 @@
+#include "http/call.h"
+#include "platform/headers.h"
+#include "trefoilhill-proxy/instance_probe.h"
+
+enum {
+	TIMEOUT_MS = 1000, /* it waits for a slot like a request */
+	AGAIN_MS = 200,    /* after a refused connection: it still starts */
+	TRIES_MAX = 8,
+	ANSWER_MAX_BYTES = 16 * 1024,
+	STATUS_OK = 200,
+};
+
+struct instance_probe {
+	uv_timer_t *timer;
+	struct proxy *proxy;
+	struct http_pool *pool;
+	struct instance_probe_ops ops;
+	struct http_call *call; /* NULL: none is under way */
+	char *path;
+	uint32_t tries; /* left */
+};
+
+/*
+ * Return a probe of the upstream behind a pool.
+ */
+struct instance_probe *
+instance_probe_new(struct proxy *proxy, struct http_pool *pool,
+    const struct instance_probe_ops *ops)
+{
+	struct instance_probe *probe = g_new0(struct instance_probe, 1);
+
+	probe->proxy = proxy;
+	probe->pool = pool;
+	probe->ops = *ops;
+	probe->timer = g_new0(uv_timer_t, 1);
+	uv_timer_init(proxy->loop, probe->timer);
+	probe->timer->data = probe;
+	return probe;
+}
+
+static void
+handle_timer_closed(uv_handle_t *handle)
+{
+	g_free(handle);
+}
+
+/*
+ * Free a probe. NULL is allowed.
+ */
+void
+instance_probe_free(struct instance_probe *probe)
+{
+	if (probe == NULL)
+		return;
+	if (probe->call != NULL)
+		http_call_cancel(probe->call);
+	uv_close((uv_handle_t *)probe->timer, handle_timer_closed);
+	g_free(probe->path);
+	g_free(probe);
+}
+
+static void
+log_result(struct instance_probe *probe, const struct http_call_result *result,
+    struct str id, int64_t cold_ms)
+{
+	struct json_line *line =
+	    json_log_begin(probe->proxy->log, LOG_CLASS_STATE, "probed");
+
+	json_line_cstr(line, "outcome", http_call_end_name(result->end));
+	json_line_int(line, "status", result->status);
+	json_line_text(line, "instance", id);
+	json_line_int(line, "cold_ms", cold_ms);
+	json_line_int(line, "tries_left", probe->tries);
+	json_log_end(line);
+}
+
+static void ask(struct instance_probe *probe);
+
+static void
+handle_timer(uv_timer_t *timer)
+{
+	ask(timer->data);
+}
+
+static void
+handle_result(void *arg, const struct http_call_result *result)
+{
+	struct instance_probe *probe = arg;
+	struct answer_marks marks = { .cold_ms = -1 };
+	struct instance_seen seen;
+
+	probe->call = NULL;
+	if (result->end == HTTP_CALL_ANSWERED)
+		platform_read_answer(result->head, &marks);
+	log_result(probe, result, marks.instance, marks.cold_ms);
+	if (result->end == HTTP_CALL_UNCONNECTED && probe->tries > 0) {
+		uv_timer_start(probe->timer, handle_timer, AGAIN_MS, 0);
+		return;
+	}
+	probe->tries = 0;
+	if (result->status != STATUS_OK || marks.instance.len == 0)
+		return;
+	seen.id = marks.instance;
+	seen.cold_ms = MAX(marks.cold_ms, 0);
+	probe->ops.handle_seen(probe->ops.arg, &seen);
+}
+
+static void
+ask(struct instance_probe *probe)
+{
+	char *request = g_strdup_printf(
+	    "GET %s HTTP/1.1\r\nHost: upstream\r\n\r\n", probe->path);
+	struct http_call_settings settings = {
+		.request = str_from(request),
+		.timeout_ms = TIMEOUT_MS,
+		.body_max = ANSWER_MAX_BYTES,
+		.fresh = true,
+		.handle_result = handle_result,
+		.arg = probe,
+	};
+
+	probe->tries--;
+	probe->call = http_call_start(probe->pool, &settings);
+	g_free(request);
+}
+
+/*
+ * Begin to ask.
+ */
+void
+instance_probe_start(struct instance_probe *probe, const char *path)
+{
+	if (probe->tries > 0 || probe->call != NULL)
+		return;
+	g_free(probe->path);
+	probe->path = g_strdup(path);
+	probe->tries = TRIES_MAX;
+	ask(probe);
+}
