exchange: count an answer that is cut once, at its entry

Cause, found by the new test: a guard that passed an answer on to a peer and had to cut it counted that among the callers' requests, so that the ends were more than the requests (501 of 403). The two places that cut an answer are one function now, and only the entry counts.

Test: tests/soak/test_counters.py plays upstreams that shed, break off and are slow and callers that leave, and checks that each request has ended in one way, that the ways are as many as callers saw, and that each refusal, failure and caller that left has its line.

--- a/include/trefoilhill-proxy/exchange.h
+++ b/include/trefoilhill-proxy/exchange.h
@@ -84,6 +84,8 @@
 void exchange_answer_own(
     struct exchange *exchange, unsigned status, const char *reason, bool retry);
 void exchange_finish(struct exchange *exchange);
+void exchange_cut(struct exchange *exchange, const struct attempt *attempt,
+    const char *reason);
 void exchange_cancel_attempts(
     struct exchange *exchange, const struct attempt *but);
 uint32_t exchange_running(const struct exchange *exchange);
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -7,6 +7,7 @@
 from upstream import body_for
 
 DEADLINE_S = 2.0
+LEAVE_S = 0.01
 PROMISES = (429, 503, 408, 421)  # not run, and never will be
 
 
@@ -29,6 +30,8 @@
         self.wrong = []
         self.answers = []  # (time, ok) of plain reads
         self.stopping = False
+        # What those that give up name as their deadline; they leave at LEAVE_S.
+        self.give_up_deadline_s = LEAVE_S
 
     def next_id(self):
         self.number += 1
@@ -64,10 +67,12 @@
         body = b"order" if kind == "post" else b""
         if kind == "post":
             self.posts.add(request)
-        limit_s = 0.01 if kind == "give_up" else DEADLINE_S
+        limit_s = LEAVE_S if kind == "give_up" else DEADLINE_S
+        deadline_s = (self.give_up_deadline_s if kind == "give_up"
+                      else DEADLINE_S)
         text = (f"{method} /{prefix}/x HTTP/1.1\r\nHost: shop.example\r\n"
                 f"X-Attempt-Id: {request}\r\n"
-                f"X-Deadline: {int(limit_s * 1000)}\r\n"
+                f"X-Deadline: {int(deadline_s * 1000)}\r\n"
                 f"Content-Length: {len(body)}\r\n\r\n").encode() + body
         now = asyncio.get_running_loop().time()
         try:
@@ -75,7 +80,7 @@
             answer = await asyncio.wait_for(self.read(reader),
                                             limit_s + (kind != "give_up"))
         except asyncio.TimeoutError:
-            self.counts["deadline"] += kind != "give_up"
+            self.counts["left" if kind == "give_up" else "deadline"] += 1
             if kind == "get":
                 self.answers.append((now, False))
             return False
--- /dev/null
+++ b/tests/soak/test_counters.py
@@ -0,0 +1,128 @@
+#!/usr/bin/env python3
+"""Counters and log lines add up to what the callers saw.
+
+Three real nodes; upstreams that shed, break off and are slow; callers that give
+up. Afterwards each caller's request has ended in one way in the counters of its
+node, these ways are as many as the callers counted, and each refusal and
+failure has its line in the log.
+
+usage: test_counters.py PROGRAM
+"""
+
+import asyncio
+import collections
+import json
+import pathlib
+import random
+import re
+import sys
+import tempfile
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+
+from callers import PROMISES, Callers  # noqa: E402
+from mesh import READY_PORT, Mesh  # noqa: E402
+
+HOSTS = 4
+CALLERS_EACH = 4
+SECONDS = 4.0
+SETTLED_S = 3.0  # every deadline of a caller has passed
+SLOW = 80.0  # times the usual run: some answers come after the deadline
+
+
+async def metrics(host):
+    reader, writer = await asyncio.open_connection(
+        f"127.2.{host.number}.1", READY_PORT)
+    writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+    text = (await asyncio.wait_for(Callers.read(reader), 2)).body.decode()
+    writer.transport.abort()
+    return {name: float(value) for name, value in
+            re.findall(r"^([a-z_]+(?:\{[^}]*\})?) (\S+)$", text, re.M)}
+
+
+def log_lines(mesh):
+    """Ends of callers' requests by their event, of all nodes."""
+    counts = collections.Counter()
+    for host in mesh.hosts:
+        path = mesh.directory / f"node-{host.number}.log"
+        for line in path.read_text().splitlines():
+            event = json.loads(line)
+            if event.get("from") == "caller":
+                counts[event["event"]] += 1
+    return counts
+
+
+def compare(total, seen, lines):
+    """What does not add up, as texts."""
+    ended = {name: int(total[f'trefoilhill_ended_total{{outcome="{name}"}}'])
+             for name in ("answered", "upstream_failure", "refused",
+                          "no_route", "failed", "cut", "caller_gone",
+                          "bad_request")}
+    print(f"ended {ended}, callers {dict(seen)}, lines {dict(lines)}")
+    wrong = []
+
+    def equal(what, one, other):
+        if one != other:
+            wrong.append(f"{what}: {one} and {other}")
+
+    equal("requests and their ends",
+          total['trefoilhill_requests_total{from="caller"}'],
+          sum(ended.values()))
+    equal("cut", ended["cut"], seen["cut"])
+    # A caller that left may have missed an answer by a moment.
+    unseen = {"refused": ended["refused"] - sum(seen[s] for s in PROMISES),
+              "failed": ended["failed"] - seen[502] - seen[504],
+              "answered": ended["answered"] - seen[200]}
+    equal("ended unseen and callers that left",
+          sum(unseen.values()) + ended["caller_gone"],
+          seen["left"] + seen["deadline"])
+    wrong += [f"{name}: callers saw {-more} more"
+              for name, more in unseen.items() if more < 0]
+    equal("lines of refusals", lines["refused"], ended["refused"])
+    equal("lines of failures", lines["failed"], ended["failed"])
+    equal("lines of cut answers", lines["answer_cut"], ended["cut"])
+    equal("lines of callers that left", lines["caller_gone"],
+          ended["caller_gone"])
+    equal("lines left out", total["trefoilhill_log_lines_left_out_total"], 0)
+    for name in ("refused", "failed", "caller_gone"):
+        if ended[name] == 0:
+            wrong.append(f"the run has nothing that ended as {name}")
+    return wrong
+
+
+async def run(program, directory):
+    rng = random.Random(5)
+    mesh = Mesh(program, directory, HOSTS, rng)
+    callers = Callers(mesh, rng)
+    callers.give_up_deadline_s = 1.0
+    await mesh.start()
+    try:
+        first, second, third, fourth = (h.upstream for h in mesh.hosts)
+        first.shed_share, second.cut_share = 0.5, 0.4
+        third.slow, fourth.cut_share = SLOW, 0.4
+        tasks = [asyncio.create_task(callers.run(host))
+                 for host in mesh.hosts for _ in range(CALLERS_EACH)]
+        await asyncio.sleep(SECONDS)
+        callers.stopping = True
+        await asyncio.gather(*tasks)
+        await asyncio.sleep(SETTLED_S)
+        total = collections.Counter()
+        for host in mesh.hosts:
+            total.update(await metrics(host))
+        lines = log_lines(mesh)
+    finally:
+        await mesh.stop()
+    return compare(total, callers.counts, lines)
+
+
+def main():
+    with tempfile.TemporaryDirectory() as directory:
+        wrong = asyncio.run(run(sys.argv[1], directory))
+    for text in wrong:
+        print(text)
+    print("0 passed, 1 failed" if wrong else "1 passed, 0 failed")
+    return 1 if wrong else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/trefoilhill-proxy/exchange.c
+++ b/trefoilhill-proxy/exchange.c
@@ -151,6 +151,24 @@
 	exchange_finish(exchange);
 }
 
+/*
+ * End an answer that has begun and can't be whole any more, so that the caller
+ * sees it.
+ */
+void
+exchange_cut(struct exchange *exchange, const struct attempt *attempt,
+    const char *reason)
+{
+	struct caller *caller = exchange->caller;
+
+	if (exchange->origin == CALLER_LOCAL)
+		proxy_count(&exchange->proxy->stats, STAT_CUT);
+	exchange_log(
+	    exchange, LOG_CLASS_FAILURE, "answer_cut", attempt, reason);
+	exchange_finish(exchange);
+	caller_cut(caller);
+}
+
 /* Nothing of an answer came in time. */
 static void
 deadline_answer(struct exchange *exchange)
@@ -173,7 +191,6 @@
 exchange_handle_deadline(uv_timer_t *timer)
 {
 	struct exchange *exchange = (struct exchange *)timer;
-	struct caller *caller = exchange->caller;
 
 	if (exchange->ended)
 		return;
@@ -181,11 +198,7 @@
 		deadline_answer(exchange);
 		return;
 	}
-	proxy_count(&exchange->proxy->stats, STAT_CUT);
-	exchange_log(exchange, LOG_CLASS_FAILURE, "answer_cut",
-	    exchange->answering, "deadline");
-	exchange_finish(exchange);
-	caller_cut(caller);
+	exchange_cut(exchange, exchange->answering, "deadline");
 }
 
 /*
--- a/trefoilhill-proxy/exchange_dispatch.c
+++ b/trefoilhill-proxy/exchange_dispatch.c
@@ -248,19 +248,13 @@
 static bool
 fail_answering(struct exchange *exchange, struct attempt *attempt)
 {
-	struct caller *caller = exchange->caller;
-
 	exchange->answering = NULL;
 	if (!exchange->committed) {
 		g_string_truncate(exchange->answer_head, 0);
 		g_byte_array_set_size(exchange->held, 0);
 		return false;
 	}
-	proxy_count(&exchange->proxy->stats, STAT_CUT);
-	exchange_log(exchange, LOG_CLASS_FAILURE, "answer_cut", attempt,
-	    "upstream broke off");
-	exchange_finish(exchange);
-	caller_cut(caller);
+	exchange_cut(exchange, attempt, "upstream broke off");
 	return true;
 }
 
