tests: drain once the request is at the upstream

Shown by a run with no pause at all: the same single assertion fails, 3 of 3. It now waits until the upstream has begun the run, 5 s at most; what is asked for is the same. The failure of this test that was seen once before was probably this one; its log is lost.

--- a/tests/daemon/test_data_path.c
+++ b/tests/daemon/test_data_path.c
@@ -11,6 +11,8 @@
 	BOTH = 3,
 	FIVE_MIB = 5 * 1024 * 1024,
 	PAUSE_US = 600 * 1000, /* a guard lets nothing through after failures */
+	BEGIN_STEP_US = 10 * 1000,
+	BEGIN_STEPS_MAX = 500,
 	SIXTEEN_MIB = 16 * 1024 * 1024,
 };
 
@@ -359,11 +361,14 @@
 	struct reply *running;
 	struct reply late;
 	pthread_t thread;
-	int waited = 0;
+	int waited = 0, begun = 0;
 
 	fixture = fixture_open(LOCAL);
 	pthread_create(&thread, NULL, run_slow_get, fixture);
-	usleep(200 * 1000);
+	/* A busy host may take long to bring the request to the upstream. */
+	while (atomic_load(&fixture->upstreams[0].runs) == 0 &&
+	    begun++ < BEGIN_STEPS_MAX)
+		usleep(BEGIN_STEP_US);
 	data_path_drain(fixture->nodes[0].path);
 	CU_ASSERT_FALSE(data_path_is_idle(fixture->nodes[0].path));
 	late = get(fixture, "/size/1");
