--- a/tests/soak/test_peer_reset.py
+++ b/tests/soak/test_peer_reset.py
@@ -12,11 +12,11 @@
 import pathlib
 import random
 import sys
-import tempfile
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
 from callers import Callers  # noqa: E402
+from case import play  # noqa: E402
 from mesh import CALLER_PORT, MESH_PORT, Host, Mesh, STORE  # noqa: E402
 
 
@@ -88,12 +88,5 @@
     return first == 200 and second == 502 and peer.seen == ["one", "two"]
 
 
-def main():
-    with tempfile.TemporaryDirectory() as directory:
-        passed = asyncio.run(run(sys.argv[1], directory))
-    print("1 passed, 0 failed" if passed else "0 passed, 1 failed")
-    return 0 if passed else 1
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(play(run))
--- a/tests/soak/test_power_lost.py
+++ b/tests/soak/test_power_lost.py
@@ -15,10 +15,10 @@
 import random
 import signal
 import sys
-import tempfile
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
+from case import play  # noqa: E402
 from mesh import Mesh, STORE  # noqa: E402
 from test_replaced import ask  # noqa: E402
 
@@ -66,12 +66,5 @@
             runs == {"one": [new], "two": [new]})
 
 
-def main():
-    with tempfile.TemporaryDirectory() as directory:
-        passed = asyncio.run(run(sys.argv[1], directory))
-    print("1 passed, 0 failed" if passed else "0 passed, 1 failed")
-    return 0 if passed else 1
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(play(run))
--- a/tests/soak/test_replaced.py
+++ b/tests/soak/test_replaced.py
@@ -13,11 +13,11 @@
 import random
 import signal
 import sys
-import tempfile
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
 from callers import Callers  # noqa: E402
+from case import play  # noqa: E402
 from mesh import MESH_PORT, Mesh, STORE  # noqa: E402
 
 LEARN_MAX_S = 8.0  # a node without peers reads a change within 2.4 s
@@ -77,12 +77,5 @@
             runs == {"one": [new], "two": [new]})
 
 
-def main():
-    with tempfile.TemporaryDirectory() as directory:
-        passed = asyncio.run(run(sys.argv[1], directory))
-    print("1 passed, 0 failed" if passed else "0 passed, 1 failed")
-    return 0 if passed else 1
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(play(run))
