common: write log lines whole to a shared pipe

Cause: standard output is a pipe that several processes write to, and may be non-blocking. write_all dropped the rest of a batch at EAGAIN, in the middle of a line, and a batch longer than PIPE_BUF may be written in parts, with lines of other processes between them. Neither was counted.

Change: line_writer writes whole lines in batches of at most PIPE_BUF bytes, waits at EAGAIN, and returns how many lines an error lost; json_log counts these as left out.

Test: 'a full pipe' writes 500 lines to a non-blocking pipe of 4 KiB with a slow reader; on the code before a line is torn and the counts don't add up. Conclusion: lines are whole or counted.

--- a/common/json_log.c
+++ b/common/json_log.c
@@ -1,9 +1,9 @@
-#include <errno.h>
 #include <pthread.h>
+#include <stdatomic.h>
 #include <string.h>
-#include <unistd.h>
 
 #include "common/json_log.h"
+#include "common/line_writer.h"
 
 enum {
 	VALUE_MAX_BYTES = 200, /* longer values are truncated */
@@ -32,6 +32,7 @@
 	GString *pending;
 	bool stopping;
 	bool done;
+	_Atomic uint64_t unwritten; /* lines lost by the writer thread */
 	pthread_t writer;
 	bool started;
 };
@@ -47,21 +48,6 @@
 	[LOG_CLASS_SUCCESS] = 30,
 };
 
-static void
-write_all(int fd, const char *bytes, size_t len)
-{
-	while (len > 0) {
-		ssize_t count = write(fd, bytes, len);
-
-		if (count < 0 && errno != EINTR)
-			return; /* there is no other output to report it to */
-		if (count > 0) {
-			bytes += count;
-			len -= (size_t)count;
-		}
-	}
-}
-
 static void *
 writer_run(void *arg)
 {
@@ -83,7 +69,8 @@
 
 		log->pending = batch_text;
 		pthread_mutex_unlock(&log->lock);
-		write_all(log->settings.fd, filled->str, filled->len);
+		log->unwritten += line_writer_write(
+		    log->settings.fd, str_make(filled->str, filled->len));
 		g_string_truncate(filled, 0);
 		batch_text = filled;
 	} while (!stopping);
@@ -174,17 +161,18 @@
 report_left_out(struct json_log *log)
 {
 	struct timespec now = clock_now(log->clock);
+	uint64_t left_out = json_log_left_out_count(log);
 
 	if (now.tv_sec == log->second)
 		return;
 	log->second = now.tv_sec;
 	log->lines_this_second = 0;
-	if (log->left_out == log->left_out_reported)
+	if (left_out == log->left_out_reported)
 		return;
 	line_start(log, "log_thinned");
 	json_line_int(&log->line, "left_out",
-	    (int64_t)(log->left_out - log->left_out_reported));
-	log->left_out_reported = log->left_out;
+	    (int64_t)(left_out - log->left_out_reported));
+	log->left_out_reported = left_out;
 	json_log_end(&log->line);
 }
 
@@ -307,5 +295,5 @@
 uint64_t
 json_log_left_out_count(const struct json_log *log)
 {
-	return log->left_out;
+	return log->left_out + log->unwritten;
 }
--- /dev/null
+++ b/common/line_writer.c
@@ -0,0 +1,79 @@
+#include <errno.h>
+#include <limits.h>
+#include <poll.h>
+#include <stdbool.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "common/line_writer.h"
+
+enum {
+	/* In case poll does not report that the pipe has room. */
+	POLL_MAX_MS = 100,
+};
+
+/* The length of the whole lines at the start of text, at most PIPE_BUF bytes
+ * unless the first line is longer. */
+static size_t
+batch_len(struct str text)
+{
+	const char *end;
+
+	if (text.len <= PIPE_BUF)
+		return text.len;
+	end = memrchr(text.ptr, '\n', PIPE_BUF);
+	if (end == NULL)
+		end = memchr(text.ptr, '\n', text.len);
+	return end == NULL ? text.len : (size_t)(end - text.ptr) + 1;
+}
+
+static size_t
+count_lines(struct str text)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < text.len; i++)
+		count += text.ptr[i] == '\n';
+	return count;
+}
+
+static bool
+write_batch(int fd, struct str batch)
+{
+	struct pollfd writable = { .fd = fd, .events = POLLOUT };
+
+	while (batch.len > 0) {
+		ssize_t count = write(fd, batch.ptr, batch.len);
+
+		if (count > 0) {
+			batch.ptr += count;
+			batch.len -= (size_t)count;
+		} else if (count < 0 && errno == EAGAIN) {
+			(void)poll(&writable, 1, POLL_MAX_MS);
+		} else if (count < 0 && errno != EINTR) {
+			return false;
+		}
+	}
+	return true;
+}
+
+/*
+ * Write lines in batches of at most PIPE_BUF bytes. The kernel writes such a
+ * batch to a pipe as a whole, so that no line of another process ends up within
+ * one of these lines.
+ */
+size_t
+line_writer_write(int fd, struct str text)
+{
+	size_t lost = 0;
+
+	while (text.len > 0) {
+		struct str batch = str_make(text.ptr, batch_len(text));
+
+		if (!write_batch(fd, batch))
+			lost += count_lines(batch);
+		text.ptr += batch.len;
+		text.len -= batch.len;
+	}
+	return lost;
+}
--- a/tests/common/test_json_log.c
+++ b/tests/common/test_json_log.c
@@ -1,6 +1,8 @@
 #include <fcntl.h>
 #include <glib.h>
 #include <jansson.h>
+#include <pthread.h>
+#include <string.h>
 #include <unistd.h>
 
 #include "common/json_log.h"
@@ -9,6 +11,9 @@
 enum {
 	FLOOD_LINES = 200000,
 	BUFFER_BYTES = 64 * 1024,
+	BURST_LINES = 500, /* more than the smallest pipe holds */
+	READ_DELAY_US = 200,
+	FLUSH_MS = 10000,
 };
 
 struct fixture {
@@ -127,10 +132,74 @@
 	g_free(text);
 }
 
+/* Read until the writer closes the pipe, in small parts with pauses. */
+static void *
+read_slowly(void *arg)
+{
+	struct fixture *f = arg;
+	GString *text = g_string_new(NULL);
+	char part[512];
+	ssize_t count;
+
+	while ((count = read(f->pipe[0], part, sizeof(part))) > 0) {
+		g_string_append_len(text, part, count);
+		g_usleep(READ_DELAY_US);
+	}
+	return g_string_free(text, FALSE);
+}
+
+/* Count the lines of a text; each has to be a whole JSON object. */
+static uint64_t
+count_whole_lines(const char *text)
+{
+	char **lines = g_strsplit(text, "\n", -1);
+	uint64_t count = 0;
+
+	for (size_t i = 0; lines[i] != NULL; i++) {
+		json_t *json = json_loads(lines[i], 0, NULL);
+
+		if (lines[i][0] == '\0')
+			continue;
+		CU_ASSERT_PTR_NOT_NULL(json);
+		json_decref(json);
+		count++;
+	}
+	g_strfreev(lines);
+	return count;
+}
+
+/*
+ * Writing to a pipe that is shared with other processes may fail with EAGAIN,
+ * since it may be non-blocking. Each line is whole, or counted as left out.
+ */
+static void
+test_full_pipe(void)
+{
+	struct fixture f;
+	pthread_t reader;
+	uint64_t left_out;
+	void *text;
+
+	fixture_init(&f, UINT32_MAX);
+	fcntl(f.pipe[1], F_SETPIPE_SZ, 4096);
+	fcntl(f.pipe[1], F_SETFL, O_NONBLOCK);
+	for (int i = 0; i < BURST_LINES; i++)
+		write_line(&f, LOG_CLASS_STATE, "burst");
+	left_out = json_log_left_out_count(f.log);
+	pthread_create(&reader, NULL, read_slowly, &f);
+	json_log_free(f.log, FLUSH_MS);
+	close(f.pipe[1]);
+	pthread_join(reader, &text);
+	close(f.pipe[0]);
+	CU_ASSERT_EQUAL(count_whole_lines(text) + left_out, BURST_LINES);
+	g_free(text);
+}
+
 static const struct test_case cases[] = {
 	{ "lines are JSON", test_lines_are_json },
 	{ "rate limit by class", test_rate_limit_by_class },
 	{ "a stalled reader", test_stalled_reader },
+	{ "a full pipe", test_full_pipe },
 	{ NULL, NULL },
 };
 
