route, guard: count the calls of repeated runs in the retry budget

The window also held only ten whole buckets, so that two bursts 9.1 s apart both passed.

Change: a request tells the guard whether an earlier attempt reached an upstream; guard/run_list keeps the runs in progress with their deadlines. A call has at most its run's time left, so a local request is charged as a call of a repeated run with the share of repeats among the runs that outlast it.

Ruled out: hedges, rejections behind peers and the window's end as main cause (uncovered arrivals: 0 of 4,141).

Tests: 'any span of a window keeps the limit' and 'calls of repeated runs are charged' fail on the code before; 'calls belong to runs that outlast them'. The share test states the ratio of all retries now, 0.2 instead of 0.1, with the same counts.

--- a/include/trefoilhill-proxy/attempt.h
+++ b/include/trefoilhill-proxy/attempt.h
@@ -2,6 +2,7 @@
 #define TREFOILHILL_TREFOILHILL_PROXY_ATTEMPT_H
 
 #include "guard/admission.h"
+#include "guard/run_list.h"
 #include "http/pool.h"
 #include "route/balance.h"
 #include "trefoilhill-proxy/proxy.h"
@@ -36,12 +37,13 @@
 	uint32_t number;           /* within the exchange, from 0 */
 	bool local;                /* through this host's gate, not a peer */
 	bool hedge;
-	bool is_retry; /* an earlier attempt may have run */
+	bool is_retry; /* an earlier attempt has reached an upstream */
 	int64_t started_ms;
 	int64_t sent_ms;          /* 0: nothing has been sent yet */
 	int64_t queue_timeout_ms; /* for the queue of the gate */
 	struct admission_waiter waiter;
 	bool admitted; /* counts against the gate's limit */
+	struct run run;
 	struct http_pool *pool;
 	struct http_stream *stream; /* NULL: no connection */
 	bool reused;                /* a connection from the pool */
--- a/include/trefoilhill-proxy/exchange.h
+++ b/include/trefoilhill-proxy/exchange.h
@@ -40,6 +40,7 @@
 	bool bulk;        /* a large response is expected */
 	bool late;        /* can't meet its latency objective any more */
 	int64_t spent_ms; /* by the caller's earlier tries of this request */
+	bool called_by_repeat; /* by a run that was itself a retry */
 	uint32_t priority;
 	uint32_t objective_ms;
 	/* Attempts, oldest first; finished ones are NULL. */
--- a/include/trefoilhill-proxy/gate.h
+++ b/include/trefoilhill-proxy/gate.h
@@ -2,6 +2,7 @@
 #define TREFOILHILL_TREFOILHILL_PROXY_GATE_H
 
 #include "guard/admission.h"
+#include "guard/run_list.h"
 #include "http/pool.h"
 #include "trefoilhill-proxy/proxy.h"
 
@@ -15,6 +16,8 @@
 void gate_free(struct gate *gate);
 struct admission *gate_admission(struct gate *gate);
 struct http_pool *gate_pool(struct gate *gate);
+/* The requests in progress at the upstream. */
+struct run_list *gate_runs(struct gate *gate);
 /* The upstream that is registered at this host's address, or NULL. */
 struct upstream *gate_upstream(struct gate *gate);
 /* Update which upstream is registered, and its state, from the catalog. */
--- a/include/trefoilhill-proxy/hop.h
+++ b/include/trefoilhill-proxy/hop.h
@@ -19,6 +19,8 @@
 	bool idempotent;
 	bool bulk; /* a large response is expected */
 	bool late; /* can't meet its latency objective any more */
+	/* An earlier attempt has reached an upstream, or its caller's has. */
+	bool repeat;
 };
 
 enum hop_outcome {
--- a/include/trefoilhilld/settings.h
+++ b/include/trefoilhilld/settings.h
@@ -77,6 +77,8 @@
 	uint32_t policy;        /* enum choice_policy */
 	uint32_t hint_fresh_ms; /* age at which a load hint is ignored */
 	uint32_t retry_percent;
+	/* retries for each thousand requests, of all nodes together */
+	uint32_t retry_per_mille;
 	uint32_t retry_window_ms; /* window over which retries are counted */
 	/* retries in a window above the percentage, of all nodes together */
 	uint32_t retry_allowance;
--- a/tests/route/test_balance.c
+++ b/tests/route/test_balance.c
@@ -172,30 +172,80 @@
 	fixture_clear(&f);
 }
 
-static void
-test_retries_stay_within_the_share(void)
+static struct fleet_retry_budget *
+budget_new(void)
 {
 	struct fleet_retry_budget_settings settings = {
 		.window_ms = 10000,
-		.ratio = 0.1,
-		.allowance = 24,
+		.ratio = 0.2,
+		.allowance = 40, /* 3.3 for each of 12 nodes, 2 in use */
 	};
-	struct fleet_retry_budget *budget = fleet_retry_budget_new(&settings);
+
+	return fleet_retry_budget_new(&settings);
+}
+
+/* Take all retries of one of 12 nodes; returns how many there were. */
+static int
+drain_budget(
+    struct fleet_retry_budget *budget, const char *service, int64_t now_ms)
+{
 	int count = 0;
 
+	while (fleet_retry_budget_withdraw(budget, service, 12, now_ms))
+		count++;
+	return count;
+}
+
+static void
+test_retries_stay_within_the_share(void)
+{
+	struct fleet_retry_budget *budget = budget_new();
+
 	for (int i = 0; i < 100; i++)
 		fleet_retry_budget_add_request(budget, "orders", i);
-	while (fleet_retry_budget_withdraw(budget, "orders", 12, 200))
-		count++;
-	CU_ASSERT_EQUAL(count, 12);
+	CU_ASSERT_EQUAL(drain_budget(budget, "orders", 200), 12);
 	CU_ASSERT_TRUE(fleet_retry_budget_withdraw(budget, "drafts", 12, 200));
 	CU_ASSERT_FALSE(
 	    fleet_retry_budget_withdraw(budget, "orders", 12, 9000));
 	/* Outside the window of the requests only the allowance is left. */
-	count = 0;
-	while (fleet_retry_budget_withdraw(budget, "orders", 12, 30000))
-		count++;
-	CU_ASSERT_EQUAL(count, 2);
+	CU_ASSERT_EQUAL(drain_budget(budget, "orders", 30000), 2);
+	fleet_retry_budget_free(budget);
+}
+
+/*
+ * Two bursts of retries less than a window apart, the first at the end of a
+ * bucket. Requests come at a steady rate.
+ */
+static void
+test_any_span_of_a_window_keeps_the_limit(void)
+{
+	struct fleet_retry_budget *budget = budget_new();
+	int count = 0;
+
+	for (int64_t ms = 0; ms < 20000; ms += 100) {
+		fleet_retry_budget_add_request(budget, "orders", ms);
+		if (ms == 9900)
+			count += drain_budget(budget, "orders", ms);
+		if (ms > 19000 && ms <= 19800)
+			count += drain_budget(budget, "orders", ms);
+	}
+	CU_ASSERT_TRUE(count <= 23);
+	fleet_retry_budget_free(budget);
+}
+
+/* Calls of repeated runs leave less for the node's own retries. */
+static void
+test_calls_of_repeated_runs_are_charged(void)
+{
+	struct fleet_retry_budget *budget = budget_new();
+	int count = 15;
+
+	for (int i = 0; i < 100; i++)
+		fleet_retry_budget_add_request(budget, "orders", i);
+	for (int i = 0; i < count; i++)
+		fleet_retry_budget_charge(budget, "orders", 100);
+	count += drain_budget(budget, "orders", 200);
+	CU_ASSERT_TRUE(count > 15 && count <= 23);
 	fleet_retry_budget_free(budget);
 }
 
@@ -208,6 +258,10 @@
 	{ "own requests count between reports",
 	    test_own_requests_count_between_reports },
 	{ "retries stay within the share", test_retries_stay_within_the_share },
+	{ "any span of a window keeps the limit",
+	    test_any_span_of_a_window_keeps_the_limit },
+	{ "calls of repeated runs are charged",
+	    test_calls_of_repeated_runs_are_charged },
 	{ NULL, NULL },
 };
 
--- a/tests/soak/mesh.py
+++ b/tests/soak/mesh.py
@@ -38,7 +38,7 @@
 heartbeat_ms=300
 readers_per_zone=2
 [route]
-retry_percent=10
+retry_ratio=0.2
 retry_allowance=40
 [log]
 lines_per_s=2000
--- a/trefoilhill-proxy/attempt.c
+++ b/trefoilhill-proxy/attempt.c
@@ -45,6 +45,7 @@
 	attempt->upstream->own_in_flight--;
 	if (attempt->local)
 		admission_withdraw(gate_admission(gate), &attempt->waiter);
+	run_list_remove(gate_runs(gate), &attempt->run);
 	uv_close((uv_handle_t *)&attempt->timer, handle_timer_closed);
 	if (!attempt->admitted)
 		return;
--- a/trefoilhill-proxy/attempt_request.c
+++ b/trefoilhill-proxy/attempt_request.c
@@ -1,6 +1,7 @@
 #include "platform/headers.h"
 #include "trefoilhill-proxy/attempt.h"
 #include "trefoilhill-proxy/exchange.h"
+#include "trefoilhill-proxy/gate.h"
 
 enum {
 	CHUNK_HEADER_MAX = 24,
@@ -36,6 +37,13 @@
 	return exchange->proxy->settings->upstream.service;
 }
 
+/* Would the load of this attempt not exist without a retry? */
+static bool
+is_repeat(const struct attempt *attempt)
+{
+	return attempt->is_retry || attempt->exchange->called_by_repeat;
+}
+
 static void
 write_context_fields(struct attempt *attempt, GString *text)
 {
@@ -56,6 +64,7 @@
 		.idempotent = exchange->idempotent,
 		.bulk = exchange->bulk,
 		.late = exchange->late,
+		.repeat = is_repeat(attempt),
 	};
 
 	if (attempt->local)
@@ -90,6 +99,9 @@
 	write_context_fields(attempt, text);
 	g_string_append(text, "\r\n");
 	attempt->sent_ms = proxy_now_ms(attempt->proxy);
+	if (attempt->local)
+		run_list_add(gate_runs(attempt->proxy->gate), &attempt->run,
+		    exchange->deadline_ms, is_repeat(attempt));
 	attempt->body_sent = 0;
 	attempt->body_end_sent = false;
 	attempt->stream->skip_body = exchange->is_head_method;
--- a/trefoilhill-proxy/exchange.c
+++ b/trefoilhill-proxy/exchange.c
@@ -65,6 +65,8 @@
 		json_line_int(line, "attempt", attempt->number);
 		json_line_cstr(line, "upstream", upstream->entry.id);
 		json_line_bool(line, "local", attempt->local);
+		json_line_bool(line, "repeat",
+		    attempt->is_retry || exchange->called_by_repeat);
 		json_line_int(line, "limit", upstream->load.limit);
 		json_line_int(line, "in_flight", upstream->load.in_flight);
 		json_line_int(line, "queued", upstream->load.queued);
--- a/trefoilhill-proxy/exchange_begin.c
+++ b/trefoilhill-proxy/exchange_begin.c
@@ -1,4 +1,5 @@
 #include "trefoilhill-proxy/exchange.h"
+#include "trefoilhill-proxy/gate.h"
 #include "trefoilhill-proxy/heartbeat.h"
 
 enum {
@@ -70,6 +71,28 @@
 	return g_array_index(destinations, struct route_destination, 0).service;
 }
 
+/*
+ * Count a request in the retry budget of its service. Whether the caller is a
+ * repeated run of the local upstream is drawn by the share of such runs among
+ * those that may have made it.
+ */
+static void
+count_request(struct exchange *exchange)
+{
+	struct proxy *proxy = exchange->proxy;
+	struct run_counts callers = run_list_count_callers(
+	    gate_runs(proxy->gate), exchange->deadline_ms);
+
+	fleet_retry_budget_add_request(
+	    proxy->retry_budget, exchange->service, exchange->started_ms);
+	if (callers.repeats == 0 ||
+	    rng_below(proxy->rng, callers.all) >= callers.repeats)
+		return;
+	exchange->called_by_repeat = true;
+	fleet_retry_budget_charge(
+	    proxy->retry_budget, exchange->service, exchange->started_ms);
+}
+
 /*
  * Route a caller's request by the current configuration. caller_ms is the
  * caller's deadline, -1 for none. Returns false if it was responded to.
@@ -101,11 +124,10 @@
 	exchange->service = choose_service(exchange);
 	exchange->spent_ms = run_times_retrying_ms(
 	    proxy->run_times, exchange->route->name, caller_ms);
-	fleet_retry_budget_add_request(
-	    proxy->retry_budget, exchange->service, exchange->started_ms);
 	if (caller_ms < 0 || caller_ms > exchange->route->timeout_ms)
 		caller_ms = exchange->route->timeout_ms;
 	set_deadline(exchange, caller_ms);
+	count_request(exchange);
 	if (proxy_exits_before(proxy, exchange->deadline_ms)) {
 		exchange_respond(exchange, 503, "stopping", true);
 		return false;
@@ -135,6 +157,7 @@
 	exchange->bulk = exchange->hop.bulk;
 	exchange->late = exchange->hop.late;
 	exchange->priority = exchange->hop.priority;
+	exchange->called_by_repeat = exchange->hop.repeat;
 	set_deadline(exchange, exchange->hop.remaining_ms);
 }
 
--- a/trefoilhill-proxy/exchange_dispatch.c
+++ b/trefoilhill-proxy/exchange_dispatch.c
@@ -325,7 +325,8 @@
 	if (attempt->upstream_rejected && !take_retry_token(exchange))
 		respond_no_upstream(exchange);
 	else
-		dispatch(exchange, attempt->is_retry, false);
+		dispatch(exchange,
+		    attempt->is_retry || attempt->upstream_rejected, false);
 }
 
 /* Retry a 5xx response at another upstream; returns false if not allowed. */
--- a/trefoilhill-proxy/gate.c
+++ b/trefoilhill-proxy/gate.c
@@ -23,6 +23,7 @@
 	uv_timer_t *timer;
 	struct proxy *proxy;
 	struct admission *admission;
+	struct run_list runs;
 	struct http_pool *pool;
 	struct sockaddr_in address;
 	struct instance_probe *probe;
@@ -118,6 +119,15 @@
 	return gate->admission;
 }
 
+/*
+ * Return the requests in progress at the upstream.
+ */
+struct run_list *
+gate_runs(struct gate *gate)
+{
+	return &gate->runs;
+}
+
 /*
  * Return the pool of connections to the upstream.
  */
--- a/trefoilhill-proxy/proxy.c
+++ b/trefoilhill-proxy/proxy.c
@@ -188,7 +188,7 @@
 	const struct settings *settings = proxy->settings;
 	struct fleet_retry_budget_settings retry_budget = {
 		.window_ms = settings->route.retry_window_ms,
-		.ratio = settings->route.retry_percent / 100.0,
+		.ratio = settings->route.retry_per_mille / 1000.0,
 		.allowance = settings->route.retry_allowance,
 	};
 	struct catalog_ops ops = {
--- a/trefoilhilld/setting_desc.c
+++ b/trefoilhilld/setting_desc.c
@@ -96,6 +96,8 @@
 	    OFFSET(route.hint_fresh_ms), 10, MINUTE_MS, NULL },
 	{ "route", "retry_percent", "20", SETTING_NUMBER,
 	    OFFSET(route.retry_percent), 0, 100, NULL },
+	{ "route", "retry_ratio", "0.2", SETTING_DECIMAL,
+	    OFFSET(route.retry_per_mille), 0, 1, NULL },
 	{ "route", "retry_window_ms", "10000", SETTING_NUMBER,
 	    OFFSET(route.retry_window_ms), 100, 60 * MINUTE_MS, NULL },
 	{ "route", "retry_allowance", "50", SETTING_NUMBER,
