--- a/fleet/catalog.c
+++ b/fleet/catalog.c
@@ -15,6 +15,12 @@
 	fleet_peer_unref(peer);
 }
 
+static void
+zone_unref(void *zone)
+{
+	fleet_zone_unref(zone);
+}
+
 static void
 group_free(void *data)
 {
@@ -40,8 +46,10 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, group_free);
 	catalog->peers = g_hash_table_new_full(
 	    g_direct_hash, g_direct_equal, NULL, peer_unref);
-	catalog->zones_out =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	catalog->zones =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, zone_unref);
+	catalog->zone_outages = zone_outages_new();
+	catalog->departed = departed_new();
 	return catalog;
 }
 
@@ -56,7 +64,9 @@
 	g_hash_table_destroy(catalog->groups);
 	g_hash_table_destroy(catalog->upstreams);
 	g_hash_table_destroy(catalog->peers);
-	g_hash_table_destroy(catalog->zones_out);
+	g_hash_table_destroy(catalog->zones);
+	zone_outages_free(catalog->zone_outages);
+	departed_free(catalog->departed);
 	mesh_config_unref(catalog->config);
 	g_free(catalog);
 }
@@ -85,59 +95,114 @@
 	    catalog->ops.arg, event, subject, detail, revision);
 }
 
+/*
+ * May this configuration replace the one in force? Versions never go back in
+ * one process, also when the store does.
+ */
+static bool
+is_config_current(const struct catalog *catalog,
+    const struct mesh_config *config, const struct catalog_origin *origin)
+{
+	const struct mesh_config *known = catalog->config;
+
+	if (known == NULL)
+		return true;
+	if (store_position_compare(
+		origin->position, catalog->config_position) <= 0)
+		return false;
+	if (known->version == 0 || config->version == 0)
+		return !origin->from_backup;
+	return config->version >= known->version;
+}
+
 static void
 apply_config(struct catalog *catalog, struct catalog_change *change,
-    uint64_t revision, int64_t now_ms)
+    const struct catalog_origin *origin)
 {
-	if (revision <= catalog->config_revision)
+	uint64_t revision = origin->position.revision;
+
+	if (!is_config_current(catalog, change->config, origin)) {
+		catalog_emit_event(catalog, CATALOG_EVENT_CONFIG_STALE,
+		    change->config->label, catalog->config->label, revision);
 		return;
+	}
 	mesh_config_unref(catalog->config);
 	catalog->config = change->config;
 	change->config = NULL;
-	catalog->config_revision = revision;
-	catalog->config_ms = now_ms;
+	catalog->config_position = origin->position;
+	catalog->config_ms = origin->now_ms;
 	catalog_emit_event(catalog, CATALOG_EVENT_CONFIG,
 	    catalog->config->label, "", revision);
 }
 
+static void
+apply_zone(struct catalog *catalog, const char *zone, bool out,
+    const struct catalog_origin *origin)
+{
+	static const enum catalog_event events[] = {
+		[ZONE_TAKEN_OUT] = CATALOG_EVENT_ZONE_OUT,
+		[ZONE_TAKEN_IN] = CATALOG_EVENT_ZONE_IN,
+		[ZONE_HELD] = CATALOG_EVENT_ZONE_HELD,
+	};
+	enum zone_change change = zone_outages_set(catalog->zone_outages, zone,
+	    out, origin->from_backup, origin->now_ms);
+
+	if (change != ZONE_UNCHANGED)
+		catalog_emit_event(catalog, events[change], zone, "",
+		    origin->position.revision);
+}
+
 /*
  * Put one change in force. An entry that can't be used names no upstream any
  * more; the others hold.
  */
 void
 catalog_apply(struct catalog *catalog, struct catalog_change *change,
-    uint64_t revision, int64_t now_ms, uint32_t grace_ms)
+    const struct catalog_origin *origin)
 {
 	switch (change->kind) {
 	case CATALOG_CONFIG:
-		apply_config(catalog, change, revision, now_ms);
+		apply_config(catalog, change, origin);
 		break;
 	case CATALOG_UPSTREAM:
-		catalog_put_upstream(catalog, &change->entry, revision, now_ms);
+		catalog_put_upstream(catalog, &change->entry, origin);
 		break;
 	case CATALOG_UPSTREAM_GONE:
-		catalog_unregister_upstream(
-		    catalog, change->subject, revision, now_ms, grace_ms);
+		catalog_unregister_upstream(catalog, change->subject, origin);
 		break;
 	case CATALOG_ZONE_OUT:
-		g_hash_table_add(catalog->zones_out, g_strdup(change->subject));
-		catalog_emit_event(catalog, CATALOG_EVENT_ZONE_OUT,
-		    change->subject, "", revision);
+		apply_zone(catalog, change->subject, true, origin);
 		break;
 	case CATALOG_ZONE_IN:
-		if (g_hash_table_remove(catalog->zones_out, change->subject))
-			catalog_emit_event(catalog, CATALOG_EVENT_ZONE_IN,
-			    change->subject, "", revision);
+		apply_zone(catalog, change->subject, false, origin);
 		break;
 	case CATALOG_OTHER:
 		break;
 	case CATALOG_INVALID:
 		catalog_emit_event(catalog, CATALOG_EVENT_INVALID,
-		    change->subject, change->reason, revision);
+		    change->subject, change->reason, origin->position.revision);
 		break;
 	}
 }
 
+/*
+ * Put held changes of zones in force, and remove the upstreams that did not
+ * register again within their grace period.
+ */
+void
+catalog_expire(struct catalog *catalog, int64_t now_ms)
+{
+	const char *zone;
+	bool out;
+
+	while ((zone = zone_outages_expire(
+		    catalog->zone_outages, now_ms, &out)) != NULL)
+		catalog_emit_event(catalog,
+		    out ? CATALOG_EVENT_ZONE_OUT : CATALOG_EVENT_ZONE_IN, zone,
+		    "after a restore", 0);
+	catalog_expire_upstreams(catalog, now_ms);
+}
+
 /*
  * Return the current configuration, borrowed; NULL before the first.
  */
@@ -148,12 +213,12 @@
 }
 
 /*
- * Return the platform's revision of the current configuration.
+ * Return the position of the current configuration in the platform's store.
  */
-uint64_t
-catalog_config_revision(const struct catalog *catalog)
+struct store_position
+catalog_config_position(const struct catalog *catalog)
 {
-	return catalog->config_revision;
+	return catalog->config_position;
 }
 
 /*
@@ -195,7 +260,7 @@
 bool
 catalog_zone_is_out(const struct catalog *catalog, const char *zone)
 {
-	return g_hash_table_contains(catalog->zones_out, zone);
+	return zone_outages_is_out(catalog->zone_outages, zone);
 }
 
 /*
--- a/fleet/catalog_upstreams.c
+++ b/fleet/catalog_upstreams.c
@@ -11,6 +11,18 @@
 	    own->sin_port == address->sin_port;
 }
 
+static struct fleet_zone *
+zone_get_or_create(struct catalog *catalog, const char *name)
+{
+	struct fleet_zone *zone = g_hash_table_lookup(catalog->zones, name);
+
+	if (zone == NULL) {
+		zone = fleet_zone_new(name);
+		g_hash_table_insert(catalog->zones, zone->name, zone);
+	}
+	return zone;
+}
+
 static struct fleet_peer *
 peer_get_or_create(struct catalog *catalog, const struct upstream_entry *entry)
 {
@@ -19,7 +31,8 @@
 	struct fleet_peer *peer = g_hash_table_lookup(catalog->peers, key);
 
 	if (peer == NULL) {
-		peer = fleet_peer_new(host, entry->zone);
+		peer = fleet_peer_new(
+		    host, zone_get_or_create(catalog, entry->zone));
 		g_hash_table_insert(catalog->peers, key, peer);
 	}
 	return peer;
@@ -76,6 +89,7 @@
 
 	catalog_emit_event(catalog, CATALOG_EVENT_UPSTREAM_GONE,
 	    upstream->entry.id, upstream->entry.service, revision);
+	departed_add(catalog->departed, &upstream->entry);
 	upstream->listed = false;
 	group_remove(catalog, upstream);
 	g_hash_table_remove(catalog->upstreams, upstream->entry.id);
@@ -83,24 +97,25 @@
 }
 
 /*
- * Handle the end of a registration. With grace_ms above 0 the upstream is kept
- * for that many milliseconds, unless it was draining.
+ * Handle the end of a registration. With a grace period the upstream is kept
+ * for that time, unless it was draining.
  */
 void
 catalog_unregister_upstream(struct catalog *catalog, const char *id,
-    uint64_t revision, int64_t now_ms, uint32_t grace_ms)
+    const struct catalog_origin *origin)
 {
 	struct upstream *upstream = g_hash_table_lookup(catalog->upstreams, id);
+	uint64_t revision = origin->position.revision;
 
 	if (upstream == NULL)
 		return;
-	if (grace_ms == 0 || upstream->entry.draining) {
+	if (origin->grace_ms == 0 || upstream->entry.draining) {
 		upstream_remove(catalog, upstream, revision);
 		return;
 	}
 	catalog_emit_event(catalog, CATALOG_EVENT_UPSTREAM_MISSING, id,
 	    upstream->entry.service, revision);
-	upstream->remove_at_ms = now_ms + grace_ms;
+	upstream->remove_at_ms = origin->now_ms + origin->grace_ms;
 }
 
 /*
@@ -149,12 +164,19 @@
  */
 void
 catalog_put_upstream(struct catalog *catalog, struct upstream_entry *entry,
-    uint64_t revision, int64_t now_ms)
+    const struct catalog_origin *origin)
 {
 	struct upstream *upstream =
 	    g_hash_table_lookup(catalog->upstreams, entry->id);
+	uint64_t revision = origin->position.revision;
+	int64_t now_ms = origin->now_ms;
 	struct in_addr old_host;
 
+	if (upstream == NULL && departed_covers(catalog->departed, entry)) {
+		catalog_emit_event(catalog, CATALOG_EVENT_REGISTRATION_STALE,
+		    entry->id, entry->service, revision);
+		return;
+	}
 	if (upstream == NULL) {
 		upstream =
 		    upstream_new(entry, peer_get_or_create(catalog, entry));
@@ -191,7 +213,7 @@
  * Remove the upstreams that did not register again within their grace period.
  */
 void
-catalog_expire(struct catalog *catalog, int64_t now_ms)
+catalog_expire_upstreams(struct catalog *catalog, int64_t now_ms)
 {
 	GPtrArray *removed = g_ptr_array_new();
 	GHashTableIter iter;
--- a/fleet/replica.c
+++ b/fleet/replica.c
@@ -12,9 +12,11 @@
 	struct replica_ops ops;
 	GHashTable *items;      /* key to struct replica_item */
 	GQueue tombstones;      /* struct replica_item, no value, by revision */
+	uint64_t era;           /* of all revisions */
 	uint64_t revision;      /* complete up to here */
 	uint64_t history_start; /* the tombstones after this are complete */
 	bool loading_snapshot;  /* a snapshot is being loaded */
+	bool entering_era;      /* with the snapshot being loaded */
 	GHashTable *snapshot_keys; /* set of its keys so far */
 };
 
@@ -64,6 +66,25 @@
 	return replica->revision;
 }
 
+/*
+ * Return the position up to which the replica is complete.
+ */
+struct store_position
+replica_position(const struct replica *replica)
+{
+	return (struct store_position){
+		.era = replica->era,
+		.revision = replica->revision,
+	};
+}
+
+static void
+report_change(struct replica *replica, const struct replica_item *item)
+{
+	replica->ops.handle_change(
+	    replica->ops.arg, item, replica->entering_era);
+}
+
 static void
 tombstone_add(struct replica *replica, const char *key, uint64_t revision)
 {
@@ -89,7 +110,7 @@
 
 	tombstone_add(replica, key, revision);
 	g_hash_table_remove(replica->items, key);
-	replica->ops.handle_change(replica->ops.arg, &removed);
+	report_change(replica, &removed);
 	g_free(removed.key);
 }
 
@@ -119,6 +140,7 @@
 	struct replica_item *item =
 	    g_hash_table_lookup(replica->items, change->key);
 	uint64_t revision = change->revision;
+	bool is_same;
 
 	if (replica->loading_snapshot && change->value != NULL)
 		g_hash_table_add(replica->snapshot_keys, g_strdup(change->key));
@@ -137,11 +159,14 @@
 			item_delete(replica, change->key, revision);
 		return;
 	}
+	is_same = replica->entering_era && item != NULL &&
+	    g_bytes_equal(item->value, change->value);
 	item = replica_item_new(change->key, change->value, revision);
 	if (change->compressed != NULL)
 		item->compressed = g_bytes_ref(change->compressed);
 	g_hash_table_replace(replica->items, item->key, item);
-	replica->ops.handle_change(replica->ops.arg, item);
+	if (!is_same)
+		report_change(replica, item);
 }
 
 /*
@@ -171,12 +196,33 @@
 	replica->revision = MAX(replica->revision, revision);
 }
 
+/*
+ * Enter an era: revisions of the earlier one have no meaning any more.
+ */
+static void
+enter_era(struct replica *replica, uint64_t era)
+{
+	GHashTableIter iter;
+	void *value;
+
+	replica->entering_era = replica->revision > 0;
+	replica->era = era;
+	replica->revision = 0;
+	replica->history_start = 0;
+	g_queue_clear_full(&replica->tombstones, replica_item_free);
+	g_hash_table_iter_init(&iter, replica->items);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct replica_item *)value)->revision = 0;
+}
+
 /*
  * Start loading a full snapshot, dropping one that was not finished.
  */
 void
-replica_snapshot_begin(struct replica *replica)
+replica_snapshot_begin(struct replica *replica, uint64_t era)
 {
+	if (era > replica->era)
+		enter_era(replica, era);
 	snapshot_keys_clear(replica);
 	replica->snapshot_keys =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -206,6 +252,7 @@
 	for (guint i = 0; i < removed->len; i++)
 		item_delete(replica, removed->pdata[i], revision);
 	g_ptr_array_unref(removed);
+	replica->entering_era = false;
 	snapshot_keys_clear(replica);
 	/* Keys created and deleted before the snapshot left no tombstone. */
 	replica->history_start = MAX(replica->history_start, revision);
--- a/fleet/upstream.c
+++ b/fleet/upstream.c
@@ -106,13 +106,13 @@
  * Return a new peer with one reference and no recorded contact.
  */
 struct fleet_peer *
-fleet_peer_new(struct in_addr host, const char *zone)
+fleet_peer_new(struct in_addr host, struct fleet_zone *zone)
 {
 	struct fleet_peer *peer = g_new0(struct fleet_peer, 1);
 
 	peer->refs = 1;
 	peer->host = host;
-	peer->zone = g_strdup(zone);
+	peer->zone = fleet_zone_ref(zone);
 	return peer;
 }
 
@@ -135,7 +135,7 @@
 	if (peer == NULL || --peer->refs > 0)
 		return;
 	http_pool_free(peer->pool);
-	g_free(peer->zone);
+	fleet_zone_unref(peer->zone);
 	g_free(peer);
 }
 
@@ -143,7 +143,7 @@
  * Record that the peer did not respond. It is avoided for a time that grows
  * with each consecutive failure, and its idle connections are closed.
  */
-void
+bool
 fleet_peer_mark_failed(struct fleet_peer *peer, int64_t now_ms)
 {
 	uint32_t doublings =
@@ -154,24 +154,27 @@
 	    now_ms + MIN(AVOID_INITIAL_MS << doublings, AVOID_MAX_MS);
 	if (peer->pool != NULL)
 		http_pool_close_idle(peer->pool);
+	return fleet_zone_mark_failed(peer->zone, now_ms);
 }
 
 /*
  * Record a response or heartbeat; the peer is no longer avoided.
  */
-void
+bool
 fleet_peer_mark_alive(struct fleet_peer *peer, int64_t now_ms)
 {
 	peer->consecutive_failures = 0;
 	peer->avoid_until_ms = 0;
 	peer->last_contact_ms = now_ms;
+	return fleet_zone_mark_alive(peer->zone, now_ms);
 }
 
 /*
- * Tell whether the peer is still avoided after a failure.
+ * Tell whether the peer is still avoided after a failure, or with its zone.
  */
 bool
 fleet_peer_is_avoided(const struct fleet_peer *peer, int64_t now_ms)
 {
-	return peer->avoid_until_ms > now_ms;
+	return peer->avoid_until_ms > now_ms ||
+	    fleet_zone_is_suspected(peer->zone, now_ms);
 }
--- a/http/pool.c
+++ b/http/pool.c
@@ -202,6 +202,8 @@
 	struct http_stream *stream =
 	    http_stream_new(pool->loop, HTTP_SIDE_CLIENT, ops, owner);
 
+	if (pool->settings.unacknowledged_ms > 0)
+		stream->unacknowledged_ms = pool->settings.unacknowledged_ms;
 	if (!http_stream_connect(stream, &pool->settings.address)) {
 		http_stream_abort(stream);
 		return NULL;
--- a/http/stream.c
+++ b/http/stream.c
@@ -7,12 +7,8 @@
 
 enum {
 	READ_BUFFER_BYTES = 64 * 1024,
-	/*
-	 * TCP_USER_TIMEOUT: a connection is lost when data stays
-	 * unacknowledged this long. It allows for several round trips between
-	 * zones and some retransmissions.
-	 */
-	UNACKNOWLEDGED_MAX_MS = 2000,
+	/* Allows for a slow link and several retransmissions. */
+	UNACKNOWLEDGED_DEFAULT_MS = 2000,
 	/* Grace for the last bytes of a connection that is being closed. */
 	FINISH_MAX_MS = 3000,
 	KEEPALIVE_IDLE_S = 3, /* limits how long a lost peer goes unnoticed */
@@ -121,7 +117,11 @@
 		if (stream->closing || stream->message_done)
 			return;
 	}
-	stream_report_end(stream, orderly ? HTTP_END_EOF : HTTP_END_RESET);
+	if (status == UV_ETIMEDOUT)
+		stream_report_end(stream, HTTP_END_TIMEOUT);
+	else
+		stream_report_end(
+		    stream, orderly ? HTTP_END_EOF : HTTP_END_RESET);
 }
 
 static void
@@ -153,7 +153,7 @@
 http_stream_start(struct http_stream *stream)
 {
 	int fd;
-	unsigned timeout = UNACKNOWLEDGED_MAX_MS;
+	unsigned timeout = stream->unacknowledged_ms;
 
 	stream->connected = true;
 	uv_tcp_nodelay(&stream->tcp, 1);
@@ -239,6 +239,7 @@
 	stream->side = side;
 	stream->head = http_head_new();
 	stream->head_max_bytes = 64 * 1024;
+	stream->unacknowledged_ms = UNACKNOWLEDGED_DEFAULT_MS;
 	stream->field_name = g_string_new(NULL);
 	stream->field_value = g_string_new(NULL);
 	http_parser_init(&stream->parser,
--- a/http/stream_write.c
+++ b/http/stream_write.c
@@ -18,7 +18,8 @@
 	if (stream->closing)
 		return;
 	if (status != 0) {
-		stream_report_end(stream, HTTP_END_RESET);
+		stream_report_end(stream,
+		    status == UV_ETIMEDOUT ? HTTP_END_TIMEOUT : HTTP_END_RESET);
 		return;
 	}
 	if (stream->above_high_mark &&
--- a/include/fleet/catalog.h
+++ b/include/fleet/catalog.h
@@ -2,6 +2,7 @@
 #define TREFOILHILL_FLEET_CATALOG_H
 
 #include "fleet/mesh_config.h"
+#include "fleet/store_position.h"
 #include "fleet/upstream.h"
 
 /*
@@ -38,6 +39,7 @@
 /* Effect of a change; the owner logs one line for each. */
 enum catalog_event {
 	CATALOG_EVENT_CONFIG,
+	CATALOG_EVENT_CONFIG_STALE, /* older than the one in force; ignored */
 	CATALOG_EVENT_UPSTREAM_READY,
 	CATALOG_EVENT_UPSTREAM_DRAINING,
 	CATALOG_EVENT_UPSTREAM_COLD,
@@ -47,6 +49,7 @@
 	CATALOG_EVENT_REGISTRATION_STALE,
 	CATALOG_EVENT_ZONE_OUT,
 	CATALOG_EVENT_ZONE_IN,
+	CATALOG_EVENT_ZONE_HELD, /* a change from a backup is held back */
 	CATALOG_EVENT_INVALID,
 };
 
@@ -65,19 +68,31 @@
 struct catalog *catalog_new(struct catalog_ops ops);
 void catalog_free(struct catalog *catalog);
 void catalog_change_clear(struct catalog_change *change);
-/*
- * Apply a change; ownership of its contents may move to the catalog. With
- * grace_ms above 0, an upstream whose registration disappears is kept for that
- * many milliseconds, unless it is draining.
- */
+/* Where a change comes from, and when. */
+struct catalog_origin {
+	struct store_position position;
+	/*
+	 * From the store's first copy after a restore, so that it may be older
+	 * than what is in force.
+	 */
+	bool from_backup;
+	int64_t now_ms;
+	/*
+	 * Above 0, an upstream whose registration disappears is kept for that
+	 * many milliseconds, unless it is draining.
+	 */
+	uint32_t grace_ms;
+};
+
+/* Apply a change; ownership of its contents may move to the catalog. */
 void catalog_apply(struct catalog *catalog, struct catalog_change *change,
-    uint64_t revision, int64_t now_ms, uint32_t grace_ms);
+    const struct catalog_origin *origin);
 /* Remove upstreams whose grace period has ended. */
 void catalog_expire(struct catalog *catalog, int64_t now_ms);
 
 /* Borrowed; NULL before the first configuration. */
 struct mesh_config *catalog_config(const struct catalog *catalog);
-uint64_t catalog_config_revision(const struct catalog *catalog);
+struct store_position catalog_config_position(const struct catalog *catalog);
 int64_t catalog_config_ms(const struct catalog *catalog);
 /* Borrowed; NULL if no upstream of the service was ever listed. */
 const struct upstream_group *catalog_group(
--- a/include/fleet/catalog_private.h
+++ b/include/fleet/catalog_private.h
@@ -2,25 +2,30 @@
 #define TREFOILHILL_FLEET_CATALOG_PRIVATE_H
 
 #include "fleet/catalog.h"
+#include "fleet/departed.h"
+#include "fleet/zone_outages.h"
 
 /* Private to the source files of the catalog. */
 struct catalog {
 	struct catalog_ops ops;
 	struct mesh_config *config;
-	uint64_t config_revision;
+	struct store_position config_position;
 	int64_t config_ms;
 	GHashTable *upstreams; /* id to struct upstream */
 	GHashTable *groups;    /* service to struct upstream_group */
 	GHashTable *peers;     /* host address to struct fleet_peer */
-	GHashTable *zones_out; /* set of zone names */
+	GHashTable *zones;     /* name to struct fleet_zone */
+	struct zone_outages *zone_outages;
+	struct departed *departed;
 };
 
 void catalog_release_upstream(void *upstream);
 void catalog_emit_event(struct catalog *catalog, enum catalog_event event,
     const char *subject, const char *detail, uint64_t revision);
 void catalog_put_upstream(struct catalog *catalog, struct upstream_entry *entry,
-    uint64_t revision, int64_t now_ms);
+    const struct catalog_origin *origin);
 void catalog_unregister_upstream(struct catalog *catalog, const char *id,
-    uint64_t revision, int64_t now_ms, uint32_t grace_ms);
+    const struct catalog_origin *origin);
+void catalog_expire_upstreams(struct catalog *catalog, int64_t now_ms);
 
 #endif
--- a/include/fleet/mesh_config.h
+++ b/include/fleet/mesh_config.h
@@ -48,7 +48,8 @@
 /* A complete configuration; immutable, atomically reference-counted. */
 struct mesh_config {
 	int refs;
-	char *label; /* version name set by the operators */
+	char *label;      /* version name set by the operators */
+	uint64_t version; /* number in it, which rises; 0: it has none */
 	struct caller_limits limits;
 	GHashTable *services;     /* name to struct mesh_service */
 	GHashTable *routes;       /* name to struct mesh_route */
--- a/include/fleet/replica.h
+++ b/include/fleet/replica.h
@@ -6,12 +6,14 @@
 #include <stdint.h>
 
 #include "common/str.h"
+#include "fleet/store_position.h"
 
 /*
  * A copy of the platform's items, updated from the platform or from peers. The
- * platform numbers all changes with one revision counter, so the state of a
- * replica is given by the revision up to which it is complete, and the newer of
- * two replicas includes every change of the older one. Does no I/O.
+ * platform numbers all changes with one revision counter for each era, so the
+ * state of a replica is given by the position up to which it is complete, and
+ * the newer of two replicas of one era includes every change of the older one.
+ * A new era is entered with a snapshot. Does no I/O.
  */
 struct replica;
 
@@ -23,8 +25,13 @@
 };
 
 struct replica_ops {
-	/* An item was set, or deleted when its value is NULL. */
-	void (*handle_change)(void *arg, const struct replica_item *item);
+	/*
+	 * An item was set, or deleted when its value is NULL. from_backup: by
+	 * the snapshot with which an era was entered, so that the item may be
+	 * older than the one known before.
+	 */
+	void (*handle_change)(
+	    void *arg, const struct replica_item *item, bool from_backup);
 	void *arg;
 };
 
@@ -32,6 +39,8 @@
 void replica_free(struct replica *replica);
 /* Revision up to which the replica is complete; 0 before the first read. */
 uint64_t replica_revision(const struct replica *replica);
+/* The same with its era. */
+struct store_position replica_position(const struct replica *replica);
 /* Apply one change; ignored if the key's known revision is not older. */
 void replica_put(
     struct replica *replica, struct str key, GBytes *value, uint64_t revision);
@@ -41,9 +50,10 @@
 void replica_advance(struct replica *replica, uint64_t revision);
 /*
  * Load a full snapshot: put every item between begin and end. Items that are
- * not put are deleted at the end.
+ * not put are deleted at the end. A later era than the replica's is entered;
+ * an earlier one must not be passed.
  */
-void replica_snapshot_begin(struct replica *replica);
+void replica_snapshot_begin(struct replica *replica, uint64_t era);
 void replica_snapshot_end(struct replica *replica, uint64_t revision);
 /*
  * Return the changes after a revision, deletions included, as an array of
--- a/include/fleet/source.h
+++ b/include/fleet/source.h
@@ -22,10 +22,10 @@
 
 struct source_result {
 	enum source_status status;
-	bool is_snapshot;   /* items are a full snapshot, not changes */
-	GPtrArray *items;   /* struct replica_item; borrowed */
-	uint64_t revision;  /* items are complete up to here */
-	const char *detail; /* for logs */
+	bool is_snapshot; /* items are a full snapshot, not changes */
+	GPtrArray *items; /* struct replica_item; borrowed */
+	struct store_position position; /* items are complete up to here */
+	const char *detail;             /* for logs */
 };
 
 struct source_handler {
--- a/include/fleet/upstream.h
+++ b/include/fleet/upstream.h
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 #include "common/str.h"
+#include "fleet/fleet_zone.h"
 
 /* An upstream's own registration. */
 struct upstream_entry {
@@ -37,8 +38,8 @@
 struct fleet_peer {
 	int refs;
 	struct in_addr host;
-	char *zone;
-	struct http_pool *pool; /* data path; NULL until first used */
+	struct fleet_zone *zone; /* holds a reference */
+	struct http_pool *pool;  /* data path; NULL until first used */
 	uint32_t consecutive_failures;
 	int64_t avoid_until_ms;
 	int64_t last_contact_ms; /* last response or heartbeat; 0: never */
@@ -74,12 +75,16 @@
 void upstream_set_load(
     struct upstream *upstream, const struct load_report *load, int64_t now_ms);
 
-struct fleet_peer *fleet_peer_new(struct in_addr host, const char *zone);
+struct fleet_peer *fleet_peer_new(struct in_addr host, struct fleet_zone *zone);
 struct fleet_peer *fleet_peer_ref(struct fleet_peer *peer);
 void fleet_peer_unref(struct fleet_peer *peer);
-/* Record that an exchange with the peer failed, or that it responded. */
-void fleet_peer_mark_failed(struct fleet_peer *peer, int64_t now_ms);
-void fleet_peer_mark_alive(struct fleet_peer *peer, int64_t now_ms);
+/*
+ * Record that an exchange with the peer failed, or that it responded. True if
+ * that changes whether its zone is suspected.
+ */
+bool fleet_peer_mark_failed(struct fleet_peer *peer, int64_t now_ms);
+bool fleet_peer_mark_alive(struct fleet_peer *peer, int64_t now_ms);
+/* Is the peer avoided after its own failures, or with its whole zone? */
 bool fleet_peer_is_avoided(const struct fleet_peer *peer, int64_t now_ms);
 
 #endif
--- a/include/http/pool.h
+++ b/include/http/pool.h
@@ -14,6 +14,7 @@
 	uint32_t idle_max;        /* limit on idle connections */
 	uint32_t idle_default_ms; /* without a Keep-Alive timeout of the peer */
 	uint32_t idle_max_ms;     /* limit on a Keep-Alive timeout */
+	uint32_t unacknowledged_ms; /* as in struct http_stream; 0: default */
 };
 
 struct http_pool *http_pool_new(
--- a/include/http/stream.h
+++ b/include/http/stream.h
@@ -23,6 +23,7 @@
 enum http_end_reason {
 	HTTP_END_EOF,     /* orderly close by the peer */
 	HTTP_END_RESET,   /* reset, or a write failed */
+	HTTP_END_TIMEOUT, /* sent data stayed unacknowledged */
 	HTTP_END_CONNECT, /* the connection was never established */
 	HTTP_END_MALFORMED,
 	HTTP_END_TOO_LARGE, /* head exceeds head_max_bytes */
@@ -57,6 +58,11 @@
 	const struct http_stream_ops *ops;
 	void *owner; /* context for ops */
 	enum http_side side;
+	/*
+	 * TCP_USER_TIMEOUT: the connection is lost when data stays
+	 * unacknowledged for so long. Set before it is connected.
+	 */
+	uint32_t unacknowledged_ms;
 	http_parser parser;
 	struct http_head *head;
 	uint32_t head_max_bytes;
--- a/include/trefoilhill-proxy/follower.h
+++ b/include/trefoilhill-proxy/follower.h
@@ -20,7 +20,7 @@
 struct follower_peer_state {
 	bool is_snapshot; /* items are the complete state, not changes */
 	GPtrArray *items; /* struct replica_item; NULL: none included */
-	uint64_t revision;
+	struct store_position position;
 	int64_t age_ms; /* since the store confirmed it; -1: never */
 	/* How much longer a removed registration may be restored. */
 	int64_t removal_grace_ms;
--- a/include/trefoilhill-proxy/heartbeat_message.h
+++ b/include/trefoilhill-proxy/heartbeat_message.h
@@ -6,8 +6,8 @@
 
 /* Content of a heartbeat or of its response; encoded as a GVariant. */
 struct heartbeat_message {
-	uint64_t revision; /* of the sender's copy of the store */
-	int64_t age_ms;    /* since the store confirmed it; -1: never */
+	struct store_position position; /* of the sender's copy of the store */
+	int64_t age_ms; /* since the store confirmed it; -1: never */
 	/* How much longer a removed registration may be restored. */
 	int64_t removal_grace_ms;
 	bool stopping;
@@ -15,7 +15,8 @@
 	struct load_report load; /* of that upstream */
 	GPtrArray *items;        /* struct replica_item; NULL: none included */
 	bool is_snapshot;        /* items are the complete state, not changes */
-	uint64_t base_revision;  /* items are the changes after this revision */
+	/* Items are the changes of the era after this revision. */
+	uint64_t base_revision;
 };
 
 GBytes *heartbeat_message_encode(const struct heartbeat_message *message);
--- a/include/trefoilhilld/settings.h
+++ b/include/trefoilhilld/settings.h
@@ -57,6 +57,7 @@
 struct dissemination_settings {
 	uint32_t policy; /* enum spread_policy */
 	uint32_t heartbeat_ms;
+	uint32_t drain_ms; /* for which a stopping upstream takes requests */
 	uint32_t readers_per_zone;
 	uint32_t fanout;
 };
@@ -64,8 +65,10 @@
 struct admission_settings {
 	uint32_t slots; /* concurrent requests of a warm upstream */
 	uint32_t connections;
-	uint32_t cold_limit;     /* concurrent requests of a cold upstream */
-	uint32_t cold_allowance; /* requests/s above the cold rate */
+	uint32_t cold_limit; /* concurrent requests of a cold upstream */
+	/* An upstream's cold rate is multiplied by this, and then added to. */
+	uint32_t cold_burst_per_mille;
+	uint32_t cold_allowance; /* requests/s */
 	uint32_t queue_limit;
 	uint32_t queue_wait_ms;
 	uint32_t tick_ms;
--- a/tests/fleet/test_catalog.c
+++ b/tests/fleet/test_catalog.c
@@ -8,6 +8,7 @@
 	struct catalog *catalog;
 	enum catalog_event last;
 	uint32_t events;
+	struct catalog_origin origin; /* of the next change */
 };
 
 static void
@@ -25,7 +26,10 @@
 {
 	struct catalog_ops ops = { .handle_event = handle_event, .arg = f };
 
-	*f = (struct fixture){ .catalog = catalog_new(ops) };
+	*f = (struct fixture){
+		.catalog = catalog_new(ops),
+		.origin.position = { 1, 1 },
+	};
 }
 
 static struct upstream_entry
@@ -55,7 +59,7 @@
 	};
 
 	change.entry.draining = draining;
-	catalog_apply(f->catalog, &change, 1, 0, 0);
+	catalog_apply(f->catalog, &change, &f->origin);
 	catalog_change_clear(&change);
 }
 
@@ -68,7 +72,11 @@
 		.subject = g_strdup(id),
 	};
 
-	catalog_apply(f->catalog, &change, 1, now_ms, grace_ms);
+	f->origin.now_ms = now_ms;
+	f->origin.grace_ms = grace_ms;
+	catalog_apply(f->catalog, &change, &f->origin);
+	f->origin.now_ms = 0;
+	f->origin.grace_ms = 0;
 	catalog_change_clear(&change);
 }
 
@@ -180,11 +188,13 @@
 	fixture_init(&f);
 	change.config = mesh_config_new();
 	change.config->label = g_strdup("r9");
-	catalog_apply(f.catalog, &change, 9, 0, 0);
+	f.origin.position.revision = 9;
+	catalog_apply(f.catalog, &change, &f.origin);
 	catalog_change_clear(&change);
 	change.config = mesh_config_new();
 	change.config->label = g_strdup("r8");
-	catalog_apply(f.catalog, &change, 8, 0, 0);
+	f.origin.position.revision = 8;
+	catalog_apply(f.catalog, &change, &f.origin);
 	catalog_change_clear(&change);
 	CU_ASSERT_STRING_EQUAL(catalog_config(f.catalog)->label, "r9");
 	catalog_free(f.catalog);
--- a/tests/fleet/test_replica.c
+++ b/tests/fleet/test_replica.c
@@ -9,14 +9,16 @@
 	struct replica *replica;
 	GHashTable *seen;
 	uint32_t changes;
+	uint32_t from_backup; /* changes that may be outdated */
 };
 
 static void
-handle_change(void *arg, const struct replica_item *item)
+handle_change(void *arg, const struct replica_item *item, bool from_backup)
 {
 	struct fixture *f = arg;
 
 	f->changes++;
+	f->from_backup += from_backup;
 	if (item->value == NULL)
 		g_hash_table_remove(f->seen, item->key);
 	else
@@ -53,18 +55,39 @@
 		g_bytes_unref(bytes);
 }
 
+/* Replace the content of a store by that of a copy, in a new era. */
+static void
+restore_from(struct fixture *store, struct fixture *copy, uint64_t era)
+{
+	GPtrArray *items = replica_snapshot(copy->replica);
+
+	replica_snapshot_begin(store->replica, era);
+	for (guint i = 0; i < items->len; i++)
+		replica_put_item(store->replica, items->pdata[i]);
+	replica_snapshot_end(store->replica, replica_revision(copy->replica));
+	g_ptr_array_unref(items);
+}
+
 /* Update one replica from another, as peers do. */
 static void
 sync_from(struct fixture *to, struct fixture *from)
 {
-	uint64_t revision = replica_revision(from->replica);
-	GPtrArray *items =
-	    replica_changes_since(from->replica, replica_revision(to->replica));
-	bool needs_snapshot = items == NULL;
+	struct store_position own = replica_position(to->replica);
+	struct store_position other = replica_position(from->replica);
+	uint64_t revision = other.revision;
+	GPtrArray *items = NULL;
+	bool needs_snapshot;
+
+	if (store_position_compare(other, own) <= 0)
+		return;
+	if (other.era == own.era)
+		items = replica_changes_since(from->replica, own.revision);
+	needs_snapshot = items == NULL;
 
 	if (needs_snapshot) {
 		items = replica_snapshot(from->replica);
-		replica_snapshot_begin(to->replica);
+		replica_snapshot_begin(
+		    to->replica, replica_position(from->replica).era);
 	}
 	for (guint i = 0; i < items->len; i++) {
 		const struct replica_item *item = items->pdata[i];
@@ -120,7 +143,7 @@
 	put(&f, "a", "1", 1);
 	put(&f, "b", "1", 2);
 	replica_advance(f.replica, 2);
-	replica_snapshot_begin(f.replica);
+	replica_snapshot_begin(f.replica, 0);
 	put(&f, "b", "1", 2);
 	put(&f, "c", "1", 7);
 	replica_snapshot_end(f.replica, 9);
@@ -142,13 +165,112 @@
 	replica_advance(f.replica, 1);
 	put(&f, "a", NULL, 5);
 	replica_advance(f.replica, 5);
-	replica_snapshot_begin(f.replica);
+	replica_snapshot_begin(f.replica, 0);
 	put(&f, "a", "1", 1);
 	replica_snapshot_end(f.replica, 3);
 	CU_ASSERT_PTR_NULL(g_hash_table_lookup(f.seen, "a"));
 	fixture_clear(&f);
 }
 
+/*
+ * The store is restored from a copy of revision 5, and gives revisions out
+ * again. All of the earlier era is replaced, items that are the same in both
+ * without a change, and the first snapshot is marked.
+ */
+static void
+test_restored_store(void)
+{
+	struct store_position position;
+	struct fixture f;
+
+	fixture_init(&f);
+	replica_snapshot_begin(f.replica, 1);
+	put(&f, "same", "1", 4);
+	put(&f, "lost", "1", 8);
+	put(&f, "changed", "after the copy", 9);
+	replica_snapshot_end(f.replica, 9);
+	CU_ASSERT_EQUAL(f.from_backup, 0);
+	f.changes = 0;
+	replica_snapshot_begin(f.replica, 2);
+	put(&f, "same", "1", 4);
+	put(&f, "changed", "before", 3);
+	put(&f, "new", "1", 7);
+	replica_snapshot_end(f.replica, 7);
+	CU_ASSERT_EQUAL(f.changes, 3);
+	CU_ASSERT_EQUAL(f.from_backup, 3);
+	CU_ASSERT_PTR_NULL(g_hash_table_lookup(f.seen, "lost"));
+	CU_ASSERT_STRING_EQUAL(
+	    g_hash_table_lookup(f.seen, "changed"), "before");
+	position = replica_position(f.replica);
+	CU_ASSERT_EQUAL(position.era, 2);
+	CU_ASSERT_EQUAL(position.revision, 7);
+	/* A revision of the earlier era means something else now. */
+	put(&f, "changed", "written again", 8);
+	replica_advance(f.replica, 8);
+	CU_ASSERT_STRING_EQUAL(
+	    g_hash_table_lookup(f.seen, "changed"), "written again");
+	CU_ASSERT_EQUAL(f.from_backup, 3);
+	fixture_clear(&f);
+}
+
+/*
+ * Stores restored at random times from a copy some changes old, some twice
+ * before a replica sees them. Replicas that read the store and ones that learn
+ * from these end with its items.
+ */
+static void
+test_random_restores(void)
+{
+	enum {
+		STEPS = 4000,
+		KEYS = 12,
+		SEEDS = 20
+	};
+
+	for (guint32 seed = 1; seed <= SEEDS; seed++) {
+		GRand *rand = g_rand_new_with_seed(seed);
+		struct fixture store, copy, a, b;
+		uint64_t revision = 1, era = 1;
+
+		fixture_init(&store);
+		fixture_init(&copy);
+		fixture_init(&a);
+		fixture_init(&b);
+		for (int i = 0; i < STEPS; i++) {
+			char *key = g_strdup_printf(
+			    "k%d", g_rand_int_range(rand, 0, KEYS));
+			char *value = g_strdup_printf("%d", i);
+
+			revision++;
+			put(&store, key,
+			    g_rand_int_range(rand, 0, 3) == 0 ? NULL : value,
+			    revision);
+			replica_advance(store.replica, revision);
+			if (g_rand_int_range(rand, 0, 20) == 0)
+				sync_from(&copy, &store);
+			if (g_rand_int_range(rand, 0, 200) == 0) {
+				restore_from(&store, &copy, ++era);
+				revision = replica_revision(store.replica);
+			}
+			if (g_rand_int_range(rand, 0, 5) == 0)
+				sync_from(&a, &store);
+			if (g_rand_int_range(rand, 0, 50) == 0)
+				sync_from(&b, &a);
+			g_free(key);
+			g_free(value);
+		}
+		sync_from(&a, &store);
+		sync_from(&b, &a);
+		CU_ASSERT_TRUE(has_same_items(&a, &store));
+		CU_ASSERT_TRUE(has_same_items(&b, &store));
+		fixture_clear(&store);
+		fixture_clear(&copy);
+		fixture_clear(&a);
+		fixture_clear(&b);
+		g_rand_free(rand);
+	}
+}
+
 /*
  * A replica that syncs from a store at random times and one that syncs from the
  * replica both end with the store's items.
@@ -204,6 +326,8 @@
 	    test_snapshot_deletes_missing_items },
 	{ "a late page does not restore a deleted item",
 	    test_late_page_does_not_restore_deleted_item },
+	{ "a restored store", test_restored_store },
+	{ "random restores", test_random_restores },
 	{ "random syncs converge", test_random_sync },
 	{ NULL, NULL },
 };
--- a/tests/route/test_balance.c
+++ b/tests/route/test_balance.c
@@ -38,7 +38,7 @@
 
 	change.entry.address.sin_port = htons(80);
 	inet_pton(AF_INET, ip, &change.entry.address.sin_addr);
-	catalog_apply(f->catalog, &change, 1, 0, 0);
+	catalog_apply(f->catalog, &change, &(struct catalog_origin){ 0 });
 	return catalog_upstream(f->catalog, str_from(id));
 }
 
@@ -124,7 +124,7 @@
 	draining = add_upstream(&f, "i-1", "a", "10.0.0.1");
 	draining->entry.draining = true;
 	add_upstream(&f, "i-2", "b", "10.0.0.2");
-	catalog_apply(f.catalog, &out, 2, 0, 0);
+	catalog_apply(f.catalog, &out, &(struct catalog_origin){ 0 });
 	catalog_change_clear(&out);
 	CU_ASSERT_PTR_NULL(balance_pick(&f.request, f.rng).upstream);
 	fixture_clear(&f);
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -15,6 +15,7 @@
 
 class Store:
     def __init__(self):
+        self.era = 1  # rises by one with each restore
         self.revision = 1
         self.items = {}  # key: (value, revision)
         self.events = []  # (revision, key, value or None)
@@ -54,6 +55,21 @@
             self.compacted_revision = self.events[count - 1][0]
             del self.events[:count]
 
+    def backup(self):
+        """Return a copy to restore from."""
+        return self.revision, dict(self.items)
+
+    def restore(self, backup):
+        """Replace the content by a backup's; later revisions are given out
+        again."""
+        self.revision, items = backup
+        self.items = dict(items)
+        self.events = []
+        self.compacted_revision = self.revision
+        self.era += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def reset_connections(self):
         """Reset all connections."""
         for writer in list(self.writers):
@@ -80,6 +96,7 @@
                 text = json.dumps(body).encode()
                 writer.write(
                     f"HTTP/1.1 {status} x\r\nContent-Type: application/json"
+                    f"\r\nStore-Era: {self.era}"
                     f"\r\nContent-Length: {len(text)}\r\n\r\n".encode() + text)
                 await writer.drain()
         except (asyncio.IncompleteReadError, asyncio.CancelledError,
@@ -118,7 +135,7 @@
         after = int(query["after"])
         until = asyncio.get_running_loop().time() + int(query["waitMs"]) / 1000
         while True:
-            if after < self.compacted_revision:
+            if not self.compacted_revision <= after <= self.revision:
                 return 410, {}
             found = [e for e in self.events if e[0] > after]
             left = until - asyncio.get_running_loop().time()
--- a/trefoilhill-proxy/attempt.c
+++ b/trefoilhill-proxy/attempt.c
@@ -4,13 +4,22 @@
 #include "trefoilhill-proxy/attempt.h"
 #include "trefoilhill-proxy/exchange.h"
 #include "trefoilhill-proxy/gate.h"
+#include "trefoilhill-proxy/peer_health.h"
 
 enum {
 	/*
-	 * A connection within a region takes a few milliseconds; a lost SYN
-	 * is retransmitted only after a second.
+	 * A connection within a region takes a few milliseconds and needs no
+	 * processor time of the peer. A lost SYN is retransmitted only after a
+	 * second, and nothing has been sent yet, so another choice is free.
 	 */
-	CONNECT_MAX_MS = 400,
+	PEER_CONNECT_MAX_MS = 150,
+	/* Upstreams accept connections late while their queue is long. */
+	UPSTREAM_CONNECT_MAX_MS = 400,
+	/*
+	 * Detects a peer that is cut off or without power while requests wait
+	 * for it. Long enough for two retransmissions of a lost segment.
+	 */
+	PEER_UNACKNOWLEDGED_MS = 700,
 	/*
 	 * The other side may have closed a connection that was idle for
 	 * longer, so a request that can't be retried doesn't use one.
@@ -113,8 +122,8 @@
 	if (attempt->ended)
 		return;
 	if (!attempt->local)
-		fleet_peer_mark_failed(
-		    attempt->upstream->peer, proxy_now_ms(attempt->proxy));
+		peer_health_failed(
+		    attempt->proxy, attempt->upstream->peer, "connect_timeout");
 	attempt_fail(attempt, ATTEMPT_FAILURE_NOT_RUN, "connect_timeout");
 }
 
@@ -130,8 +139,8 @@
 	}
 	if (attempt->local)
 		proxy_count(&attempt->proxy->stats, STAT_UPSTREAM_CONNECTIONS);
-	uv_timer_start(
-	    &attempt->timer, handle_connect_timeout, CONNECT_MAX_MS, 0);
+	uv_timer_start(&attempt->timer, handle_connect_timeout,
+	    attempt->local ? UPSTREAM_CONNECT_MAX_MS : PEER_CONNECT_MAX_MS, 0);
 }
 
 /*
@@ -171,10 +180,11 @@
 
 	if (attempt->ended)
 		return;
+	if (!attempt->local &&
+	    (attempt->sent_ms == 0 || end == HTTP_END_TIMEOUT))
+		peer_health_failed(attempt->proxy, attempt->upstream->peer,
+		    attempt->sent_ms == 0 ? "unreachable" : "silent");
 	if (attempt->sent_ms == 0) {
-		if (!attempt->local)
-			fleet_peer_mark_failed(attempt->upstream->peer,
-			    proxy_now_ms(attempt->proxy));
 		attempt_fail(attempt, ATTEMPT_FAILURE_NOT_RUN, "unreachable");
 		return;
 	}
@@ -266,6 +276,7 @@
 		.idle_max = PEER_IDLE_CONNECTIONS_MAX,
 		.idle_default_ms = PEER_IDLE_MS,
 		.idle_max_ms = PEER_IDLE_MS,
+		.unacknowledged_ms = PEER_UNACKNOWLEDGED_MS,
 	};
 
 	settings.address.sin_addr = peer->host;
@@ -306,6 +317,8 @@
 		start_local(attempt);
 		return;
 	}
+	fleet_zone_begin_request(
+	    attempt->upstream->peer->zone, proxy_now_ms(attempt->proxy));
 	attempt->pool = peer_pool(attempt);
 	attempt_connect(attempt);
 }
--- a/trefoilhill-proxy/attempt_response.c
+++ b/trefoilhill-proxy/attempt_response.c
@@ -4,6 +4,7 @@
 #include "trefoilhill-proxy/attempt.h"
 #include "trefoilhill-proxy/exchange.h"
 #include "trefoilhill-proxy/gate.h"
+#include "trefoilhill-proxy/peer_health.h"
 
 /* Keep the connection if the rest of the response arrives soon. */
 static void
@@ -88,7 +89,7 @@
 	char reason[64];
 
 	hop_read_response(head, &response);
-	fleet_peer_mark_alive(upstream->peer, now_ms);
+	peer_health_responded(attempt->proxy, upstream->peer);
 	if (response.has_load)
 		upstream_set_load(upstream, &response.load, now_ms);
 	if (response.outcome != HOP_RESPONSE) {
--- a/trefoilhill-proxy/follower.c
+++ b/trefoilhill-proxy/follower.c
@@ -21,8 +21,16 @@
 	 * kept for the grace period, for upstreams to register again.
 	 */
 	OUTAGE_MIN_MS = 1000,
-	/* Less than the time for which a stopping upstream takes requests. */
-	OUTAGE_GRACE_MS = 1700,
+	/*
+	 * The grace period; upstreams register again about two seconds after
+	 * the store is back.
+	 */
+	GRACE_MAX_MS = 2000,
+	/*
+	 * A registration may also have ended because the upstream stops, which
+	 * takes requests for drain_ms; this is for news to reach all nodes.
+	 */
+	GRACE_MARGIN_MS = 300,
 	/* A watch that lags behind peers for longer is restarted. */
 	WATCH_LAG_MAX_MS = 700,
 };
@@ -37,25 +45,43 @@
 	    OUTAGE_MIN_MS;
 }
 
+/* Time for which registrations that ended in an outage are kept. */
+static uint32_t
+outage_grace_ms(const struct follower *follower)
+{
+	uint32_t drain_ms = follower->proxy->settings->mesh.drain_ms;
+
+	return MIN(MAX(drain_ms, GRACE_MARGIN_MS) - GRACE_MARGIN_MS,
+	    (uint32_t)GRACE_MAX_MS);
+}
+
 /* Time for which a removed registration is kept. */
 static uint32_t
 grace_ms(const struct follower *follower)
 {
 	if (follower->catching_up)
-		return OUTAGE_GRACE_MS;
+		return outage_grace_ms(follower);
 	return (uint32_t)follower->peer_grace_ms;
 }
 
 static void
-handle_change(void *arg, const struct replica_item *item)
+handle_change(void *arg, const struct replica_item *item, bool from_backup)
 {
 	struct follower *follower = arg;
+	struct catalog_origin origin = {
+		.position = replica_position(follower->replica),
+		.from_backup = from_backup,
+		.now_ms = proxy_now_ms(follower->proxy),
+		.grace_ms = from_backup ? outage_grace_ms(follower)
+					: grace_ms(follower),
+	};
 	struct catalog_change change;
 
+	origin.position.revision = item->revision;
+
 	platform_decode_item(item->key, item->value,
 	    catalog_config(follower->proxy->catalog), &change);
-	catalog_apply(follower->proxy->catalog, &change, item->revision,
-	    proxy_now_ms(follower->proxy), grace_ms(follower));
+	catalog_apply(follower->proxy->catalog, &change, &origin);
 	catalog_change_clear(&change);
 }
 
@@ -119,8 +145,7 @@
 }
 
 static void
-record_read_failure(
-    struct follower *follower, const struct source_result *result)
+record_read_failure(struct follower *follower, const char *reason)
 {
 	struct proxy *proxy = follower->proxy;
 	uint64_t delay_ms =
@@ -129,8 +154,7 @@
 	proxy_count(&proxy->stats, STAT_STORE_FAILURES);
 	if (follower->unreachable_since_ms == 0) {
 		follower->unreachable_since_ms = proxy_now_ms(proxy);
-		follower_log(follower, "store_lost",
-		    source_status_name(result->status), 0);
+		follower_log(follower, "store_lost", reason, 0);
 	}
 	follower->failures++;
 	if (!follower->is_reader)
@@ -151,59 +175,90 @@
 		return;
 	follower->catching_up = is_in_outage(follower);
 	if (follower->catching_up)
-		follower->removal_grace_until_ms = now_ms + OUTAGE_GRACE_MS;
+		follower->removal_grace_until_ms =
+		    now_ms + outage_grace_ms(follower);
 	follower_log(follower, "store_back", "",
 	    now_ms - follower->unreachable_since_ms);
 	follower->unreachable_since_ms = 0;
 }
 
+/*
+ * Apply a snapshot, or changes of the replica's era.
+ */
 static void
 apply_items(struct follower *follower, bool is_snapshot, const GPtrArray *items,
-    uint64_t revision)
+    struct store_position position)
 {
+	uint64_t era = replica_position(follower->replica).era;
+
 	if (is_snapshot)
-		replica_snapshot_begin(follower->replica);
+		replica_snapshot_begin(follower->replica, position.era);
 	for (guint i = 0; i < items->len; i++)
 		replica_put_item(follower->replica, items->pdata[i]);
 	if (is_snapshot)
-		replica_snapshot_end(follower->replica, revision);
+		replica_snapshot_end(follower->replica, position.revision);
 	else
-		replica_advance(follower->replica, revision);
+		replica_advance(follower->replica, position.revision);
+	if (position.era > era)
+		follower_log(
+		    follower, "store_restored", "", follower_age_ms(follower));
 	gate_refresh(follower->proxy->gate);
 }
 
+/* Read a snapshot instead of changes. */
+static void
+require_snapshot(
+    struct follower *follower, const char *event, const char *reason)
+{
+	follower_log(follower, event, reason, follower_age_ms(follower));
+	follower->snapshot_needed = true;
+	schedule_read(follower, READ_INTERVAL_MS);
+}
+
+static void
+apply_result(struct follower *follower, const struct source_result *result)
+{
+	struct store_position before = replica_position(follower->replica);
+	bool is_newer;
+
+	record_read_success(follower);
+	if (result->is_snapshot)
+		follower->snapshot_needed = false;
+	apply_items(
+	    follower, result->is_snapshot, result->items, result->position);
+	follower->catching_up = false;
+	is_newer = store_position_compare(
+		       replica_position(follower->replica), before) > 0;
+	if (is_newer)
+		heartbeat_announce(follower->proxy->heartbeat);
+	schedule_read(follower, is_newer ? CHANGE_BATCH_MS : READ_INTERVAL_MS);
+}
+
 static void
 handle_result(void *arg, const struct source_result *result)
 {
 	struct follower *follower = arg;
-	uint64_t before = replica_revision(follower->replica);
+	uint64_t era = replica_position(follower->replica).era;
 
 	follower->reading = false;
 	uv_timer_stop(follower->watch_timer);
 	switch (result->status) {
 	case SOURCE_OK:
-		record_read_success(follower);
-		if (result->is_snapshot)
-			follower->snapshot_needed = false;
-		apply_items(follower, result->is_snapshot, result->items,
-		    result->revision);
-		follower->catching_up = false;
-		if (replica_revision(follower->replica) > before)
-			heartbeat_announce(follower->proxy->heartbeat);
-		schedule_read(follower,
-		    replica_revision(follower->replica) > before
-			? CHANGE_BATCH_MS
-			: READ_INTERVAL_MS);
+		if (result->position.era < era)
+			record_read_failure(follower, "earlier_era");
+		else if (result->position.era > era && !result->is_snapshot)
+			require_snapshot(follower, "store_era", "later era");
+		else
+			apply_result(follower, result);
 		break;
 	case SOURCE_COMPACTED:
-		follower_log(follower, "store_compacted", result->detail, 0);
-		follower->snapshot_needed = true;
-		schedule_read(follower, READ_INTERVAL_MS);
+		require_snapshot(follower, "store_compacted", result->detail);
 		break;
 	case SOURCE_BUSY:
 	case SOURCE_UNREACHABLE:
 	case SOURCE_INVALID:
-		record_read_failure(follower, result);
+		record_read_failure(
+		    follower, source_status_name(result->status));
 		break;
 	}
 }
@@ -296,12 +351,14 @@
     struct follower *follower, const struct follower_peer_state *state)
 {
 	int64_t now_ms = proxy_now_ms(follower->proxy);
-	uint64_t before = replica_revision(follower->replica);
+	struct store_position own = replica_position(follower->replica);
 
-	if (state->items != NULL && state->revision > before) {
+	if (state->items != NULL &&
+	    store_position_compare(state->position, own) > 0 &&
+	    (state->is_snapshot || state->position.era == own.era)) {
 		follower->peer_grace_ms = MAX(state->removal_grace_ms, 0);
 		apply_items(follower, state->is_snapshot, state->items,
-		    state->revision);
+		    state->position);
 		follower->peer_grace_ms = 0;
 		if (state->removal_grace_ms > 0)
 			follower->removal_grace_until_ms =
@@ -315,7 +372,8 @@
 	}
 	/* An older copy doesn't confirm this one. */
 	if (state->age_ms >= 0 &&
-	    state->revision >= replica_revision(follower->replica))
+	    store_position_compare(
+		state->position, replica_position(follower->replica)) >= 0)
 		follower->confirmed_ms =
 		    MAX(follower->confirmed_ms, now_ms - state->age_ms);
 }
--- a/trefoilhill-proxy/follower_role.c
+++ b/trefoilhill-proxy/follower_role.c
@@ -26,6 +26,8 @@
 
 	json_line_cstr(line, "reason", reason);
 	json_line_int(line, "age_ms", age_ms);
+	json_line_int(
+	    line, "era", (int64_t)replica_position(follower->replica).era);
 	json_line_int(
 	    line, "revision", (int64_t)replica_revision(follower->replica));
 	json_log_end(line);
@@ -64,8 +66,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct fleet_peer *peer = value;
 
-		if (g_strcmp0(peer->zone, proxy->settings->node.zone.ptr) ==
-			0 &&
+		if (g_strcmp0(peer->zone->name,
+			proxy->settings->node.zone.ptr) == 0 &&
 		    host_rank(peer->host) < own && !peer->stopping &&
 		    !fleet_peer_is_avoided(peer, now_ms))
 			ahead++;
--- a/trefoilhill-proxy/gate.c
+++ b/trefoilhill-proxy/gate.c
@@ -13,6 +13,13 @@
 	/* A change in the platform's store is usually known by then. */
 	MISMATCH_HOLD_MS = 500,
 	PERCENT = 100,
+	PER_MILLE = 1000,
+	/*
+	 * Of the rate that a cold upstream bears: starts are counted here, not
+	 * where they arrive, and a restarted node doesn't know its earlier
+	 * ones.
+	 */
+	COLD_RATE_PERCENT = 90,
 	BULK_MEAN_WEIGHT = 16, /* a new value's weight is 1 / this */
 	/* Of the number of requests that just saturates the link. */
 	BULK_LIMIT_PERCENT = 130,
@@ -245,6 +252,17 @@
 	log_state(gate, "gate_upstream", true, upstream->entry.cold_ms);
 }
 
+/* Requests per second that are sent to the upstream while it is cold. */
+static double
+cold_rate(const struct gate *gate, const struct mesh_service *service)
+{
+	const struct admission_settings *guard = &gate->proxy->settings->guard;
+
+	return (service->cold_per_s * guard->cold_burst_per_mille / PER_MILLE +
+		   guard->cold_allowance) *
+	    COLD_RATE_PERCENT / PERCENT;
+}
+
 /* Update until when the upstream is cold, and its request rate until then. */
 static void
 refresh_cold(struct gate *gate, int64_t now_ms)
@@ -267,7 +285,7 @@
 	gate->zone_out = zone_out;
 	admission_set_cold(gate->admission,
 	    MAX(gate->upstream->cold_until_ms, gate->assumed_cold_until_ms),
-	    service->cold_per_s + gate->proxy->settings->guard.cold_allowance);
+	    cold_rate(gate, service));
 }
 
 /*
--- a/trefoilhill-proxy/heartbeat.c
+++ b/trefoilhill-proxy/heartbeat.c
@@ -3,6 +3,7 @@
 #include "trefoilhill-proxy/gate.h"
 #include "trefoilhill-proxy/heartbeat.h"
 #include "trefoilhill-proxy/heartbeat_message.h"
+#include "trefoilhill-proxy/peer_health.h"
 
 enum {
 	HEARTBEAT_TIMEOUT_MS = 700, /* a slower peer counts as lost */
@@ -20,8 +21,8 @@
 struct heartbeat {
 	uv_timer_t *timer;
 	struct proxy *proxy;
-	GHashTable *pools;          /* host address to struct http_pool */
-	uint64_t expected_revision; /* announced by a peer */
+	GHashTable *pools;              /* host address to struct http_pool */
+	struct store_position expected; /* announced by a peer */
 	int64_t expected_until_ms;
 	int64_t last_update_ms; /* when a peer last sent newer items */
 };
@@ -84,17 +85,25 @@
 	g_free(heartbeat);
 }
 
-/* Add the items that a peer at a revision lacks, if any. */
+static struct store_position
+own_position(const struct heartbeat *heartbeat)
+{
+	return replica_position(follower_replica(heartbeat->proxy->follower));
+}
+
+/* Add the items that a peer at a position lacks, if any. */
 static void
 add_missing_items(struct heartbeat *heartbeat,
-    struct heartbeat_message *message, uint64_t revision)
+    struct heartbeat_message *message, struct store_position peer)
 {
 	struct replica *replica = follower_replica(heartbeat->proxy->follower);
+	struct store_position own = replica_position(replica);
 
-	if (replica_revision(replica) <= revision)
+	if (store_position_compare(own, peer) <= 0)
 		return;
-	message->base_revision = revision;
-	message->items = replica_changes_since(replica, revision);
+	message->base_revision = peer.revision;
+	if (own.era == peer.era)
+		message->items = replica_changes_since(replica, peer.revision);
 	message->is_snapshot = message->items == NULL;
 	if (message->is_snapshot)
 		message->items = replica_snapshot(replica);
@@ -107,7 +116,7 @@
 	const struct upstream *upstream = gate_upstream(proxy->gate);
 
 	return (struct heartbeat_message){
-		.revision = replica_revision(follower_replica(proxy->follower)),
+		.position = own_position(heartbeat),
 		.age_ms = follower_age_ms(proxy->follower),
 		.removal_grace_ms = follower_removal_grace_ms(proxy->follower),
 		.stopping = proxy->stopping,
@@ -135,17 +144,20 @@
     struct heartbeat *heartbeat, const struct heartbeat_message *message)
 {
 	struct follower *follower = heartbeat->proxy->follower;
-	uint64_t own = replica_revision(follower_replica(follower));
-	bool fits = message->is_snapshot || message->base_revision <= own;
+	struct store_position own = own_position(heartbeat);
+	bool fits = message->is_snapshot ||
+	    (message->position.era == own.era &&
+		message->base_revision <= own.revision);
 	struct follower_peer_state state = {
 		.is_snapshot = message->is_snapshot,
 		.items = fits ? message->items : NULL,
-		.revision = message->revision,
+		.position = message->position,
 		.age_ms = message->age_ms,
 		.removal_grace_ms = message->removal_grace_ms,
 	};
 
-	if (state.items != NULL && state.revision > own)
+	if (state.items != NULL &&
+	    store_position_compare(state.position, own) > 0)
 		heartbeat->last_update_ms = proxy_now_ms(heartbeat->proxy);
 	follower_apply_peer_state(follower, &state);
 	update_load(heartbeat, message);
@@ -153,26 +165,26 @@
 
 /*
  * Keep a peer from pushing items while another peer is expected to push the
- * same ones, or shortly after an update, by reporting the peer's own revision:
+ * same ones, or shortly after an update, by reporting the peer's own position:
  * a large configuration takes a while to process, and the next heartbeat brings
  * the rest.
  */
 static void
 suppress_duplicate_push(struct heartbeat *heartbeat,
-    struct heartbeat_message *response, uint64_t revision)
+    struct heartbeat_message *response, struct store_position peer)
 {
 	int64_t now_ms = proxy_now_ms(heartbeat->proxy);
 
-	if (revision <= response->revision)
+	if (store_position_compare(peer, response->position) <= 0)
 		return;
 	if ((heartbeat->expected_until_ms > now_ms &&
-		heartbeat->expected_revision >= revision) ||
+		store_position_compare(heartbeat->expected, peer) >= 0) ||
 	    now_ms - heartbeat->last_update_ms < UPDATE_INTERVAL_MIN_MS) {
-		response->revision = revision;
+		response->position = peer;
 		response->age_ms = -1;
 		return;
 	}
-	heartbeat->expected_revision = revision;
+	heartbeat->expected = peer;
 	heartbeat->expected_until_ms = now_ms + EXPECTED_ITEMS_TIMEOUT_MS;
 }
 
@@ -190,8 +202,8 @@
 		return NULL;
 	apply_message(heartbeat, &message);
 	response = make_message(heartbeat);
-	add_missing_items(heartbeat, &response, message.revision);
-	suppress_duplicate_push(heartbeat, &response, message.revision);
+	add_missing_items(heartbeat, &response, message.position);
+	suppress_duplicate_push(heartbeat, &response, message.position);
 	bytes = heartbeat_message_encode(&response);
 	heartbeat_message_clear(&response);
 	heartbeat_message_clear(&message);
@@ -259,11 +271,11 @@
 
 	apply_message(heartbeat, message);
 	if (push ||
-	    message->revision >=
-		replica_revision(follower_replica(heartbeat->proxy->follower)))
+	    store_position_compare(
+		message->position, own_position(heartbeat)) >= 0)
 		return;
 	update = make_message(heartbeat);
-	add_missing_items(heartbeat, &update, message->revision);
+	add_missing_items(heartbeat, &update, message->position);
 	send_message(heartbeat, host, update, true);
 }
 
@@ -275,18 +287,17 @@
 	struct proxy *proxy = heartbeat->proxy;
 	struct fleet_peer *peer = g_hash_table_lookup(
 	    catalog_peers(proxy->catalog), GUINT_TO_POINTER(call->host.s_addr));
-	int64_t now_ms = proxy_now_ms(proxy);
 	struct heartbeat_message message;
 
 	if (result->outcome != HTTP_CALL_RESPONSE || result->status != 200 ||
 	    !heartbeat_message_decode(result->body, &message)) {
 		proxy_count(&proxy->stats, STAT_HEARTBEATS_LOST);
 		if (peer != NULL)
-			fleet_peer_mark_failed(peer, now_ms);
+			peer_health_failed(proxy, peer, "heartbeat_lost");
 		goto done;
 	}
 	if (peer != NULL) {
-		fleet_peer_mark_alive(peer, now_ms);
+		peer_health_responded(proxy, peer);
 		peer->stopping = message.stopping;
 	}
 	handle_peer_message(heartbeat, call->host, &message, call->push);
@@ -313,8 +324,8 @@
 
 		if (peer->host.s_addr != proxy->host.s_addr &&
 		    (!local_zone ||
-			g_strcmp0(peer->zone, proxy->settings->node.zone.ptr) ==
-			    0))
+			g_strcmp0(peer->zone->name,
+			    proxy->settings->node.zone.ptr) == 0))
 			found = peer;
 	}
 	g_free(peers);
--- a/trefoilhill-proxy/heartbeat_message.c
+++ b/trefoilhill-proxy/heartbeat_message.c
@@ -9,10 +9,10 @@
 };
 
 /*
- * revision, age, removal grace, stopping; upstream and its load; has items, is
- * snapshot, base revision; items of key, revision, encoding, value.
+ * era, revision, age, removal grace, stopping; upstream and its load; has
+ * items, is snapshot, base revision; items of key, revision, encoding, value.
  */
-#define MESSAGE_TYPE "(txxbs(uuuuuuub)bbta(styay))"
+#define MESSAGE_TYPE "(ttxxbs(uuuuuuub)bbta(styay))"
 
 /* Encoding of an item's value on the wire. */
 enum item_encoding {
@@ -105,9 +105,10 @@
 heartbeat_message_encode(const struct heartbeat_message *message)
 {
 	const struct load_report *load = &message->load;
-	GVariant *variant = g_variant_new("(txxbs(uuuuuuub)bbt@a(styay))",
-	    (guint64)message->revision, (gint64)message->age_ms,
-	    (gint64)message->removal_grace_ms, message->stopping,
+	GVariant *variant = g_variant_new("(ttxxbs(uuuuuuub)bbt@a(styay))",
+	    (guint64)message->position.era, (guint64)message->position.revision,
+	    (gint64)message->age_ms, (gint64)message->removal_grace_ms,
+	    message->stopping,
 	    message->upstream == NULL ? "" : message->upstream, load->limit,
 	    load->in_flight, load->queued, load->latency_us,
 	    load->failures_per_mille, load->bulk_waiting,
@@ -190,7 +191,7 @@
 	    g_variant_new_from_bytes(G_VARIANT_TYPE(MESSAGE_TYPE), copy, FALSE);
 	struct load_report *load = &message->load;
 	gboolean stopping, accepting, has_items, is_snapshot;
-	guint64 revision, base_revision;
+	guint64 era, revision, base_revision;
 	gint64 age_ms, removal_grace_ms;
 	GVariant *items = NULL;
 	bool valid;
@@ -200,13 +201,14 @@
 	valid = bytes.len > 0 && g_variant_is_normal_form(variant);
 	if (!valid)
 		goto done;
-	g_variant_get(variant, "(txxbs(uuuuuuub)bbt@a(styay))", &revision,
-	    &age_ms, &removal_grace_ms, &stopping, &message->upstream,
-	    &load->limit, &load->in_flight, &load->queued, &load->latency_us,
-	    &load->failures_per_mille, &load->bulk_waiting,
+	g_variant_get(variant, "(ttxxbs(uuuuuuub)bbt@a(styay))", &era,
+	    &revision, &age_ms, &removal_grace_ms, &stopping,
+	    &message->upstream, &load->limit, &load->in_flight, &load->queued,
+	    &load->latency_us, &load->failures_per_mille, &load->bulk_waiting,
 	    &load->bulk_transfer_ms, &accepting, &has_items, &is_snapshot,
 	    &base_revision, &items);
-	message->revision = revision;
+	message->position.era = era;
+	message->position.revision = revision;
 	message->age_ms = age_ms;
 	message->removal_grace_ms = removal_grace_ms;
 	message->stopping = stopping;
--- a/trefoilhill-proxy/proxy.c
+++ b/trefoilhill-proxy/proxy.c
@@ -29,6 +29,7 @@
 
 static const char *const event_names[] = {
 	[CATALOG_EVENT_CONFIG] = "config_taken",
+	[CATALOG_EVENT_CONFIG_STALE] = "config_stale",
 	[CATALOG_EVENT_UPSTREAM_READY] = "upstream_in",
 	[CATALOG_EVENT_UPSTREAM_DRAINING] = "upstream_draining",
 	[CATALOG_EVENT_UPSTREAM_COLD] = "upstream_cold",
@@ -37,6 +38,7 @@
 	[CATALOG_EVENT_REGISTRATION_STALE] = "registration_stale",
 	[CATALOG_EVENT_ZONE_OUT] = "zone_out",
 	[CATALOG_EVENT_ZONE_IN] = "zone_in",
+	[CATALOG_EVENT_ZONE_HELD] = "zone_change_held",
 	[CATALOG_EVENT_INVALID] = "item_refused",
 };
 
@@ -322,6 +324,8 @@
 void
 proxy_render_metrics(struct proxy *proxy, GString *out)
 {
+	struct store_position position =
+	    replica_position(follower_replica(proxy->follower));
 	struct load_report load = gate_load_report(proxy->gate);
 
 	proxy_stats_render(&proxy->stats, out);
@@ -334,11 +338,12 @@
 	    load.failures_per_mille, load.accepting);
 	g_string_append_printf(out,
 	    "trefoilhill_config_revision %" G_GUINT64_FORMAT "\n"
+	    "trefoilhill_replica_era %" G_GUINT64_FORMAT "\n"
 	    "trefoilhill_replica_revision %" G_GUINT64_FORMAT "\n"
 	    "trefoilhill_upstreams %zu\ntrefoilhill_exchanges %u\n"
 	    "trefoilhill_log_lines_left_out_total %" G_GUINT64_FORMAT "\n",
-	    (guint64)catalog_config_revision(proxy->catalog),
-	    (guint64)replica_revision(follower_replica(proxy->follower)),
+	    (guint64)catalog_config_position(proxy->catalog).revision,
+	    (guint64)position.era, (guint64)position.revision,
 	    catalog_upstream_count(proxy->catalog), proxy->exchanges,
 	    (guint64)json_log_left_out_count(proxy->log));
 }
