proxy, route: confirm non-idempotent requests at the peer, reject hopeless ones

Cause: a non-idempotent request handed to a peer's node may have run from the moment it is written. Change: such a request is sent without its body first. The peer admits it, asks to continue (status 100) and runs it when the body has come, which is sent in chunks and ended empty when the peer refuses, so that the connection is kept. Until then a loss is a refusal that is true and a free second choice; a peer that neither refuses nor asks within the time that it was given counts as lost. The place is idle for one round trip, at most 300 ms. Requests whose body is not at hand, or over 64 KiB, are sent as before. Upstreams now have classes (good, cold, failing, unreachable).

--- a/http/stream_parse.c
+++ b/http/stream_parse.c
@@ -105,8 +105,10 @@
 			return -1;
 	} else {
 		head->status = parser->status_code;
+		if (head->status == 100 && stream->ops->handle_continue != NULL)
+			stream->ops->handle_continue(stream);
 		if (head->status / 100 == 1)
-			return 0;
+			return stream->closing ? -1 : 0;
 	}
 	stream->ops->handle_head(stream);
 	if (stream->closing)
--- a/include/http/stream.h
+++ b/include/http/stream.h
@@ -43,6 +43,8 @@
 	void (*handle_drain)(struct http_stream *stream);
 	/* The first byte of a message was received. May be NULL. */
 	void (*handle_first_byte)(struct http_stream *stream);
+	/* An interim response asks to continue the request. May be NULL. */
+	void (*handle_continue)(struct http_stream *stream);
 	/* The connection is established. May be NULL. */
 	void (*handle_connect)(struct http_stream *stream);
 };
--- a/include/route/balance.h
+++ b/include/route/balance.h
@@ -25,11 +25,20 @@
 	size_t tried_count;
 };
 
+/* In order of preference. */
+enum balance_class {
+	BALANCE_GOOD,
+	BALANCE_COLD, /* or not reported on yet */
+	BALANCE_FAILING,
+	BALANCE_UNREACHABLE, /* lost, stopping, or accepts no requests */
+	BALANCE_CLASS_COUNT,
+};
+
 struct balance_choice {
 	struct upstream *upstream; /* borrowed; NULL: none is available */
 	uint32_t candidates;       /* number of upstreams considered */
 	uint32_t expected_ms;      /* until the response */
-	bool last_resort; /* an upstream to avoid, but no other is left */
+	enum balance_class class;
 };
 
 struct balance_choice balance_pick(
--- a/include/trefoilhill-proxy/attempt.h
+++ b/include/trefoilhill-proxy/attempt.h
@@ -39,7 +39,14 @@
 	bool hedge;
 	bool is_retry; /* an earlier attempt has reached an upstream */
 	int64_t started_ms;
-	int64_t sent_ms;          /* 0: nothing has been sent yet */
+	int64_t sent_ms; /* 0: nothing has been sent yet */
+	/*
+	 * Through a peer: the request is sent without its body first, and
+	 * can't run before the peer has a place for it and is sent the body.
+	 */
+	bool needs_confirmation;
+	bool awaits_confirmation; /* at the upstream's node: has a place */
+	bool may_run;             /* the upstream may have received it */
 	int64_t queue_timeout_ms; /* for the queue of the gate */
 	struct admission_waiter waiter;
 	bool admitted; /* counts against the gate's limit */
@@ -70,6 +77,9 @@
 /* Drop a response that has started, without further callbacks. */
 void attempt_discard(struct attempt *attempt);
 
+/* The sender has confirmed the request: run it, if it waits for that. */
+void attempt_confirm(struct attempt *attempt);
+
 /* Private to attempt*.c. */
 void attempt_fail(
     struct attempt *attempt, enum attempt_failure failure, const char *reason);
@@ -80,5 +90,8 @@
 void attempt_release(struct attempt *attempt, enum admission_outcome outcome);
 extern const struct http_stream_ops attempt_stream_ops;
 void attempt_write_request(struct attempt *attempt);
+void attempt_await_grant(struct attempt *attempt);
+void attempt_end_request(struct attempt *attempt);
+void attempt_handle_continue(struct http_stream *stream);
 
 #endif
--- a/include/trefoilhill-proxy/exchange.h
+++ b/include/trefoilhill-proxy/exchange.h
@@ -36,6 +36,7 @@
 	const struct mesh_route *route; /* in config; NULL: a peer's request */
 	const char *service;            /* in route */
 	struct hop_request hop; /* for a peer's request; points into head */
+	bool confirmed;         /* the peer has sent the whole request */
 	bool idempotent;
 	bool bulk;        /* a large response is expected */
 	bool late;        /* can't meet its latency objective any more */
@@ -82,6 +83,8 @@
 void exchange_handle_deadline(uv_timer_t *timer);
 void exchange_push_body(struct exchange *exchange);
 void exchange_dispatch(struct exchange *exchange);
+/* Ask the sender to confirm the request; false if that isn't needed. */
+bool exchange_request_confirmation(struct exchange *exchange);
 void exchange_respond(struct exchange *exchange, unsigned status,
     const char *reason, bool retryable);
 void exchange_finish(struct exchange *exchange);
--- a/include/trefoilhill-proxy/hop.h
+++ b/include/trefoilhill-proxy/hop.h
@@ -21,6 +21,13 @@
 	bool late; /* can't meet its latency objective any more */
 	/* An earlier attempt has reached an upstream, or its caller's has. */
 	bool repeat;
+	/*
+	 * The request must not run before the sender has confirmed it, which
+	 * it does with the body once the upstream's node asks to continue. It
+	 * is of body_length bytes, and sent in chunks.
+	 */
+	bool confirm;
+	int64_t body_length;
 };
 
 enum hop_outcome {
--- a/route/balance.c
+++ b/route/balance.c
@@ -127,17 +127,19 @@
 	return upstream->load_ms == 0 || upstream->cold_until_ms > now_ms;
 }
 
-static bool
-is_avoided(const struct upstream *upstream, int64_t now_ms)
+/* The class of an upstream, apart from BALANCE_COLD. */
+static enum balance_class
+upstream_class(const struct upstream *upstream, int64_t now_ms)
 {
 	bool fresh = is_fresh(upstream, now_ms);
 
-	return fleet_peer_is_avoided(upstream->peer, now_ms) ||
-	    upstream->peer->stopping ||
-	    (fresh &&
-		(!upstream->load.accepting ||
-		    upstream->load.failures_per_mille >
-			FAILING_AVOID_PER_MILLE));
+	if (fleet_peer_is_avoided(upstream->peer, now_ms) ||
+	    upstream->peer->stopping || (fresh && !upstream->load.accepting))
+		return BALANCE_UNREACHABLE;
+	if (fresh &&
+	    upstream->load.failures_per_mille > FAILING_AVOID_PER_MILLE)
+		return BALANCE_FAILING;
+	return BALANCE_GOOD;
 }
 
 static void
@@ -167,53 +169,52 @@
 
 /*
  * Choose the upstream for one attempt. The local zone is preferred while its
- * expected time is well within the objective. An upstream that was lost
- * recently, is stopping, does not accept or fails often is chosen only when
- * no other is left.
+ * expected time is well within the objective. Upstreams of a later class are
+ * chosen only when no other is left.
  */
 struct balance_choice
 balance_pick(const struct balance_request *request, struct rng *rng)
 {
 	const struct upstream_group *group =
 	    catalog_group(request->catalog, request->service);
-	struct ranking local_zone = { 0 }, eligible = { 0 }, avoided = { 0 },
-		       cold = { 0 };
-	const struct ranking *selected = &eligible;
+	struct ranking local_zone = { 0 }, classes[BALANCE_CLASS_COUNT] = { 0 };
 	struct balance_choice choice = { 0 };
 	uint64_t local_zone_max_ms = (uint64_t)request->objective_ms *
 	    LOCAL_ZONE_OBJECTIVE_PERCENT / 100;
+	const struct ranking *selected = &local_zone;
 
 	if (group == NULL)
 		return choice;
-	local_zone.mean_us = eligible.mean_us = avoided.mean_us = cold.mean_us =
-	    mean_latency_us(group, request->now_ms);
+	local_zone.mean_us = mean_latency_us(group, request->now_ms);
+	for (size_t i = 0; i < BALANCE_CLASS_COUNT; i++)
+		classes[i].mean_us = local_zone.mean_us;
 	for (guint i = 0; i < group->upstreams->len; i++) {
 		struct upstream *upstream = group->upstreams->pdata[i];
+		enum balance_class class;
 
 		if (!is_usable(request, upstream))
 			continue;
-		if (is_cold_or_unreported(upstream, request->now_ms) &&
+		class = upstream_class(upstream, request->now_ms);
+		if (class != BALANCE_UNREACHABLE &&
+		    is_cold_or_unreported(upstream, request->now_ms) &&
 		    rng_below(rng, (uint64_t)group->upstreams->len * 100) >=
-			COLD_CONSIDERED_PERCENT) {
-			rank_upstream(request, &cold, upstream, rng);
-			continue;
-		}
-		if (is_avoided(upstream, request->now_ms)) {
-			rank_upstream(request, &avoided, upstream, rng);
-			continue;
-		}
-		rank_upstream(request, &eligible, upstream, rng);
-		if (g_strcmp0(upstream->entry.zone, request->zone) == 0)
+			COLD_CONSIDERED_PERCENT)
+			class = BALANCE_COLD;
+		rank_upstream(request, &classes[class], upstream, rng);
+		if (class == BALANCE_GOOD &&
+		    g_strcmp0(upstream->entry.zone, request->zone) == 0)
 			rank_upstream(request, &local_zone, upstream, rng);
 	}
-	if (local_zone.best != NULL &&
-	    local_zone.best_expected_ms <= local_zone_max_ms)
-		selected = &local_zone;
-	else if (eligible.best == NULL)
-		selected = cold.best != NULL ? &cold : &avoided;
+	for (size_t i = 0; i < BALANCE_CLASS_COUNT; i++)
+		choice.candidates += classes[i].count;
+	if (local_zone.best == NULL ||
+	    local_zone.best_expected_ms > local_zone_max_ms) {
+		while (choice.class < BALANCE_CLASS_COUNT - 1 &&
+		    classes[choice.class].best == NULL)
+			choice.class ++;
+		selected = &classes[choice.class];
+	}
 	choice.upstream = selected->best;
 	choice.expected_ms = selected->best_expected_ms;
-	choice.candidates = eligible.count + avoided.count + cold.count;
-	choice.last_resort = selected == &avoided;
 	return choice;
 }
--- a/tests/route/test_balance.c
+++ b/tests/route/test_balance.c
@@ -151,7 +151,13 @@
 	f.request.tried_count = 1;
 	choice = balance_pick(&f.request, f.rng);
 	CU_ASSERT_PTR_NOT_NULL(choice.upstream);
-	CU_ASSERT_TRUE(choice.last_resort);
+	CU_ASSERT_EQUAL(choice.class, BALANCE_FAILING);
+	CU_ASSERT_PTR_EQUAL(choice.upstream, failing);
+	f.request.tried[1] = failing;
+	f.request.tried_count = 2;
+	choice = balance_pick(&f.request, f.rng);
+	CU_ASSERT_EQUAL(choice.class, BALANCE_UNREACHABLE);
+	CU_ASSERT_PTR_EQUAL(choice.upstream, lost);
 	fixture_clear(&f);
 }
 
--- a/trefoilhill-proxy/attempt.c
+++ b/trefoilhill-proxy/attempt.c
@@ -25,6 +25,14 @@
 	 * longer, so a request that can't be retried doesn't use one.
 	 */
 	NON_IDEMPOTENT_IDLE_MAX_MS = 1000,
+	/*
+	 * For the sender to confirm a request that has a place here. It takes
+	 * one round trip, while the place is idle.
+	 */
+	CONFIRM_MAX_MS = 300,
+	/* For the peer's request to confirm, beyond the longest wait there. */
+	GRANT_MARGIN_MS = 150,
+	CONFIRM_BODY_MAX_BYTES = 64 * 1024,
 	PEER_IDLE_CONNECTIONS_MAX = 16,
 	PEER_IDLE_MS = 8000,
 	US_PER_MS = 1000,
@@ -76,6 +84,8 @@
 static enum admission_outcome
 failure_outcome(const struct attempt *attempt, enum attempt_failure failure)
 {
+	if (attempt->awaits_confirmation)
+		return ADMISSION_CANCELLED;
 	if (attempt->sent_ms == 0)
 		return ADMISSION_CONNECTION_REFUSED;
 	if (failure == ATTEMPT_FAILURE_NOT_RUN)
@@ -127,6 +137,28 @@
 	attempt_fail(attempt, ATTEMPT_FAILURE_NOT_RUN, "connect_timeout");
 }
 
+static void
+handle_grant_timeout(uv_timer_t *timer)
+{
+	struct attempt *attempt = (struct attempt *)timer;
+
+	if (attempt->ended || attempt->may_run)
+		return;
+	peer_health_failed(attempt->proxy, attempt->upstream->peer, "no_grant");
+	attempt_fail(attempt, ATTEMPT_FAILURE_NOT_RUN, "no_grant");
+}
+
+/*
+ * Limit the wait for the peer to ask for confirmation. The peer refuses the
+ * request itself when it can't start in time, so silence means that it is lost.
+ */
+void
+attempt_await_grant(struct attempt *attempt)
+{
+	uv_timer_start(&attempt->timer, handle_grant_timeout,
+	    (uint64_t)attempt->queue_timeout_ms + GRANT_MARGIN_MS, 0);
+}
+
 static void
 attempt_dial(struct attempt *attempt)
 {
@@ -150,7 +182,8 @@
 void
 attempt_connect(struct attempt *attempt)
 {
-	uint32_t idle_max_ms = attempt->exchange->idempotent
+	uint32_t idle_max_ms =
+	    attempt->exchange->idempotent || attempt->needs_confirmation
 	    ? UINT32_MAX
 	    : NON_IDEMPOTENT_IDLE_MAX_MS;
 
@@ -188,6 +221,11 @@
 		attempt_fail(attempt, ATTEMPT_FAILURE_NOT_RUN, "unreachable");
 		return;
 	}
+	if (!attempt->may_run) {
+		attempt_fail(
+		    attempt, ATTEMPT_FAILURE_NOT_RUN, "lost_unconfirmed");
+		return;
+	}
 	if (attempt->response_started)
 		reason = "answer_cut";
 	else if (end == HTTP_END_MALFORMED || end == HTTP_END_TOO_LARGE)
@@ -209,9 +247,46 @@
 	.handle_message = attempt_handle_message,
 	.handle_end = handle_end,
 	.handle_drain = handle_drain,
+	.handle_continue = attempt_handle_continue,
 	.handle_connect = handle_connect,
 };
 
+static void
+handle_confirm_timeout(uv_timer_t *timer)
+{
+	struct attempt *attempt = (struct attempt *)timer;
+
+	if (!attempt->ended)
+		attempt_fail(attempt, ATTEMPT_FAILURE_NOT_RUN, "unconfirmed");
+}
+
+/* Run an admitted request, or ask its sender to confirm it first. */
+static void
+start_admitted(struct attempt *attempt)
+{
+	attempt->admitted = true;
+	if (!exchange_request_confirmation(attempt->exchange)) {
+		attempt_connect(attempt);
+		return;
+	}
+	attempt->awaits_confirmation = true;
+	uv_timer_start(
+	    &attempt->timer, handle_confirm_timeout, CONFIRM_MAX_MS, 0);
+}
+
+/*
+ * Run a request that has a place at the upstream and waited for confirmation.
+ */
+void
+attempt_confirm(struct attempt *attempt)
+{
+	if (!attempt->awaits_confirmation)
+		return;
+	attempt->awaits_confirmation = false;
+	uv_timer_stop(&attempt->timer);
+	attempt_connect(attempt);
+}
+
 static void
 handle_dequeue(struct admission_waiter *waiter, enum admission_reason reason)
 {
@@ -225,10 +300,9 @@
 		    admission_reason_name(reason));
 		return;
 	}
-	attempt->admitted = true;
 	exchange_log(
 	    attempt->exchange, LOG_CLASS_DECISION, "dequeued", attempt, "");
-	attempt_connect(attempt);
+	start_admitted(attempt);
 }
 
 static void
@@ -252,8 +326,7 @@
 	switch (admission_offer(
 	    gate_admission(gate), &attempt->waiter, now_ms, &reason)) {
 	case ADMISSION_RUN:
-		attempt->admitted = true;
-		attempt_connect(attempt);
+		start_admitted(attempt);
 		break;
 	case ADMISSION_QUEUED:
 		exchange_log(attempt->exchange, LOG_CLASS_DECISION, "queued",
@@ -300,6 +373,11 @@
 	attempt->upstream = upstream_ref(upstream);
 	attempt->started_ms = proxy_now_ms(exchange->proxy);
 	attempt->local = upstream == gate_upstream(exchange->proxy->gate);
+	/* A large body would fill the buffers on the way. */
+	attempt->needs_confirmation = !attempt->local &&
+	    !exchange->idempotent && exchange->body_complete &&
+	    exchange->body_dropped == 0 &&
+	    exchange->body->len <= CONFIRM_BODY_MAX_BYTES;
 	upstream->own_in_flight++;
 	uv_timer_init(exchange->proxy->loop, &attempt->timer);
 	return attempt;
--- a/trefoilhill-proxy/attempt_request.c
+++ b/trefoilhill-proxy/attempt_request.c
@@ -16,10 +16,18 @@
 	    !str_equal_nocase(name, str_from("expect"));
 }
 
+static bool
+is_chunked(const struct attempt *attempt)
+{
+	return attempt->needs_confirmation || !attempt->exchange->has_length;
+}
+
 static void
-write_framing(const struct exchange *exchange, GString *text)
+write_framing(const struct attempt *attempt, GString *text)
 {
-	if (!exchange->has_length)
+	const struct exchange *exchange = attempt->exchange;
+
+	if (is_chunked(attempt))
 		g_string_append(text, "Transfer-Encoding: chunked\r\n");
 	else if (exchange->length > 0 ||
 	    http_head_find(exchange->head, str_from("content-length")).len > 0)
@@ -65,6 +73,8 @@
 		.bulk = exchange->bulk,
 		.late = exchange->late,
 		.repeat = is_repeat(attempt),
+		.confirm = attempt->needs_confirmation,
+		.body_length = exchange->body->len,
 	};
 
 	if (attempt->local)
@@ -95,10 +105,11 @@
 		if (field_is_forwarded(head, name))
 			http_field_append(text, name, http_head_value(head, i));
 	}
-	write_framing(exchange, text);
+	write_framing(attempt, text);
 	write_context_fields(attempt, text);
 	g_string_append(text, "\r\n");
 	attempt->sent_ms = proxy_now_ms(attempt->proxy);
+	attempt->may_run = !attempt->needs_confirmation;
 	if (attempt->local)
 		run_list_add(gate_runs(attempt->proxy->gate), &attempt->run,
 		    exchange->deadline_ms, is_repeat(attempt));
@@ -109,6 +120,8 @@
 	g_string_free(text, TRUE);
 	exchange_log(attempt->exchange, LOG_CLASS_DECISION, "sent", attempt,
 	    attempt->reused ? "kept_connection" : "new_connection");
+	if (attempt->needs_confirmation)
+		attempt_await_grant(attempt);
 	attempt_push_body(attempt);
 }
 
@@ -118,7 +131,7 @@
 	char chunk_header[CHUNK_HEADER_MAX];
 	int len;
 
-	if (attempt->exchange->has_length) {
+	if (!is_chunked(attempt)) {
 		http_stream_write(attempt->stream, bytes);
 		return;
 	}
@@ -138,8 +151,8 @@
 	struct exchange *exchange = attempt->exchange;
 	uint64_t start, available;
 
-	if (attempt->ended || attempt->stream == NULL ||
-	    attempt->sent_ms == 0 || attempt->body_end_sent)
+	if (attempt->ended || attempt->stream == NULL || !attempt->may_run ||
+	    attempt->body_end_sent)
 		return;
 	if (http_stream_queued_bytes(attempt->stream) > HTTP_WRITE_HIGH_BYTES)
 		return;
@@ -153,6 +166,37 @@
 	if (!exchange->body_complete)
 		return;
 	attempt->body_end_sent = true;
-	if (!exchange->has_length)
+	if (is_chunked(attempt))
 		http_stream_write(attempt->stream, str_from("0\r\n\r\n"));
 }
+
+/*
+ * The peer has a place for the request: confirm it by sending the body. From
+ * now on it may run.
+ */
+void
+attempt_handle_continue(struct http_stream *stream)
+{
+	struct attempt *attempt = stream->owner;
+
+	if (attempt->ended || attempt->local || attempt->may_run)
+		return;
+	attempt->may_run = true;
+	uv_timer_stop(&attempt->timer);
+	exchange_log(
+	    attempt->exchange, LOG_CLASS_DECISION, "confirmed", attempt, "");
+	attempt_push_body(attempt);
+}
+
+/*
+ * End the request message of an attempt that the peer has refused, so that the
+ * connection can be used again. It can't run any more.
+ */
+void
+attempt_end_request(struct attempt *attempt)
+{
+	if (attempt->may_run || !attempt->needs_confirmation)
+		return;
+	http_stream_write(attempt->stream, str_from("0\r\n\r\n"));
+	attempt->body_end_sent = true;
+}
--- a/trefoilhill-proxy/attempt_response.c
+++ b/trefoilhill-proxy/attempt_response.c
@@ -12,6 +12,7 @@
 {
 	struct http_stream *stream = attempt->stream;
 
+	attempt_end_request(attempt);
 	attempt->stream = NULL;
 	if (attempt->body_end_sent)
 		http_pool_drain(attempt->pool, stream);
--- a/trefoilhill-proxy/exchange.c
+++ b/trefoilhill-proxy/exchange.c
@@ -185,7 +185,7 @@
 	for (size_t i = 0; i < EXCHANGE_ATTEMPTS_MAX; i++)
 		sent = sent ||
 		    (exchange->attempts[i] != NULL &&
-			exchange->attempts[i]->sent_ms != 0);
+			exchange->attempts[i]->may_run);
 	exchange->may_have_run = sent;
 	exchange_cancel_attempts(exchange, NULL);
 	exchange_respond(exchange, sent ? 504 : 503, "deadline", !sent);
@@ -280,8 +280,14 @@
 	GBytes *response;
 
 	exchange->body_complete = true;
+	exchange->confirmed = true;
 	if (exchange->attempt_count > 0) {
-		exchange_push_body(exchange);
+		for (size_t i = 0; i < EXCHANGE_ATTEMPTS_MAX; i++) {
+			if (exchange->attempts[i] != NULL)
+				attempt_confirm(exchange->attempts[i]);
+		}
+		if (!exchange->ended)
+			exchange_push_body(exchange);
 		return;
 	}
 	if (!exchange->has_length) {
--- a/trefoilhill-proxy/exchange_begin.c
+++ b/trefoilhill-proxy/exchange_begin.c
@@ -159,6 +159,26 @@
 	exchange->priority = exchange->hop.priority;
 	exchange->called_by_repeat = exchange->hop.repeat;
 	set_deadline(exchange, exchange->hop.remaining_ms);
+	if (!exchange->hop.confirm)
+		return;
+	exchange->has_length = true;
+	exchange->length = (uint64_t)exchange->hop.body_length;
+	exchange_dispatch(exchange);
+}
+
+/*
+ * Ask the sender of a request that has a place at the upstream to confirm it.
+ * Until then the sender may choose another upstream, and may tell its caller
+ * that the request has not run, when this node or the way to it is lost.
+ */
+bool
+exchange_request_confirmation(struct exchange *exchange)
+{
+	if (!exchange->hop.confirm || exchange->confirmed)
+		return false;
+	http_stream_write(exchange->caller->stream,
+	    str_from("HTTP/1.1 100 Continue\r\n\r\n"));
+	return true;
 }
 
 /*
--- a/trefoilhill-proxy/exchange_dispatch.c
+++ b/trefoilhill-proxy/exchange_dispatch.c
@@ -164,6 +164,19 @@
 		exchange_respond(exchange, 503, reason, true);
 }
 
+/*
+ * Is this choice not worth the time of the caller, which can come back? Once
+ * another upstream has refused the request, one that is probably unreachable
+ * would only delay the same response.
+ */
+static bool
+is_hopeless(
+    const struct exchange *exchange, const struct balance_choice *choice)
+{
+	return choice->class == BALANCE_UNREACHABLE &&
+	    exchange->tried_count > 0;
+}
+
 static void
 dispatch_peer_request(struct exchange *exchange)
 {
@@ -190,7 +203,8 @@
 
 	if (exchange_remaining_ms(exchange) < REMAINING_MIN_MS ||
 	    exchange->attempt_count >= EXCHANGE_ATTEMPTS_MAX ||
-	    !pick_upstream(exchange, &choice)) {
+	    !pick_upstream(exchange, &choice) ||
+	    is_hopeless(exchange, &choice)) {
 		respond_no_upstream(exchange);
 		return;
 	}
--- a/trefoilhill-proxy/exchange_response.c
+++ b/trefoilhill-proxy/exchange_response.c
@@ -46,7 +46,7 @@
 	const struct caller *caller = exchange->caller;
 
 	return caller->stream->keep_alive && !exchange->proxy->stopping &&
-	    exchange->body_complete;
+	    (exchange->body_complete || exchange->hop.confirm);
 }
 
 static void
--- a/trefoilhill-proxy/heartbeat.c
+++ b/trefoilhill-proxy/heartbeat.c
@@ -134,9 +134,10 @@
 	struct upstream *upstream =
 	    catalog_upstream(proxy->catalog, str_from(message->upstream));
 
-	if (upstream != NULL && upstream != gate_upstream(proxy->gate))
-		upstream_set_load(
-		    upstream, &message->load, proxy_now_ms(proxy));
+	if (upstream == NULL || upstream == gate_upstream(proxy->gate))
+		return;
+	upstream_set_load(upstream, &message->load, proxy_now_ms(proxy));
+	upstream->peer->stopping = message->stopping;
 }
 
 static void
--- a/trefoilhill-proxy/hop.c
+++ b/trefoilhill-proxy/hop.c
@@ -40,11 +40,13 @@
 {
 	char value[FIELD_TEXT_MAX];
 	int len = g_snprintf(value, sizeof(value),
-	    "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %u %d %d %d %d",
+	    "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %u %d %d %d %d %d "
+	    "%" G_GINT64_FORMAT,
 	    (gint64)request->remaining_ms, (gint64)request->queue_timeout_ms,
 	    request->priority, request->idempotent ? 1 : 0,
 	    request->bulk ? 1 : 0, request->late ? 1 : 0,
-	    request->repeat ? 1 : 0);
+	    request->repeat ? 1 : 0, request->confirm ? 1 : 0,
+	    (gint64)request->body_length);
 
 	http_field_append(text, request_field, str_make(value, (size_t)len));
 	http_field_append(text, instance_field, request->instance);
@@ -72,16 +74,19 @@
 hop_read_request(const struct http_head *head, struct hop_request *request)
 {
 	char value[FIELD_TEXT_MAX];
-	gint64 remaining_ms, queue_timeout_ms;
-	int idempotent, bulk, late, repeat = 0;
+	gint64 remaining_ms, queue_timeout_ms, body_length = 0;
+	int idempotent, bulk, late, repeat = 0, confirm = 0;
 
-	/* Nodes of earlier versions don't send the last number. */
+	/* Nodes of earlier versions don't send the last three numbers. */
 	if (!value_copy(head, request_field, value, sizeof(value)) ||
 	    sscanf(value,
-		"%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %u %d %d %d %d",
+		"%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %u %d %d %d %d %d "
+		"%" G_GINT64_FORMAT,
 		&remaining_ms, &queue_timeout_ms, &request->priority,
-		&idempotent, &bulk, &late, &repeat) < 6)
+		&idempotent, &bulk, &late, &repeat, &confirm, &body_length) < 6)
 		return false;
+	request->confirm = confirm != 0;
+	request->body_length = MAX(body_length, 0);
 	request->repeat = repeat != 0;
 	request->late = late != 0;
 	request->bulk = bulk != 0;
--- a/trefoilhill-proxy/proxy.c
+++ b/trefoilhill-proxy/proxy.c
@@ -20,7 +20,7 @@
 	 * requests in progress are finished until the second.
 	 */
 	STOP_CLOSE_IDLE_PERCENT = 80,
-	STOP_EXIT_PERCENT = 95,
+	STOP_EXIT_PERCENT = 92,
 	/* Peers are refused sooner: their callers don't see this shutdown. */
 	STOP_REFUSE_PEERS_PERCENT = 45,
 	/* Callers learn of it from readiness, which is polled each second. */
@@ -165,6 +165,7 @@
 	proxy->stopping = true;
 	proxy->stop_started_ms = proxy_now_ms(proxy);
 	log_lifecycle(proxy, "stopping");
+	heartbeat_announce(proxy->heartbeat);
 }
 
 static bool
