--- a/fleet/catalog.c
+++ b/fleet/catalog.c
@@ -272,6 +272,15 @@
 	return catalog->peers;
 }
 
+/*
+ * Return the number of zones in which upstreams are or were listed.
+ */
+uint32_t
+catalog_zone_count(const struct catalog *catalog)
+{
+	return g_hash_table_size(catalog->zones);
+}
+
 /*
  * Return the number of listed upstreams.
  */
--- a/include/fleet/catalog.h
+++ b/include/fleet/catalog.h
@@ -105,6 +105,8 @@
 bool catalog_zone_is_out(const struct catalog *catalog, const char *zone);
 /* Host address (network order) to struct fleet_peer. */
 GHashTable *catalog_peers(const struct catalog *catalog);
+/* Number of zones in which upstreams are or were listed. */
+uint32_t catalog_zone_count(const struct catalog *catalog);
 size_t catalog_upstream_count(const struct catalog *catalog);
 
 #endif
--- a/trefoilhill-proxy/exchange_dispatch.c
+++ b/trefoilhill-proxy/exchange_dispatch.c
@@ -146,6 +146,9 @@
 	}
 	memcpy(request.tried, exchange->tried, sizeof(request.tried));
 	*choice = balance_pick(&request, exchange->proxy->rng);
+	exchange->expected_wait_ms = choice->expected_ms > request.run_ms
+	    ? choice->expected_ms - request.run_ms
+	    : 0;
 	return choice->upstream != NULL;
 }
 
@@ -335,6 +338,8 @@
 	}
 	if (exchange_active_attempts(exchange) > 0)
 		return;
+	exchange->rejected_with_room =
+	    attempt->upstream_rejected && attempt->upstream->load.queued == 0;
 	/* A retry after the upstream's own rejection uses the budget. */
 	if (attempt->upstream_rejected && !take_retry_token(exchange))
 		respond_no_upstream(exchange);
--- a/trefoilhill-proxy/exchange_response.c
+++ b/trefoilhill-proxy/exchange_response.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "route/return_time.h"
 #include "trefoilhill-proxy/exchange.h"
 #include "trefoilhill-proxy/gate.h"
 
@@ -9,10 +10,6 @@
 	 * the request can be retried if the response is truncated.
 	 */
 	RESPONSE_BUFFER_BYTES = 128 * 1024,
-	RETRY_AFTER_MIN_MS = 120,
-	RETRY_AFTER_JITTER_MS = 200, /* spreads the retries of callers */
-	/* The remaining time is divided by this for an upper bound. */
-	RETRY_AFTER_DIVISOR = 3,
 	CHUNK_HEADER_MAX = 24,
 	/*
 	 * Unsent bytes of a large response. Reading from the upstream pauses
@@ -253,11 +250,13 @@
 static void
 write_retry_after(struct exchange *exchange)
 {
-	int64_t max_ms = exchange_remaining_ms(exchange) / RETRY_AFTER_DIVISOR;
-	int64_t ms = RETRY_AFTER_MIN_MS +
-	    (int64_t)rng_below(exchange->proxy->rng, RETRY_AFTER_JITTER_MS);
+	struct return_situation situation = {
+		.rejected_with_room = exchange->rejected_with_room,
+		.expected_wait_ms = exchange->expected_wait_ms,
+		.remaining_ms = exchange_remaining_ms(exchange),
+	};
+	int64_t ms = return_time_ms(&situation, exchange->proxy->rng);
 
-	ms = CLAMP(ms, 1, MAX(max_ms, 1));
 	g_string_append_printf(exchange->response_head,
 	    "Retry-After: %d.%03d\r\n", (int)(ms / 1000), (int)(ms % 1000));
 }
--- a/trefoilhill-proxy/follower.c
+++ b/trefoilhill-proxy/follower.c
@@ -8,7 +8,6 @@
 enum {
 	READ_TIMEOUT_MS = 2500, /* for a page of a slow store */
 	READ_INTERVAL_MS = 20,
-	CHANGE_BATCH_MS = 400,        /* lets successive changes share a read */
 	ROLE_CHECK_INTERVAL_MS = 300, /* of nodes that don't read */
 	/* While no peer is known, as when all nodes start at once. */
 	NO_PEERS_READ_INTERVAL_MS = 1200,
@@ -231,7 +230,8 @@
 		       replica_position(follower->replica), before) > 0;
 	if (is_newer)
 		heartbeat_announce(follower->proxy->heartbeat);
-	schedule_read(follower, is_newer ? CHANGE_BATCH_MS : READ_INTERVAL_MS);
+	schedule_read(follower,
+	    is_newer ? follower_change_batch_ms(follower) : READ_INTERVAL_MS);
 }
 
 static void
--- a/trefoilhill-proxy/follower_role.c
+++ b/trefoilhill-proxy/follower_role.c
@@ -9,7 +9,14 @@
 	FLEET_WATCH_INTERVAL_MS = 400,
 	WATCH_WAIT_MIN_MS = 1500,
 	WATCH_WAIT_MAX_MS = 20000,
-	ZONES_PER_REGION = 3, /* the usual number */
+	/*
+	 * After a change a reader waits, so that successive changes share a
+	 * read. The more readers there are, the sooner another one reads, and
+	 * passes the change on.
+	 */
+	CHANGE_BATCH_READER_MS = 100,
+	CHANGE_BATCH_MIN_MS = 400,
+	CHANGE_BATCH_MAX_MS = 1000,
 	/* A copy without confirmation for longer is stale. */
 	CONFIRMATION_MAX_AGE_MS = 3000,
 };
@@ -100,6 +107,28 @@
 	follower->is_reader = is_reader;
 }
 
+static uint32_t
+reader_count(const struct follower *follower)
+{
+	const struct proxy *proxy = follower->proxy;
+
+	return MIN(follower_peer_count(follower),
+	    proxy->settings->mesh.readers_per_zone *
+		catalog_zone_count(proxy->catalog));
+}
+
+/*
+ * Return how long to wait after a change until the next read.
+ */
+uint32_t
+follower_change_batch_ms(const struct follower *follower)
+{
+	uint32_t ms = reader_count(follower) * CHANGE_BATCH_READER_MS;
+
+	return CLAMP(
+	    ms, (uint32_t)CHANGE_BATCH_MIN_MS, (uint32_t)CHANGE_BATCH_MAX_MS);
+}
+
 /*
  * Return the timeout of the next watch. It is random, since a change ends the
  * watches of all readers at the same time.
@@ -107,11 +136,10 @@
 uint32_t
 follower_watch_wait_ms(const struct follower *follower)
 {
-	const struct proxy *proxy = follower->proxy;
-	uint32_t readers = MIN(follower_peer_count(follower),
-	    proxy->settings->mesh.readers_per_zone * ZONES_PER_REGION);
-	uint32_t max_ms = CLAMP(readers * FLEET_WATCH_INTERVAL_MS,
-	    WATCH_WAIT_MIN_MS, WATCH_WAIT_MAX_MS);
+	uint32_t max_ms =
+	    CLAMP(reader_count(follower) * FLEET_WATCH_INTERVAL_MS,
+		WATCH_WAIT_MIN_MS, WATCH_WAIT_MAX_MS);
 
-	return max_ms / 4 + (uint32_t)rng_below(proxy->rng, max_ms * 3 / 4);
+	return max_ms / 4 +
+	    (uint32_t)rng_below(follower->proxy->rng, max_ms * 3 / 4);
 }
