--- a/common/line_writer.c
+++ b/common/line_writer.c
@@ -1,8 +1,8 @@
 #include <errno.h>
+#include <glib.h>
 #include <limits.h>
 #include <poll.h>
 #include <stdbool.h>
-#include <string.h>
 #include <unistd.h>
 
 #include "common/line_writer.h"
@@ -12,19 +12,24 @@
 	POLL_MAX_MS = 100,
 };
 
-/* The length of the whole lines at the start of text, at most PIPE_BUF bytes
- * unless the first line is longer. */
+/*
+ * The length of the whole lines at the start of text, at most PIPE_BUF bytes
+ * unless the first line is longer.
+ */
 static size_t
 batch_len(struct str text)
 {
-	const char *end;
+	size_t len = PIPE_BUF;
 
 	if (text.len <= PIPE_BUF)
 		return text.len;
-	end = memrchr(text.ptr, '\n', PIPE_BUF);
-	if (end == NULL)
-		end = memchr(text.ptr, '\n', text.len);
-	return end == NULL ? text.len : (size_t)(end - text.ptr) + 1;
+	while (len > 0 && text.ptr[len - 1] != '\n')
+		len--;
+	if (len > 0)
+		return len;
+	while (len < text.len && text.ptr[len] != '\n')
+		len++;
+	return MIN(len + 1, text.len);
 }
 
 static size_t
--- a/include/trefoilhill-proxy/hop.h
+++ b/include/trefoilhill-proxy/hop.h
@@ -9,6 +9,10 @@
  * fields of these names from callers or upstreams are dropped.
  */
 
+enum {
+	HOP_TIME_MAX_MS = 3600 * 1000, /* longer times are malformed */
+};
+
 /* What the node that accepted a request asks of the upstream's node. */
 struct hop_request {
 	struct str instance;      /* id of the intended upstream */
--- a/trefoilhill-proxy/hop.c
+++ b/trefoilhill-proxy/hop.c
@@ -85,6 +85,9 @@
 		&remaining_ms, &queue_timeout_ms, &request->priority,
 		&idempotent, &bulk, &late, &repeat, &confirm, &body_length) < 6)
 		return false;
+	if (remaining_ms > HOP_TIME_MAX_MS || remaining_ms < -HOP_TIME_MAX_MS ||
+	    queue_timeout_ms > HOP_TIME_MAX_MS || queue_timeout_ms < 0)
+		return false;
 	request->confirm = confirm != 0;
 	request->body_length = MAX(body_length, 0);
 	request->repeat = repeat != 0;
