--- a/tests/soak/mesh.py
+++ b/tests/soak/mesh.py
@@ -59,6 +59,7 @@
         self.upstream = None
         self.generation = 0
         self.sequence = 0  # of the upstream's status reports
+        self.state = "ready"  # that it reported last
 
     def new_upstream(self):
         self.generation += 1
@@ -126,12 +127,25 @@
 
     def register(self, host, state="ready", cold_ms=0):
         host.sequence += 1
+        host.state = state
         if cold_ms:
             now = asyncio.get_running_loop().time()
             host.upstream.cold_until = now + cold_ms / 1000
         self.store.put(f"servers/{host.upstream.id}", host.upstream.entry(
             state, host.sequence, cold_ms, host.generation))
 
+    def write_again(self):
+        """After a restore of the store: upstreams report again, and what else
+        was written to it is written again."""
+        now = asyncio.get_running_loop().time()
+        for host in self.hosts:
+            if self.store.written.get(f"servers/{host.upstream.id}"):
+                cold_ms = max(0, int((host.upstream.cold_until - now) * 1000))
+                self.register(host, host.state, cold_ms)
+        for key, value in list(self.store.written.items()):
+            if self.store.items.get(key, (None,))[0] != value:
+                self.store.put(key, value)
+
     def publish(self):
         """Publish a configuration whose probe route changes its service."""
         self.version += 1
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -113,6 +113,19 @@
         self.mesh.store.mode = "up"
         self.mesh.store.reset_connections()
 
+    async def store_restored(self):
+        """The store is away, and comes back from a copy."""
+        store = self.mesh.store
+        backup = store.backup()
+        await asyncio.sleep(self.rng.uniform(0.3, 3))
+        store.mode = "reset"
+        store.reset_connections()
+        await asyncio.sleep(self.rng.uniform(0.1, 1.5))
+        store.restore(backup)
+        store.mode = "up"
+        await asyncio.sleep(self.rng.uniform(0.1, 1.5))
+        self.mesh.write_again()
+
     async def store_compacted(self):
         self.mesh.publish()
         self.mesh.store.compact()
@@ -166,7 +179,7 @@
 
     FAULTS = (node_killed, half_killed, node_paused, node_stopped, reloaded,
               link_fault, link_fault, zone_cut, connections_reset,
-              store_fault, store_compacted, config_changes, config_changes,
+              store_fault, store_restored, store_compacted, config_changes, config_changes,
               invalid_entry, evacuated, upstream_faulty, upstream_faulty,
               upstream_crashed, upstream_drained)
 
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -18,6 +18,7 @@
         self.era = 1  # rises by one with each restore
         self.revision = 1
         self.items = {}  # key: (value, revision)
+        self.written = {}  # key: last value, also of what a restore lost
         self.events = []  # (revision, key, value or None)
         self.compacted_revision = 1  # events after this one are complete
         self.changed = asyncio.Event()
@@ -34,6 +35,7 @@
         revision."""
         if isinstance(value, dict):
             value = json.dumps(value).encode()
+        self.written[key] = value
         if value is None and key not in self.items:
             return self.revision
         self.revision += 1
