fleet, guard, route: tell of lost hosts, count overdue requests, return sooner

Change: heartbeats tell the hosts that the sender, or others of its zone, found lost within 1.5 s, with their ages; a node of the same zone avoids them unless it has heard of them since. A heartbeat shows that its sender is alive. Data that stays unacknowledged for 350 ms, not 700, ends a connection to a peer.

Overdue requests. Change: a request given up on after five usual run times counts as a failure, and idle connections to the upstream are closed. Test: 'a hanging upstream is reported'.

Return times. Readers wait 600 ms at most.

--- a/fleet/upstream.c
+++ b/fleet/upstream.c
@@ -6,6 +6,11 @@
 	AVOID_INITIAL_MS = 200,
 	AVOID_MAX_MS = 1600,
 	AVOID_DOUBLINGS_MAX = 3,
+	/*
+	 * For which a loss is passed on between nodes, and a peer avoided that
+	 * others found lost. Longer than it takes to reach all nodes of a zone.
+	 */
+	REPORTED_LOST_MS = 1500,
 };
 
 /*
@@ -152,6 +157,7 @@
 	peer->consecutive_failures++;
 	peer->avoid_until_ms =
 	    now_ms + MIN(AVOID_INITIAL_MS << doublings, AVOID_MAX_MS);
+	peer->lost_ms = now_ms;
 	if (peer->pool != NULL)
 		http_pool_close_idle(peer->pool);
 	return fleet_zone_mark_failed(peer->zone, now_ms);
@@ -165,10 +171,41 @@
 {
 	peer->consecutive_failures = 0;
 	peer->avoid_until_ms = 0;
+	peer->lost_ms = 0;
 	peer->last_contact_ms = now_ms;
 	return fleet_zone_mark_alive(peer->zone, now_ms);
 }
 
+/*
+ * Record a loss that another node has observed.
+ */
+void
+fleet_peer_mark_reported_lost(
+    struct fleet_peer *peer, uint32_t age_ms, int64_t now_ms)
+{
+	int64_t lost_ms = now_ms - age_ms;
+
+	if (age_ms > REPORTED_LOST_MS || lost_ms <= peer->last_contact_ms ||
+	    lost_ms <= peer->lost_ms)
+		return;
+	peer->lost_ms = lost_ms;
+	peer->avoid_until_ms =
+	    MAX(peer->avoid_until_ms, lost_ms + REPORTED_LOST_MS);
+	if (peer->pool != NULL)
+		http_pool_close_idle(peer->pool);
+}
+
+/*
+ * Return how long ago the peer was lost.
+ */
+int64_t
+fleet_peer_lost_age_ms(const struct fleet_peer *peer, int64_t now_ms)
+{
+	if (peer->lost_ms == 0 || now_ms - peer->lost_ms > REPORTED_LOST_MS)
+		return -1;
+	return now_ms - peer->lost_ms;
+}
+
 /*
  * Tell whether the peer is still avoided after a failure, or with its zone.
  */
--- a/guard/admission_outcome.c
+++ b/guard/admission_outcome.c
@@ -4,6 +4,8 @@
 
 enum {
 	HALVINGS_MAX = 16, /* after so many half-lives any rate is 0 */
+	/* Run times vary by a factor of five in rare cases. */
+	OVERDUE_LATENCIES = 5,
 };
 
 static void
@@ -83,6 +85,18 @@
 		admission->limit -= LIMIT_SCALE;
 }
 
+/*
+ * Tell whether a request has run for much longer than is usual. An upstream may
+ * hang, or its connections may go silent without being closed: its requests
+ * then end only when their callers give up, which says nothing else about it.
+ */
+bool
+admission_is_overdue(const struct admission *admission, int64_t run_ms)
+{
+	return run_ms * 1000 >=
+	    (int64_t)admission->latency_us * OVERDUE_LATENCIES;
+}
+
 /*
  * Update the statistics with the outcome of a started request, and start
  * queued ones. latency_us is the time that it took, in microseconds.
@@ -105,6 +119,7 @@
 		break;
 	case ADMISSION_FAILED:
 	case ADMISSION_CONNECTION_LOST:
+	case ADMISSION_TIMED_OUT:
 		update_failure_rate(admission, true, now_ms);
 		if (outcome == ADMISSION_FAILED && admission->pause_ms > 0)
 			admission->pause_ms = 0;
--- a/include/fleet/upstream.h
+++ b/include/fleet/upstream.h
@@ -43,7 +43,9 @@
 	uint32_t consecutive_failures;
 	int64_t avoid_until_ms;
 	int64_t last_contact_ms; /* last response or heartbeat; 0: never */
-	bool stopping;           /* it reported that it is shutting down */
+	int64_t
+	    lost_ms;   /* when it last did not respond, to any node; 0: none */
+	bool stopping; /* it reported that it is shutting down */
 };
 
 /* An upstream's registration and this node's state of it; ref-counted. */
@@ -84,6 +86,17 @@
  */
 bool fleet_peer_mark_failed(struct fleet_peer *peer, int64_t now_ms);
 bool fleet_peer_mark_alive(struct fleet_peer *peer, int64_t now_ms);
+/*
+ * A node nearby reports that the peer did not respond age_ms ago. Ignored if it
+ * has responded to this node since then.
+ */
+void fleet_peer_mark_reported_lost(
+    struct fleet_peer *peer, uint32_t age_ms, int64_t now_ms);
+/*
+ * How long ago the peer was lost, for other nodes; -1 if it isn't, or too long
+ * ago to tell.
+ */
+int64_t fleet_peer_lost_age_ms(const struct fleet_peer *peer, int64_t now_ms);
 /* Is the peer avoided after its own failures, or with its whole zone? */
 bool fleet_peer_is_avoided(const struct fleet_peer *peer, int64_t now_ms);
 
--- a/include/guard/admission.h
+++ b/include/guard/admission.h
@@ -39,6 +39,7 @@
 	ADMISSION_CONNECTION_LOST, /* the connection ended without a response */
 	ADMISSION_CONNECTION_REFUSED,
 	ADMISSION_CANCELLED,       /* no longer wanted by the caller */
+	ADMISSION_TIMED_OUT,       /* given up on, no response for long */
 	ADMISSION_DEADLINE_PASSED, /* the upstream responded with status 504 */
 };
 
@@ -99,6 +100,8 @@
 void admission_finish(struct admission *admission,
     const struct admission_waiter *waiter, enum admission_outcome outcome,
     uint32_t latency_us, int64_t now_ms);
+/* Is a request that has run for so long, without a response, overdue? */
+bool admission_is_overdue(const struct admission *admission, int64_t run_ms);
 /*
  * Start and expire queued requests; returns when to call again, 0: not
  * needed.
--- a/include/route/return_time.h
+++ b/include/route/return_time.h
@@ -9,15 +9,13 @@
 /*
  * When a caller whose request was rejected should return. Answers two load
  * patterns: upstreams that reject part of their requests though they have room,
- * where the next attempt is as good now as later; and an overload, where
- * callers that return before there is room are rejected again, and those that
- * return together overload the service again. Times are in milliseconds.
+ * where the next attempt is as good now as later; and an overload, where callers
+ * that return together are rejected again, and those that return late have
+ * missed their objective. Times are in milliseconds.
  */
 struct return_situation {
 	bool rejected_with_room; /* by an upstream without a queue */
-	uint32_t
-	    expected_wait_ms; /* for a place at the best upstream; 0: none */
-	int64_t remaining_ms; /* until the caller's deadline */
+	int64_t remaining_ms;    /* until the caller's deadline */
 };
 
 /* Time from now, at least 1 and at most a third of the remaining time. */
--- a/include/trefoilhill-proxy/exchange.h
+++ b/include/trefoilhill-proxy/exchange.h
@@ -53,8 +53,7 @@
 	uint32_t runs;                /* attempts that may have run */
 	uint32_t upstream_rejections; /* attempts an upstream declined to run */
 	bool misdirected; /* addressed to another instance than the local one */
-	bool rejected_with_room;   /* the last one, by an idle upstream */
-	uint32_t expected_wait_ms; /* for a place at the upstream chosen last */
+	bool rejected_with_room; /* the last one, by an idle upstream */
 	bool hedged;
 	bool may_have_run; /* in an attempt that failed */
 	/* The response. */
--- a/include/trefoilhill-proxy/heartbeat_message.h
+++ b/include/trefoilhill-proxy/heartbeat_message.h
@@ -4,6 +4,16 @@
 #include "fleet/source.h"
 #include "fleet/upstream.h"
 
+enum {
+	HEARTBEAT_LOST_MAX = 64,
+};
+
+/* A host that did not respond to some node. */
+struct lost_host {
+	struct in_addr host;
+	uint32_t age_ms;
+};
+
 /* Content of a heartbeat or of its response; encoded as a GVariant. */
 struct heartbeat_message {
 	struct store_position position; /* of the sender's copy of the store */
@@ -13,8 +23,10 @@
 	bool stopping;
 	char *upstream;          /* id of the sender's upstream; empty: none */
 	struct load_report load; /* of that upstream */
-	GPtrArray *items;        /* struct replica_item; NULL: none included */
-	bool is_snapshot;        /* items are the complete state, not changes */
+	struct lost_host lost[HEARTBEAT_LOST_MAX];
+	size_t lost_count;
+	GPtrArray *items; /* struct replica_item; NULL: none included */
+	bool is_snapshot; /* items are the complete state, not changes */
 	/* Items are the changes of the era after this revision. */
 	uint64_t base_revision;
 };
--- a/tests/guard/test_admission.c
+++ b/tests/guard/test_admission.c
@@ -369,6 +369,45 @@
 	admission_free(f.admission);
 }
 
+/*
+ * An upstream hangs: its requests run until their callers give up, after ten
+ * times its usual latency. It is reported as failing after a second round.
+ */
+static void
+test_hanging_upstream_is_reported(void)
+{
+	struct fixture f;
+	int64_t now_ms = 0;
+
+	fixture_init(&f);
+	for (int i = 0; i < 10; i++) {
+		fill_slots(&f, now_ms);
+		for (int j = 0; j < SLOTS; j++)
+			finish(&f, ADMISSION_SUCCEEDED, 100000, now_ms);
+		f.offered_count = 0;
+	}
+	CU_ASSERT_FALSE(admission_is_overdue(f.admission, 300));
+	CU_ASSERT_TRUE(admission_is_overdue(f.admission, 1000));
+	for (int i = 0; i < 3; i++) {
+		f.offered_count = 0;
+		fill_slots(&f, now_ms);
+		now_ms += 1000;
+		for (int j = 0; j < SLOTS; j++)
+			finish(&f, ADMISSION_TIMED_OUT, 1000000, now_ms);
+	}
+	CU_ASSERT_TRUE(
+	    admission_report(f.admission, now_ms).failures_per_mille > 400);
+	/* What callers give up on sooner is no evidence. */
+	f.offered_count = 0;
+	fill_slots(&f, now_ms + 60000);
+	for (int j = 0; j < SLOTS; j++)
+		finish(&f, ADMISSION_CANCELLED, 100000, now_ms + 60000);
+	CU_ASSERT_EQUAL(
+	    admission_report(f.admission, now_ms + 60000).failures_per_mille,
+	    0);
+	admission_free(f.admission);
+}
+
 static const struct test_case cases[] = {
 	{ "limit and order", test_limit_and_order },
 	{ "the earliest latest start goes first",
@@ -386,6 +425,7 @@
 	{ "large responses leave slots to short requests", test_bulk_limit },
 	{ "large responses start in order", test_bulk_starts_in_order },
 	{ "closing refuses all requests", test_closing_refuses_all_requests },
+	{ "a hanging upstream is reported", test_hanging_upstream_is_reported },
 	{ NULL, NULL },
 };
 
--- a/trefoilhill-proxy/attempt.c
+++ b/trefoilhill-proxy/attempt.c
@@ -17,9 +17,9 @@
 	UPSTREAM_CONNECT_MAX_MS = 400,
 	/*
 	 * Detects a peer that is cut off or without power while requests wait
-	 * for it. Long enough for two retransmissions of a lost segment.
+	 * for it. Long enough for a retransmission of a lost segment.
 	 */
-	PEER_UNACKNOWLEDGED_MS = 700,
+	PEER_UNACKNOWLEDGED_MS = 350,
 	/*
 	 * The other side may have closed a connection that was idle for
 	 * longer, so a request that can't be retried doesn't use one.
@@ -47,6 +47,23 @@
 	g_free(attempt);
 }
 
+/*
+ * The outcome of an attempt that is cancelled: overdue requests tell of an
+ * upstream or connection that hangs, so that others get new connections.
+ */
+static enum admission_outcome
+cancelled_outcome(const struct attempt *attempt, int64_t run_ms)
+{
+	struct gate *gate = attempt->proxy->gate;
+
+	if (!attempt->admitted || attempt->sent_ms == 0 ||
+	    attempt->response_started ||
+	    !admission_is_overdue(gate_admission(gate), run_ms))
+		return ADMISSION_CANCELLED;
+	http_pool_close_idle(gate_pool(gate));
+	return ADMISSION_TIMED_OUT;
+}
+
 /*
  * Release the attempt's slot at the gate, reporting the outcome. The attempt is
  * freed once its timer is closed.
@@ -58,6 +75,8 @@
 	int64_t now_ms = proxy_now_ms(attempt->proxy);
 	int64_t latency_ms = now_ms - attempt->sent_ms;
 
+	if (outcome == ADMISSION_CANCELLED)
+		outcome = cancelled_outcome(attempt, latency_ms);
 	attempt->ended = true;
 	attempt->upstream->own_in_flight--;
 	if (attempt->local)
--- a/trefoilhill-proxy/exchange_dispatch.c
+++ b/trefoilhill-proxy/exchange_dispatch.c
@@ -146,9 +146,6 @@
 	}
 	memcpy(request.tried, exchange->tried, sizeof(request.tried));
 	*choice = balance_pick(&request, exchange->proxy->rng);
-	exchange->expected_wait_ms = choice->expected_ms > request.run_ms
-	    ? choice->expected_ms - request.run_ms
-	    : 0;
 	return choice->upstream != NULL;
 }
 
--- a/trefoilhill-proxy/exchange_response.c
+++ b/trefoilhill-proxy/exchange_response.c
@@ -252,7 +252,6 @@
 {
 	struct return_situation situation = {
 		.rejected_with_room = exchange->rejected_with_room,
-		.expected_wait_ms = exchange->expected_wait_ms,
 		.remaining_ms = exchange_remaining_ms(exchange),
 	};
 	int64_t ms = return_time_ms(&situation, exchange->proxy->rng);
--- a/trefoilhill-proxy/follower_role.c
+++ b/trefoilhill-proxy/follower_role.c
@@ -16,7 +16,7 @@
 	 */
 	CHANGE_BATCH_READER_MS = 100,
 	CHANGE_BATCH_MIN_MS = 400,
-	CHANGE_BATCH_MAX_MS = 1000,
+	CHANGE_BATCH_MAX_MS = 600,
 	/* A copy without confirmation for longer is stale. */
 	CONFIRMATION_MAX_AGE_MS = 3000,
 };
--- a/trefoilhill-proxy/heartbeat.c
+++ b/trefoilhill-proxy/heartbeat.c
@@ -109,13 +109,51 @@
 		message->items = replica_snapshot(replica);
 }
 
+/* Add the hosts that this node, or one nearby, has found lost. */
+static void
+add_lost_hosts(struct heartbeat *heartbeat, struct heartbeat_message *message)
+{
+	int64_t now_ms = proxy_now_ms(heartbeat->proxy);
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, catalog_peers(heartbeat->proxy->catalog));
+	while (message->lost_count < HEARTBEAT_LOST_MAX &&
+	    g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct fleet_peer *peer = value;
+		int64_t age_ms = fleet_peer_lost_age_ms(peer, now_ms);
+
+		if (age_ms >= 0)
+			message->lost[message->lost_count++] =
+			    (struct lost_host){ peer->host, (uint32_t)age_ms };
+	}
+}
+
+/* Take over what a node of the same zone has found lost. */
+static void
+apply_lost_hosts(
+    struct heartbeat *heartbeat, const struct heartbeat_message *message)
+{
+	struct proxy *proxy = heartbeat->proxy;
+
+	for (size_t i = 0; i < message->lost_count; i++) {
+		const struct lost_host *lost = &message->lost[i];
+		struct fleet_peer *peer =
+		    g_hash_table_lookup(catalog_peers(proxy->catalog),
+			GUINT_TO_POINTER(lost->host.s_addr));
+
+		if (peer != NULL && peer->host.s_addr != proxy->host.s_addr)
+			fleet_peer_mark_reported_lost(
+			    peer, lost->age_ms, proxy_now_ms(proxy));
+	}
+}
+
 static struct heartbeat_message
 make_message(struct heartbeat *heartbeat)
 {
 	struct proxy *proxy = heartbeat->proxy;
 	const struct upstream *upstream = gate_upstream(proxy->gate);
-
-	return (struct heartbeat_message){
+	struct heartbeat_message message = {
 		.position = own_position(heartbeat),
 		.age_ms = follower_age_ms(proxy->follower),
 		.removal_grace_ms = follower_removal_grace_ms(proxy->follower),
@@ -124,10 +162,14 @@
 		    upstream == NULL ? NULL : g_strdup(upstream->entry.id),
 		.load = gate_load_report(proxy->gate),
 	};
+
+	add_lost_hosts(heartbeat, &message);
+	return message;
 }
 
+/* Take over what the sender says of its upstream, itself and others. */
 static void
-update_load(
+update_peers(
     struct heartbeat *heartbeat, const struct heartbeat_message *message)
 {
 	struct proxy *proxy = heartbeat->proxy;
@@ -138,6 +180,12 @@
 		return;
 	upstream_set_load(upstream, &message->load, proxy_now_ms(proxy));
 	upstream->peer->stopping = message->stopping;
+	peer_health_responded(proxy, upstream->peer);
+	/* Other zones may be reachable from here when they aren't from there.
+	 */
+	if (g_strcmp0(upstream->entry.zone, proxy->settings->node.zone.ptr) ==
+	    0)
+		apply_lost_hosts(heartbeat, message);
 }
 
 static void
@@ -161,7 +209,7 @@
 	    store_position_compare(state.position, own) > 0)
 		heartbeat->last_update_ms = proxy_now_ms(heartbeat->proxy);
 	follower_apply_peer_state(follower, &state);
-	update_load(heartbeat, message);
+	update_peers(heartbeat, message);
 }
 
 /*
--- a/trefoilhill-proxy/heartbeat_message.c
+++ b/trefoilhill-proxy/heartbeat_message.c
@@ -9,10 +9,11 @@
 };
 
 /*
- * era, revision, age, removal grace, stopping; upstream and its load; has
- * items, is snapshot, base revision; items of key, revision, encoding, value.
+ * era, revision, age, removal grace, stopping; upstream and its load; lost
+ * hosts and ages; has items, is snapshot, base revision; items of key,
+ * revision, encoding, value.
  */
-#define MESSAGE_TYPE "(ttxxbs(uuuuuuub)bbta(styay))"
+#define MESSAGE_TYPE "(ttxxbs(uuuuuuub)a(uu)bbta(styay))"
 
 /* Encoding of an item's value on the wire. */
 enum item_encoding {
@@ -98,6 +99,33 @@
 	return g_variant_builder_end(&builder);
 }
 
+static GVariant *
+lost_encode(const struct heartbeat_message *message)
+{
+	GVariantBuilder builder;
+
+	g_variant_builder_init(&builder, G_VARIANT_TYPE("a(uu)"));
+	for (size_t i = 0; i < message->lost_count; i++)
+		g_variant_builder_add(&builder, "(uu)",
+		    message->lost[i].host.s_addr, message->lost[i].age_ms);
+	return g_variant_builder_end(&builder);
+}
+
+/* Decode the lost hosts, as many as a message may hold. */
+static void
+lost_decode(GVariant *list, struct heartbeat_message *message)
+{
+	size_t count = MIN(g_variant_n_children(list), HEARTBEAT_LOST_MAX);
+
+	for (size_t i = 0; i < count; i++) {
+		struct lost_host *lost = &message->lost[i];
+
+		g_variant_get_child(
+		    list, i, "(uu)", &lost->host.s_addr, &lost->age_ms);
+	}
+	message->lost_count = count;
+}
+
 /*
  * Return an encoded message, to be released with g_bytes_unref.
  */
@@ -105,16 +133,17 @@
 heartbeat_message_encode(const struct heartbeat_message *message)
 {
 	const struct load_report *load = &message->load;
-	GVariant *variant = g_variant_new("(ttxxbs(uuuuuuub)bbt@a(styay))",
-	    (guint64)message->position.era, (guint64)message->position.revision,
-	    (gint64)message->age_ms, (gint64)message->removal_grace_ms,
-	    message->stopping,
-	    message->upstream == NULL ? "" : message->upstream, load->limit,
-	    load->in_flight, load->queued, load->latency_us,
-	    load->failures_per_mille, load->bulk_waiting,
-	    load->bulk_transfer_ms, load->accepting, message->items != NULL,
-	    message->is_snapshot, (guint64)message->base_revision,
-	    items_encode(message->items));
+	GVariant *variant =
+	    g_variant_new("(ttxxbs(uuuuuuub)@a(uu)bbt@a(styay))",
+		(guint64)message->position.era,
+		(guint64)message->position.revision, (gint64)message->age_ms,
+		(gint64)message->removal_grace_ms, message->stopping,
+		message->upstream == NULL ? "" : message->upstream, load->limit,
+		load->in_flight, load->queued, load->latency_us,
+		load->failures_per_mille, load->bulk_waiting,
+		load->bulk_transfer_ms, load->accepting, lost_encode(message),
+		message->items != NULL, message->is_snapshot,
+		(guint64)message->base_revision, items_encode(message->items));
 	GBytes *bytes;
 
 	g_variant_ref_sink(variant);
@@ -193,7 +222,7 @@
 	gboolean stopping, accepting, has_items, is_snapshot;
 	guint64 era, revision, base_revision;
 	gint64 age_ms, removal_grace_ms;
-	GVariant *items = NULL;
+	GVariant *items = NULL, *lost = NULL;
 	bool valid;
 
 	*message = (struct heartbeat_message){ 0 };
@@ -201,12 +230,12 @@
 	valid = bytes.len > 0 && g_variant_is_normal_form(variant);
 	if (!valid)
 		goto done;
-	g_variant_get(variant, "(ttxxbs(uuuuuuub)bbt@a(styay))", &era,
+	g_variant_get(variant, "(ttxxbs(uuuuuuub)@a(uu)bbt@a(styay))", &era,
 	    &revision, &age_ms, &removal_grace_ms, &stopping,
 	    &message->upstream, &load->limit, &load->in_flight, &load->queued,
 	    &load->latency_us, &load->failures_per_mille, &load->bulk_waiting,
-	    &load->bulk_transfer_ms, &accepting, &has_items, &is_snapshot,
-	    &base_revision, &items);
+	    &load->bulk_transfer_ms, &accepting, &lost, &has_items,
+	    &is_snapshot, &base_revision, &items);
 	message->position.era = era;
 	message->position.revision = revision;
 	message->age_ms = age_ms;
@@ -215,6 +244,8 @@
 	message->is_snapshot = is_snapshot;
 	message->base_revision = base_revision;
 	load->accepting = accepting;
+	lost_decode(lost, message);
+	g_variant_unref(lost);
 	if (has_items)
 		message->items = items_decode(items);
 	if (has_items && message->items == NULL) {
