--- a/include/route/return_time.h
+++ b/include/route/return_time.h
@@ -9,9 +9,9 @@
 /*
  * When a caller whose request was rejected should return. Answers two load
  * patterns: upstreams that reject part of their requests though they have room,
- * where the next attempt is as good now as later; and an overload, where callers
- * that return together are rejected again, and those that return late have
- * missed their objective. Times are in milliseconds.
+ * where the next attempt is as good now as later; and an overload, where
+ * callers that return together are rejected again, and those that return late
+ * have missed their objective. Times are in milliseconds.
  */
 struct return_situation {
 	bool rejected_with_room; /* by an upstream without a queue */
--- a/route/balance.c
+++ b/route/balance.c
@@ -31,8 +31,8 @@
 
 /* The upstream of lowest cost in one group of candidates. */
 struct ranking {
-	uint32_t mean_us; /* mean latency of the service */
 	struct upstream *best;
+	uint32_t mean_us; /* mean latency of the service */
 	uint32_t best_cost;
 	uint32_t best_expected_ms;
 	uint32_t count;
