proxy, route: split what grew, draw the queue time out of the dispatch

Change: route/queue_time decides it without I/O; attempt_confirm.c holds both sides of the confirmation, lost_hosts.c what nodes tell of lost hosts. No behaviour changes.

--- a/include/trefoilhill-proxy/attempt.h
+++ b/include/trefoilhill-proxy/attempt.h
@@ -90,6 +90,8 @@
 void attempt_release(struct attempt *attempt, enum admission_outcome outcome);
 extern const struct http_stream_ops attempt_stream_ops;
 void attempt_write_request(struct attempt *attempt);
+bool attempt_may_await_confirmation(const struct exchange *exchange);
+void attempt_start_admitted(struct attempt *attempt);
 void attempt_await_grant(struct attempt *attempt);
 void attempt_end_request(struct attempt *attempt);
 void attempt_handle_continue(struct http_stream *stream);
--- a/trefoilhill-proxy/attempt.c
+++ b/trefoilhill-proxy/attempt.c
@@ -25,14 +25,6 @@
 	 * longer, so a request that can't be retried doesn't use one.
 	 */
 	NON_IDEMPOTENT_IDLE_MAX_MS = 1000,
-	/*
-	 * For the sender to confirm a request that has a place here. It takes
-	 * one round trip, while the place is idle.
-	 */
-	CONFIRM_MAX_MS = 300,
-	/* For the peer's request to confirm, beyond the longest wait there. */
-	GRANT_MARGIN_MS = 150,
-	CONFIRM_BODY_MAX_BYTES = 64 * 1024,
 	PEER_IDLE_CONNECTIONS_MAX = 16,
 	PEER_IDLE_MS = 8000,
 	US_PER_MS = 1000,
@@ -156,28 +148,6 @@
 	attempt_fail(attempt, ATTEMPT_FAILURE_NOT_RUN, "connect_timeout");
 }
 
-static void
-handle_grant_timeout(uv_timer_t *timer)
-{
-	struct attempt *attempt = (struct attempt *)timer;
-
-	if (attempt->ended || attempt->may_run)
-		return;
-	peer_health_failed(attempt->proxy, attempt->upstream->peer, "no_grant");
-	attempt_fail(attempt, ATTEMPT_FAILURE_NOT_RUN, "no_grant");
-}
-
-/*
- * Limit the wait for the peer to ask for confirmation. The peer refuses the
- * request itself when it can't start in time, so silence means that it is lost.
- */
-void
-attempt_await_grant(struct attempt *attempt)
-{
-	uv_timer_start(&attempt->timer, handle_grant_timeout,
-	    (uint64_t)attempt->queue_timeout_ms + GRANT_MARGIN_MS, 0);
-}
-
 static void
 attempt_dial(struct attempt *attempt)
 {
@@ -270,42 +240,6 @@
 	.handle_connect = handle_connect,
 };
 
-static void
-handle_confirm_timeout(uv_timer_t *timer)
-{
-	struct attempt *attempt = (struct attempt *)timer;
-
-	if (!attempt->ended)
-		attempt_fail(attempt, ATTEMPT_FAILURE_NOT_RUN, "unconfirmed");
-}
-
-/* Run an admitted request, or ask its sender to confirm it first. */
-static void
-start_admitted(struct attempt *attempt)
-{
-	attempt->admitted = true;
-	if (!exchange_request_confirmation(attempt->exchange)) {
-		attempt_connect(attempt);
-		return;
-	}
-	attempt->awaits_confirmation = true;
-	uv_timer_start(
-	    &attempt->timer, handle_confirm_timeout, CONFIRM_MAX_MS, 0);
-}
-
-/*
- * Run a request that has a place at the upstream and waited for confirmation.
- */
-void
-attempt_confirm(struct attempt *attempt)
-{
-	if (!attempt->awaits_confirmation)
-		return;
-	attempt->awaits_confirmation = false;
-	uv_timer_stop(&attempt->timer);
-	attempt_connect(attempt);
-}
-
 static void
 handle_dequeue(struct admission_waiter *waiter, enum admission_reason reason)
 {
@@ -321,7 +255,7 @@
 	}
 	exchange_log(
 	    attempt->exchange, LOG_CLASS_DECISION, "dequeued", attempt, "");
-	start_admitted(attempt);
+	attempt_start_admitted(attempt);
 }
 
 static void
@@ -345,7 +279,7 @@
 	switch (admission_offer(
 	    gate_admission(gate), &attempt->waiter, now_ms, &reason)) {
 	case ADMISSION_RUN:
-		start_admitted(attempt);
+		attempt_start_admitted(attempt);
 		break;
 	case ADMISSION_QUEUED:
 		exchange_log(attempt->exchange, LOG_CLASS_DECISION, "queued",
@@ -392,11 +326,8 @@
 	attempt->upstream = upstream_ref(upstream);
 	attempt->started_ms = proxy_now_ms(exchange->proxy);
 	attempt->local = upstream == gate_upstream(exchange->proxy->gate);
-	/* A large body would fill the buffers on the way. */
-	attempt->needs_confirmation = !attempt->local &&
-	    !exchange->idempotent && exchange->body_complete &&
-	    exchange->body_dropped == 0 &&
-	    exchange->body->len <= CONFIRM_BODY_MAX_BYTES;
+	attempt->needs_confirmation =
+	    !attempt->local && attempt_may_await_confirmation(exchange);
 	upstream->own_in_flight++;
 	uv_timer_init(exchange->proxy->loop, &attempt->timer);
 	return attempt;
--- a/trefoilhill-proxy/attempt_request.c
+++ b/trefoilhill-proxy/attempt_request.c
@@ -169,34 +169,3 @@
 	if (is_chunked(attempt))
 		http_stream_write(attempt->stream, str_from("0\r\n\r\n"));
 }
-
-/*
- * The peer has a place for the request: confirm it by sending the body. From
- * now on it may run.
- */
-void
-attempt_handle_continue(struct http_stream *stream)
-{
-	struct attempt *attempt = stream->owner;
-
-	if (attempt->ended || attempt->local || attempt->may_run)
-		return;
-	attempt->may_run = true;
-	uv_timer_stop(&attempt->timer);
-	exchange_log(
-	    attempt->exchange, LOG_CLASS_DECISION, "confirmed", attempt, "");
-	attempt_push_body(attempt);
-}
-
-/*
- * End the request message of an attempt that the peer has refused, so that the
- * connection can be used again. It can't run any more.
- */
-void
-attempt_end_request(struct attempt *attempt)
-{
-	if (attempt->may_run || !attempt->needs_confirmation)
-		return;
-	http_stream_write(attempt->stream, str_from("0\r\n\r\n"));
-	attempt->body_end_sent = true;
-}
--- a/trefoilhill-proxy/exchange_dispatch.c
+++ b/trefoilhill-proxy/exchange_dispatch.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "route/queue_time.h"
 #include "trefoilhill-proxy/exchange.h"
 #include "trefoilhill-proxy/gate.h"
 
@@ -10,23 +11,6 @@
 	/* A hedge starts after this share of the objective, percent. */
 	HEDGE_OBJECTIVE_PERCENT = 60,
 	HEDGE_LATENCY_FACTOR = 3, /* or this multiple of the usual run time */
-	/*
-	 * A request may be queued as long as it can still meet its objective,
-	 * but at least for this share of the objective, percent.
-	 */
-	QUEUE_MIN_PERCENT = 25,
-	/*
-	 * Run times vary: without a margin, half of the requests that are
-	 * queued for their full time would miss the objective. The margin is
-	 * one more expected run time, at most this share of the objective,
-	 * percent.
-	 */
-	QUEUE_MARGIN_PERCENT = 25,
-	/*
-	 * A request that can't meet its objective may be queued for this
-	 * share of the time until its deadline, percent.
-	 */
-	LATE_QUEUE_PERCENT = 40,
 };
 
 static void handle_hedge(uv_timer_t *timer);
@@ -69,23 +53,17 @@
 static int64_t
 max_queue_time_ms(struct exchange *exchange)
 {
-	int64_t now_ms = proxy_now_ms(exchange->proxy);
-	int64_t objective_remaining_ms = exchange->started_ms +
-	    exchange->objective_ms - exchange->spent_ms - now_ms;
-	int64_t min_ms =
-	    (int64_t)exchange->objective_ms * QUEUE_MIN_PERCENT / 100;
-	int64_t max_ms =
-	    exchange_remaining_ms(exchange) - expected_run_ms(exchange);
-
-	objective_remaining_ms -= MIN(expected_run_ms(exchange),
-	    exchange->objective_ms * QUEUE_MARGIN_PERCENT / 100);
-	exchange->late = objective_remaining_ms < expected_run_ms(exchange);
-	if (exchange->late)
-		min_ms =
-		    exchange_remaining_ms(exchange) * LATE_QUEUE_PERCENT / 100;
-	return MAX(0,
-	    MIN(MAX(objective_remaining_ms - expected_run_ms(exchange), min_ms),
-		max_ms));
+	struct queue_time_request request = {
+		.objective_ms = exchange->objective_ms,
+		.spent_ms = exchange->spent_ms + proxy_now_ms(exchange->proxy) -
+		    exchange->started_ms,
+		.remaining_ms = exchange_remaining_ms(exchange),
+		.run_ms = expected_run_ms(exchange),
+	};
+	struct queue_time time = queue_time_of(&request);
+
+	exchange->late = time.late;
+	return time.max_ms;
 }
 
 static void
--- a/trefoilhill-proxy/heartbeat.c
+++ b/trefoilhill-proxy/heartbeat.c
@@ -3,6 +3,7 @@
 #include "trefoilhill-proxy/gate.h"
 #include "trefoilhill-proxy/heartbeat.h"
 #include "trefoilhill-proxy/heartbeat_message.h"
+#include "trefoilhill-proxy/lost_hosts.h"
 #include "trefoilhill-proxy/peer_health.h"
 
 enum {
@@ -109,45 +110,6 @@
 		message->items = replica_snapshot(replica);
 }
 
-/* Add the hosts that this node, or one nearby, has found lost. */
-static void
-add_lost_hosts(struct heartbeat *heartbeat, struct heartbeat_message *message)
-{
-	int64_t now_ms = proxy_now_ms(heartbeat->proxy);
-	GHashTableIter iter;
-	void *value;
-
-	g_hash_table_iter_init(&iter, catalog_peers(heartbeat->proxy->catalog));
-	while (message->lost_count < HEARTBEAT_LOST_MAX &&
-	    g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct fleet_peer *peer = value;
-		int64_t age_ms = fleet_peer_lost_age_ms(peer, now_ms);
-
-		if (age_ms >= 0)
-			message->lost[message->lost_count++] =
-			    (struct lost_host){ peer->host, (uint32_t)age_ms };
-	}
-}
-
-/* Take over what a node of the same zone has found lost. */
-static void
-apply_lost_hosts(
-    struct heartbeat *heartbeat, const struct heartbeat_message *message)
-{
-	struct proxy *proxy = heartbeat->proxy;
-
-	for (size_t i = 0; i < message->lost_count; i++) {
-		const struct lost_host *lost = &message->lost[i];
-		struct fleet_peer *peer =
-		    g_hash_table_lookup(catalog_peers(proxy->catalog),
-			GUINT_TO_POINTER(lost->host.s_addr));
-
-		if (peer != NULL && peer->host.s_addr != proxy->host.s_addr)
-			fleet_peer_mark_reported_lost(
-			    peer, lost->age_ms, proxy_now_ms(proxy));
-	}
-}
-
 static struct heartbeat_message
 make_message(struct heartbeat *heartbeat)
 {
@@ -163,7 +125,7 @@
 		.load = gate_load_report(proxy->gate),
 	};
 
-	add_lost_hosts(heartbeat, &message);
+	lost_hosts_collect(proxy, &message);
 	return message;
 }
 
@@ -181,11 +143,10 @@
 	upstream_set_load(upstream, &message->load, proxy_now_ms(proxy));
 	upstream->peer->stopping = message->stopping;
 	peer_health_responded(proxy, upstream->peer);
-	/* Other zones may be reachable from here when they aren't from there.
-	 */
+	/* A node of another zone may be cut off from what is reachable here. */
 	if (g_strcmp0(upstream->entry.zone, proxy->settings->node.zone.ptr) ==
 	    0)
-		apply_lost_hosts(heartbeat, message);
+		lost_hosts_apply(proxy, message);
 }
 
 static void
