guard, route: report no latency before an upstream's first response

Cause: a guard that has just started reported 100 ms as its upstream's latency. Change: 0 is reported until the first response, and an entry assumes the mean of the service. Tests: 'a joined upstream gets requests', and the first report in 'a hanging upstream is reported'; both fail on the code before.

--- a/guard/admission.c
+++ b/guard/admission.c
@@ -91,6 +91,7 @@
 admission_reset(struct admission *admission)
 {
 	admission->latency_us = LATENCY_INITIAL_US;
+	admission->latency_known = false;
 	admission->failures_per_mille = 0;
 	admission->pause_ms = 0;
 	admission->paused_until_ms = 0;
@@ -317,7 +318,8 @@
 		.limit = limit,
 		.in_flight = admission->in_flight,
 		.queued = g_queue_get_length((GQueue *)&admission->queue),
-		.latency_us = admission->latency_us,
+		.latency_us =
+		    admission->latency_known ? admission->latency_us : 0,
 		.failures_per_mille =
 		    admission_failures_per_mille(admission, now_ms),
 		.bulk_waiting = admission_is_bulk_full(admission)
--- a/guard/admission_outcome.c
+++ b/guard/admission_outcome.c
@@ -16,6 +16,7 @@
 
 	admission->latency_us =
 	    (uint32_t)((int64_t)admission->latency_us + change);
+	admission->latency_known = true;
 	if (admission->limit < admission->slots * LIMIT_SCALE)
 		admission->limit++;
 	if (admission->pause_ms > 0) {
--- a/include/guard/admission_private.h
+++ b/include/guard/admission_private.h
@@ -31,6 +31,7 @@
 	double cold_per_s;
 	GQueue starts; /* int64_t *, times of recent starts, oldest first */
 	uint32_t latency_us; /* moving average */
+	bool latency_known;  /* an upstream has responded since the start */
 	uint32_t failures_per_mille;
 	int64_t failures_updated_ms; /* time of the last result */
 	uint32_t pause_ms; /* length of the last pause; 0: reachable */
--- a/route/balance.c
+++ b/route/balance.c
@@ -71,7 +71,8 @@
 	const struct load_report *load = &upstream->load;
 	bool fresh = is_fresh(upstream, now_ms);
 	uint64_t limit = MAX(fresh ? load->limit : upstream->entry.slots, 1);
-	uint64_t latency_us = fresh ? load->latency_us : mean_us;
+	uint64_t latency_us =
+	    fresh && load->latency_us > 0 ? load->latency_us : mean_us;
 	uint64_t requests = estimate_requests(upstream, fresh);
 	uint64_t wait_ms = 0, time_ms;
 
@@ -95,7 +96,8 @@
 	for (guint i = 0; i < group->upstreams->len; i++) {
 		const struct upstream *upstream = group->upstreams->pdata[i];
 
-		if (!is_fresh(upstream, now_ms))
+		if (!is_fresh(upstream, now_ms) ||
+		    upstream->load.latency_us == 0)
 			continue;
 		sum += upstream->load.latency_us;
 		count++;
--- a/tests/guard/test_admission.c
+++ b/tests/guard/test_admission.c
@@ -380,12 +380,15 @@
 	int64_t now_ms = 0;
 
 	fixture_init(&f);
+	/* Before the first response there is no latency to report. */
+	CU_ASSERT_EQUAL(admission_report(f.admission, 0).latency_us, 0);
 	for (int i = 0; i < 10; i++) {
 		fill_slots(&f, now_ms);
 		for (int j = 0; j < SLOTS; j++)
 			finish(&f, ADMISSION_SUCCEEDED, 100000, now_ms);
 		f.offered_count = 0;
 	}
+	CU_ASSERT_TRUE(admission_report(f.admission, 0).latency_us > 0);
 	CU_ASSERT_FALSE(admission_is_overdue(f.admission, 300));
 	CU_ASSERT_TRUE(admission_is_overdue(f.admission, 1000));
 	for (int i = 0; i < 3; i++) {
--- a/tests/route/test_balance.c
+++ b/tests/route/test_balance.c
@@ -178,6 +178,28 @@
 	fixture_clear(&f);
 }
 
+/*
+ * An upstream joins two that are faster than any default. Before its first
+ * response nothing is known of its latency, and it gets its share.
+ */
+static void
+test_joined_upstream_gets_requests(void)
+{
+	struct upstream *joined;
+	struct fixture f;
+	int count;
+
+	fixture_init(&f);
+	set_report(add_upstream(&f, "i-1", "a", "10.0.0.1"), 1, 40);
+	set_report(add_upstream(&f, "i-2", "a", "10.0.0.2"), 1, 40);
+	joined = add_upstream(&f, "i-3", "a", "10.0.0.3");
+	set_report(joined, 0, 0);
+	f.request.run_ms = 40;
+	count = count_picks(&f, joined);
+	CU_ASSERT_TRUE(count > PICKS / 3 && count < PICKS * 9 / 10);
+	fixture_clear(&f);
+}
+
 static struct fleet_retry_budget *
 budget_new(void)
 {
@@ -263,6 +285,8 @@
 	    test_failing_and_lost_are_a_last_resort },
 	{ "own requests count between reports",
 	    test_own_requests_count_between_reports },
+	{ "a joined upstream gets requests",
+	    test_joined_upstream_gets_requests },
 	{ "retries stay within the share", test_retries_stay_within_the_share },
 	{ "any span of a window keeps the limit",
 	    test_any_span_of_a_window_keeps_the_limit },
