--- a/tests/fleet/test_replica.c
+++ b/tests/fleet/test_replica.c
@@ -4,6 +4,10 @@
 #include "fleet/source.h"
 #include "harness.h"
 
+enum {
+	RANDOM_SEEDS = 20,
+};
+
 /* A replica and the items that its changes add up to, key to value. */
 struct fixture {
 	struct replica *replica;
@@ -214,110 +218,70 @@
 }
 
 /*
- * Stores restored at random times from a copy some changes old, some twice
- * before a replica sees them. Replicas that read the store and ones that learn
- * from these end with its items.
+ * A replica syncs from a store at random times, and another one from it. Both
+ * end with the store's items. With restores, the store comes back from a copy
+ * some changes old, at times twice before a replica sees it.
  */
 static void
-test_random_restores(void)
+play_random(guint32 seed, bool restores)
 {
 	enum {
 		STEPS = 4000,
-		KEYS = 12,
-		SEEDS = 20
+		KEYS = 12
 	};
-
-	for (guint32 seed = 1; seed <= SEEDS; seed++) {
-		GRand *rand = g_rand_new_with_seed(seed);
-		struct fixture store, copy, a, b;
-		uint64_t revision = 1, era = 1;
-
-		fixture_init(&store);
-		fixture_init(&copy);
-		fixture_init(&a);
-		fixture_init(&b);
-		for (int i = 0; i < STEPS; i++) {
-			char *key = g_strdup_printf(
-			    "k%d", g_rand_int_range(rand, 0, KEYS));
-			char *value = g_strdup_printf("%d", i);
-
-			revision++;
-			put(&store, key,
-			    g_rand_int_range(rand, 0, 3) == 0 ? NULL : value,
-			    revision);
-			replica_advance(store.replica, revision);
-			if (g_rand_int_range(rand, 0, 20) == 0)
-				sync_from(&copy, &store);
-			if (g_rand_int_range(rand, 0, 200) == 0) {
-				restore_from(&store, &copy, ++era);
-				revision = replica_revision(store.replica);
-			}
-			if (g_rand_int_range(rand, 0, 5) == 0)
-				sync_from(&a, &store);
-			if (g_rand_int_range(rand, 0, 50) == 0)
-				sync_from(&b, &a);
-			g_free(key);
-			g_free(value);
+	GRand *rand = g_rand_new_with_seed(seed);
+	struct fixture store, copy, a, b;
+	uint64_t revision = 1, era = 1;
+
+	fixture_init(&store);
+	fixture_init(&copy);
+	fixture_init(&a);
+	fixture_init(&b);
+	for (int i = 0; i < STEPS; i++) {
+		char *key =
+		    g_strdup_printf("k%d", g_rand_int_range(rand, 0, KEYS));
+		char *value = g_strdup_printf("%d", i);
+
+		revision++;
+		put(&store, key,
+		    g_rand_int_range(rand, 0, 3) == 0 ? NULL : value, revision);
+		replica_advance(store.replica, revision);
+		if (g_rand_int_range(rand, 0, 20) == 0)
+			sync_from(&copy, &store);
+		if (restores && g_rand_int_range(rand, 0, 200) == 0) {
+			restore_from(&store, &copy, ++era);
+			revision = replica_revision(store.replica);
 		}
-		sync_from(&a, &store);
-		sync_from(&b, &a);
-		CU_ASSERT_TRUE(has_same_items(&a, &store));
-		CU_ASSERT_TRUE(has_same_items(&b, &store));
-		fixture_clear(&store);
-		fixture_clear(&copy);
-		fixture_clear(&a);
-		fixture_clear(&b);
-		g_rand_free(rand);
+		if (g_rand_int_range(rand, 0, 5) == 0)
+			sync_from(&a, &store);
+		if (g_rand_int_range(rand, 0, 50) == 0)
+			sync_from(&b, &a);
+		g_free(key);
+		g_free(value);
 	}
+	sync_from(&a, &store);
+	sync_from(&b, &a);
+	CU_ASSERT_TRUE(has_same_items(&a, &store));
+	CU_ASSERT_TRUE(has_same_items(&b, &store));
+	fixture_clear(&store);
+	fixture_clear(&copy);
+	fixture_clear(&a);
+	fixture_clear(&b);
+	g_rand_free(rand);
 }
 
-/*
- * A replica that syncs from a store at random times and one that syncs from the
- * replica both end with the store's items.
- */
 static void
 test_random_sync(void)
 {
-	enum {
-		STEPS = 4000,
-		KEYS = 12,
-		SEEDS = 20
-	};
+	for (guint32 seed = 1; seed <= RANDOM_SEEDS; seed++)
+		play_random(seed, false);
+}
 
-	for (guint32 seed = 1; seed <= SEEDS; seed++) {
-		GRand *rand = g_rand_new_with_seed(seed);
-		struct fixture store, a, b;
-		uint64_t revision = 1;
-
-		fixture_init(&store);
-		fixture_init(&a);
-		fixture_init(&b);
-		for (int i = 0; i < STEPS; i++) {
-			char *key = g_strdup_printf(
-			    "k%d", g_rand_int_range(rand, 0, KEYS));
-			char *value = g_strdup_printf("%d", i);
-
-			revision++;
-			put(&store, key,
-			    g_rand_int_range(rand, 0, 3) == 0 ? NULL : value,
-			    revision);
-			replica_advance(store.replica, revision);
-			if (g_rand_int_range(rand, 0, 5) == 0)
-				sync_from(&a, &store);
-			if (g_rand_int_range(rand, 0, 50) == 0)
-				sync_from(&b, &a);
-			g_free(key);
-			g_free(value);
-		}
-		sync_from(&a, &store);
-		sync_from(&b, &a);
-		CU_ASSERT_TRUE(has_same_items(&a, &store));
-		CU_ASSERT_TRUE(has_same_items(&b, &store));
-		fixture_clear(&store);
-		fixture_clear(&a);
-		fixture_clear(&b);
-		g_rand_free(rand);
-	}
+static void
+test_random_restores(void)
+{
+	for (guint32 seed = 1; seed <= RANDOM_SEEDS; seed++)
+		play_random(seed, true);
 }
 
 static const struct test_case cases[] = {
