guard, proxy: draw the limit of large responses out of the gate

Change: guard/bulk_limit computes it without I/O; the grace period of registrations moves to follower_role.c. No behaviour changes.

--- a/include/trefoilhill-proxy/follower_private.h
+++ b/include/trefoilhill-proxy/follower_private.h
@@ -34,6 +34,7 @@
 /* Update whether this node is one of its zone's readers. */
 void follower_update_role(struct follower *follower);
 bool follower_is_stale(const struct follower *follower);
+uint32_t follower_outage_grace_ms(const struct follower *follower);
 uint32_t follower_change_batch_ms(const struct follower *follower);
 uint32_t follower_watch_wait_ms(const struct follower *follower);
 
--- a/trefoilhill-proxy/follower.c
+++ b/trefoilhill-proxy/follower.c
@@ -20,16 +20,6 @@
 	 * kept for the grace period, for upstreams to register again.
 	 */
 	OUTAGE_MIN_MS = 1000,
-	/*
-	 * The grace period; upstreams register again about two seconds after
-	 * the store is back.
-	 */
-	GRACE_MAX_MS = 2000,
-	/*
-	 * A registration may also have ended because the upstream stops, which
-	 * takes requests for drain_ms; this is for news to reach all nodes.
-	 */
-	GRACE_MARGIN_MS = 300,
 	/* A watch that lags behind peers for longer is restarted. */
 	WATCH_LAG_MAX_MS = 700,
 };
@@ -44,22 +34,12 @@
 	    OUTAGE_MIN_MS;
 }
 
-/* Time for which registrations that ended in an outage are kept. */
-static uint32_t
-outage_grace_ms(const struct follower *follower)
-{
-	uint32_t drain_ms = follower->proxy->settings->mesh.drain_ms;
-
-	return MIN(MAX(drain_ms, GRACE_MARGIN_MS) - GRACE_MARGIN_MS,
-	    (uint32_t)GRACE_MAX_MS);
-}
-
 /* Time for which a removed registration is kept. */
 static uint32_t
 grace_ms(const struct follower *follower)
 {
 	if (follower->catching_up)
-		return outage_grace_ms(follower);
+		return follower_outage_grace_ms(follower);
 	return (uint32_t)follower->peer_grace_ms;
 }
 
@@ -71,7 +51,7 @@
 		.position = replica_position(follower->replica),
 		.from_backup = from_backup,
 		.now_ms = proxy_now_ms(follower->proxy),
-		.grace_ms = from_backup ? outage_grace_ms(follower)
+		.grace_ms = from_backup ? follower_outage_grace_ms(follower)
 					: grace_ms(follower),
 	};
 	struct catalog_change change;
@@ -175,7 +155,7 @@
 	follower->catching_up = is_in_outage(follower);
 	if (follower->catching_up)
 		follower->removal_grace_until_ms =
-		    now_ms + outage_grace_ms(follower);
+		    now_ms + follower_outage_grace_ms(follower);
 	follower_log(follower, "store_back", "",
 	    now_ms - follower->unreachable_since_ms);
 	follower->unreachable_since_ms = 0;
--- a/trefoilhill-proxy/follower_role.c
+++ b/trefoilhill-proxy/follower_role.c
@@ -17,6 +17,16 @@
 	CHANGE_BATCH_READER_MS = 100,
 	CHANGE_BATCH_MIN_MS = 400,
 	CHANGE_BATCH_MAX_MS = 600,
+	/*
+	 * The grace period; upstreams register again about two seconds after
+	 * the store is back.
+	 */
+	GRACE_MAX_MS = 2000,
+	/*
+	 * A registration may also have ended because the upstream stops, which
+	 * takes requests for drain_ms; this is for news to reach all nodes.
+	 */
+	GRACE_MARGIN_MS = 300,
 	/* A copy without confirmation for longer is stale. */
 	CONFIRMATION_MAX_AGE_MS = 3000,
 };
@@ -143,3 +153,16 @@
 	return max_ms / 4 +
 	    (uint32_t)rng_below(follower->proxy->rng, max_ms * 3 / 4);
 }
+
+/*
+ * Return for how long registrations that ended in an outage of the store are
+ * kept.
+ */
+uint32_t
+follower_outage_grace_ms(const struct follower *follower)
+{
+	uint32_t drain_ms = follower->proxy->settings->mesh.drain_ms;
+
+	return MIN(MAX(drain_ms, GRACE_MARGIN_MS) - GRACE_MARGIN_MS,
+	    (uint32_t)GRACE_MAX_MS);
+}
--- a/trefoilhill-proxy/gate.c
+++ b/trefoilhill-proxy/gate.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "guard/bulk_limit.h"
 #include "trefoilhill-proxy/gate.h"
 #include "trefoilhill-proxy/instance_probe.h"
 
@@ -20,10 +21,6 @@
 	 * ones.
 	 */
 	COLD_RATE_PERCENT = 90,
-	BULK_MEAN_WEIGHT = 16, /* a new value's weight is 1 / this */
-	/* Of the number of requests that just saturates the link. */
-	BULK_LIMIT_PERCENT = 130,
-	BITS_PER_BYTE = 8,
 };
 
 struct gate {
@@ -43,8 +40,7 @@
 	char *replaced_id; /* previous instance of the same service */
 	uint64_t started_ms;
 	bool zone_out;
-	int64_t bulk_bytes;            /* mean size of a large response */
-	int64_t bulk_run_ms;           /* mean time until its head */
+	struct bulk_limit bulk_limit;
 	int64_t mismatch_until_ms;     /* another instance responded */
 	int64_t assumed_cold_until_ms; /* assumed, not reported */
 };
@@ -361,22 +357,13 @@
 gate_record_bulk(struct gate *gate, uint64_t bytes, int64_t run_ms)
 {
 	int64_t kbps = gate->proxy->settings->node.link_kbps;
-	int64_t transfer_ms, limit;
+	struct bulk_bounds bounds;
 
 	if (kbps == 0)
 		return;
-	gate->bulk_bytes +=
-	    ((int64_t)bytes - gate->bulk_bytes) / BULK_MEAN_WEIGHT;
-	gate->bulk_run_ms += (run_ms - gate->bulk_run_ms) / BULK_MEAN_WEIGHT;
-	transfer_ms = gate->bulk_bytes * BITS_PER_BYTE / kbps;
-	if (transfer_ms == 0) {
-		admission_set_bulk(gate->admission, 0, 0);
-		return;
-	}
-	limit = (gate->bulk_run_ms + transfer_ms) * BULK_LIMIT_PERCENT /
-	    PERCENT / transfer_ms;
+	bounds = bulk_limit_record(&gate->bulk_limit, bytes, run_ms, kbps);
 	admission_set_bulk(
-	    gate->admission, (uint32_t)MAX(limit, 2), (uint32_t)transfer_ms);
+	    gate->admission, bounds.concurrent, bounds.transfer_ms);
 }
 
 /*
