--- a/tests/soak/test_restored.py
+++ b/tests/soak/test_restored.py
@@ -13,15 +13,14 @@
 
 import asyncio
 import pathlib
-import random
 import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
 from callers import Callers  # noqa: E402
-from scenario import run_scenario  # noqa: E402
-from mesh import CALLER_PORT, Mesh  # noqa: E402
+from scenario import run_mesh_scenario  # noqa: E402
+from mesh import CALLER_PORT  # noqa: E402
 
 HOSTS = 6
 AWAY_S = 0.8
@@ -125,14 +124,5 @@
     return all(checks.values())
 
 
-async def run(program, directory):
-    mesh = Mesh(program, directory, HOSTS, random.Random(1))
-    try:
-        await mesh.start()
-        return await play(mesh)
-    finally:
-        await mesh.stop()
-
-
 if __name__ == "__main__":
-    sys.exit(run_scenario(run))
+    sys.exit(run_mesh_scenario(play, HOSTS))
--- a/tests/soak/test_unconfirmed.py
+++ b/tests/soak/test_unconfirmed.py
@@ -11,14 +11,13 @@
 
 import asyncio
 import pathlib
-import random
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
 from callers import Callers  # noqa: E402
-from scenario import run_scenario  # noqa: E402
-from mesh import CALLER_PORT, Mesh  # noqa: E402
+from scenario import run_mesh_scenario  # noqa: E402
+from mesh import CALLER_PORT  # noqa: E402
 
 HOSTS = 6
 ENTRY, LEDGERS = 1, (3, 4, 5)  # host numbers
@@ -71,14 +70,5 @@
     return all(checks.values())
 
 
-async def run(program, directory):
-    mesh = Mesh(program, directory, HOSTS, random.Random(1))
-    try:
-        await mesh.start()
-        return await play(mesh)
-    finally:
-        await mesh.stop()
-
-
 if __name__ == "__main__":
-    sys.exit(run_scenario(run))
+    sys.exit(run_mesh_scenario(play, HOSTS))
