proxy: count cancelled attempts that may have run

A hedge's answer had begun, the first attempt was cancelled, then the answer broke off and the request was sent a third time: a cancelled attempt was not counted, though its upstream may run it to its end. Change: cancelled attempts that may have run count as runs. Test: hedge_cut, real processes; on the code before 2 or 3 of 6 requests run three times, in each of three runs.

--- a/include/trefoilhill-proxy/exchange.h
+++ b/include/trefoilhill-proxy/exchange.h
@@ -50,7 +50,7 @@
 	struct upstream *tried_refs[BALANCE_TRIED_MAX]; /* holds references */
 	size_t tried_count;
 	uint32_t attempt_count;
-	uint32_t runs;                /* attempts that may have run */
+	uint32_t runs;                /* ended attempts that may have run */
 	uint32_t upstream_rejections; /* attempts an upstream declined to run */
 	bool misdirected; /* addressed to another instance than the local one */
 	bool rejected_with_room; /* the last one, by an idle upstream */
--- a/trefoilhill-proxy/exchange.c
+++ b/trefoilhill-proxy/exchange.c
@@ -93,6 +93,8 @@
 		if (attempt == NULL || attempt == except)
 			continue;
 		exchange->attempts[i] = NULL;
+		/* The upstream may run it to its end all the same. */
+		exchange->runs += attempt->may_run;
 		attempt_cancel(attempt);
 	}
 }
