platform, proxy: log what upstreams say of themselves

Change: Server-Limit and Server-Leaving are decoded into a notice of the upstream. A change is logged (gate_notice), each decision carries the limit, and metrics show both. Nothing is decided by them yet. A limit that can't be read keeps the last one, and is logged once.

Result: unit tests of the decoding and of the notice pass.

--- a/include/fleet/upstream.h
+++ b/include/fleet/upstream.h
@@ -8,6 +8,7 @@
 
 #include "common/str.h"
 #include "fleet/fleet_zone.h"
+#include "fleet/upstream_notice.h"
 
 /* An upstream's own registration. */
 struct upstream_entry {
@@ -56,6 +57,7 @@
 	bool listed;          /* false once removed from the catalog */
 	int64_t remove_at_ms; /* end of the grace period; 0: none runs */
 	int64_t cold_until_ms;
+	struct upstream_notice notice; /* in its latest response */
 	struct load_report load;
 	int64_t load_ms; /* when load was received; 0: never */
 	/* This node's requests in flight at load_ms, and now. */
--- a/include/platform/headers.h
+++ b/include/platform/headers.h
@@ -1,6 +1,7 @@
 #ifndef TREFOILHILL_PLATFORM_HEADERS_H
 #define TREFOILHILL_PLATFORM_HEADERS_H
 
+#include "fleet/upstream_notice.h"
 #include "http/head.h"
 
 /* Platform headers of a caller's request; strings point into its head. */
@@ -16,6 +17,7 @@
 	bool not_run;        /* the upstream did not start the request */
 	struct str instance; /* the upstream's id; may be empty */
 	int64_t cold_ms;     /* cold-start time left; -1: not given */
+	struct upstream_notice notice;
 };
 
 /* Headers that the proxy sets on a request to an upstream. */
--- a/include/trefoilhill-proxy/gate.h
+++ b/include/trefoilhill-proxy/gate.h
@@ -27,6 +27,9 @@
 /* Record the size of a large response and the upstream's time for it. */
 void gate_record_bulk(struct gate *gate, uint64_t bytes, int64_t run_ms);
 struct load_report gate_load_report(struct gate *gate);
+/* Record what an upstream says of itself in a response to this node. */
+void gate_record_notice(struct gate *gate, struct upstream *upstream,
+    const struct upstream_notice *notice);
 bool gate_accepts_instance(const struct gate *gate, struct str instance);
 void gate_record_mismatch(struct gate *gate);
 
--- a/tests/platform/test_codec.c
+++ b/tests/platform/test_codec.c
@@ -254,6 +254,47 @@
 	http_head_free(head);
 }
 
+static struct upstream_notice
+parse_notice(const char *limit, const char *leaving)
+{
+	struct http_head *head = http_head_new();
+	struct platform_response_headers response;
+
+	if (limit != NULL)
+		http_head_add(head, str_from("server-limit"), str_from(limit));
+	if (leaving != NULL)
+		http_head_add(
+		    head, str_from("Server-Leaving"), str_from(leaving));
+	platform_parse_response_headers(head, &response);
+	http_head_free(head);
+	return response.notice;
+}
+
+/* A limit that can't be read is told from one that is absent. */
+static void
+test_notice(void)
+{
+	static const char *const invalid[] = { "", "x", "-1", "nan", "inf",
+		"100000000000000000000000000" };
+	struct upstream_notice notice = parse_notice(NULL, NULL);
+
+	CU_ASSERT_FALSE(notice.has_rate_limit || notice.rate_limit_invalid ||
+	    notice.leaving);
+	notice = parse_notice("16.4", "1");
+	CU_ASSERT_TRUE(notice.has_rate_limit && notice.leaving);
+	CU_ASSERT_EQUAL(notice.rate_limit_per_ks, 16400);
+	notice = parse_notice("0", "0");
+	CU_ASSERT_TRUE(notice.has_rate_limit && !notice.leaving);
+	CU_ASSERT_EQUAL(notice.rate_limit_per_ks, 0);
+	notice = parse_notice("1e11", NULL);
+	CU_ASSERT_EQUAL(notice.rate_limit_per_ks, UINT32_MAX);
+	for (size_t i = 0; i < G_N_ELEMENTS(invalid); i++) {
+		notice = parse_notice(invalid[i], NULL);
+		CU_ASSERT_TRUE(
+		    notice.rate_limit_invalid && !notice.has_rate_limit);
+	}
+}
+
 static const struct test_case cases[] = {
 	{ "configuration", test_config },
 	{ "an invalid configuration is rejected as a whole",
@@ -264,6 +305,7 @@
 	    test_invalid_upstreams_are_rejected },
 	{ "other keys", test_other_keys },
 	{ "headers", test_headers },
+	{ "notices of an upstream", test_notice },
 	{ NULL, NULL },
 };
 
--- a/trefoilhill-proxy/attempt_response.c
+++ b/trefoilhill-proxy/attempt_response.c
@@ -54,6 +54,10 @@
 		proxy_count(&attempt->proxy->stats, STAT_RESPONSES_DISCARDED);
 		return;
 	}
+	/* Status 421 comes from another upstream than the intended one. */
+	if (head->status != 421)
+		gate_record_notice(
+		    attempt->proxy->gate, attempt->upstream, &headers.notice);
 	if (headers.not_run || head->status == 421) {
 		attempt->upstream_rejected = true;
 		attempt->misdirected = head->status == 421;
--- a/trefoilhill-proxy/exchange.c
+++ b/trefoilhill-proxy/exchange.c
@@ -70,6 +70,10 @@
 		json_line_int(line, "limit", upstream->load.limit);
 		json_line_int(line, "in_flight", upstream->load.in_flight);
 		json_line_int(line, "queued", upstream->load.queued);
+		if (upstream->notice.has_rate_limit)
+			json_line_int(line, "rate_limit_per_ks",
+			    upstream->notice.rate_limit_per_ks);
+		json_line_bool(line, "leaving", upstream->notice.leaving);
 		json_line_int(line, "load_age_ms",
 		    upstream->load_ms == 0
 			? -1
--- a/trefoilhill-proxy/gate.c
+++ b/trefoilhill-proxy/gate.c
@@ -366,6 +366,28 @@
 	    gate->admission, bounds.concurrent, bounds.transfer_ms);
 }
 
+/*
+ * Record what an upstream says of itself in a response.
+ */
+void
+gate_record_notice(struct gate *gate, struct upstream *upstream,
+    const struct upstream_notice *notice)
+{
+	struct json_line *line;
+
+	if (!upstream_notice_update(&upstream->notice, notice))
+		return;
+	line = json_log_begin(gate->proxy->log, LOG_CLASS_STATE, "gate_notice");
+	json_line_cstr(line, "upstream", upstream->entry.id);
+	json_line_bool(line, "limited", upstream->notice.has_rate_limit);
+	json_line_bool(
+	    line, "limit_invalid", upstream->notice.rate_limit_invalid);
+	json_line_int(
+	    line, "rate_limit_per_ks", upstream->notice.rate_limit_per_ks);
+	json_line_bool(line, "leaving", upstream->notice.leaving);
+	json_log_end(line);
+}
+
 /*
  * Tell whether a request for an instance may run here: the instance is the
  * current one, or the one that it replaced for the same service.
--- a/trefoilhill-proxy/proxy.c
+++ b/trefoilhill-proxy/proxy.c
@@ -328,7 +328,11 @@
 	struct store_position position =
 	    replica_position(follower_replica(proxy->follower));
 	struct load_report load = gate_load_report(proxy->gate);
+	const struct upstream *upstream = gate_upstream(proxy->gate);
+	struct upstream_notice notice = { 0 };
 
+	if (upstream != NULL)
+		notice = upstream->notice;
 	proxy_stats_render(&proxy->stats, out);
 	g_string_append_printf(out,
 	    "trefoilhill_gate_limit %u\ntrefoilhill_gate_in_flight %u\n"
@@ -337,6 +341,12 @@
 	    "trefoilhill_gate_accepting %d\n",
 	    load.limit, load.in_flight, load.queued, load.latency_us,
 	    load.failures_per_mille, load.accepting);
+	if (notice.has_rate_limit)
+		g_string_append_printf(out,
+		    "trefoilhill_gate_rate_limit_per_ks %u\n",
+		    notice.rate_limit_per_ks);
+	g_string_append_printf(
+	    out, "trefoilhill_gate_leaving %d\n", notice.leaving);
 	g_string_append_printf(out,
 	    "trefoilhill_config_revision %" G_GUINT64_FORMAT "\n"
 	    "trefoilhill_replica_era %" G_GUINT64_FORMAT "\n"
