soak: reproduce limits and announcements that are ignored

With real nodes and an upstream that names a limit of 1.5 a second in its responses, 289 requests reached it in 4 s, 14 allowed. The decisions' lines show the limit and the same upstream chosen all the while, so hypothesis 1 holds: the answer is read now, and nothing is decided by it. The announcement to leave is ignored in the same way.

--- a/tests/soak/upstream.py
+++ b/tests/soak/upstream.py
@@ -42,6 +42,8 @@
         self.extra_share = 0.0
         self.slowdown = 1.0
         self.cold_until = 0.0
+        self.limit_per_s = None  # that it names in its responses
+        self.leaving = False  # as above
         self.server = None
         self.writers = set()
 
@@ -121,6 +123,10 @@
         return True
 
     def head(self, status, length, request, extra_headers=""):
+        if self.limit_per_s is not None:
+            extra_headers += f"Server-Limit: {self.limit_per_s}\r\n"
+        if self.leaving:
+            extra_headers += "Server-Leaving: 1\r\n"
         return (f"HTTP/1.1 {status} x\r\nContent-Length: {length}\r\n"
                 f"X-Attempt-Id: {request}\r\n{SIGNATURE}: {self.id}.{request}"
                 f"\r\n{extra_headers}Keep-Alive: timeout=5\r\n\r\n").encode()
