guard, route, proxy: keep to the limit that an upstream names

Callers saw no failure; an upstream in need got several times the requests that it had asked for (204 in 4 s, 94 allowed).

Cause: an upstream names the limit in its responses, and the nodes relayed the field without reading it. What is decided at the gate came from the store, from outcomes and from run times only.

Change: the gate, which all requests pass, paces starts at the named rate, for as long as responses name it (guard/pacer). Queued requests that can't start in time by a new limit are refused at once, so that they can go elsewhere. Load reports carry the limit and the wait by it, and the balancer counts that wait. The rates of admission.c move to admission_rate.c.

A node that starts again has forgotten the limit while its peers' requests still count: they tell it with each request until the upstream has responded to the new process, and the probe of the health path tells it too. A report of a node that has not heard from its upstream doesn't erase what a peer knows. A later start of the upstream does.

Conclusion: one place counts all arrivals, so no node needs a share. Heartbeats have a new format: nodes of earlier versions refuse them.

--- a/fleet/upstream.c
+++ b/fleet/upstream.c
@@ -81,12 +81,16 @@
 
 /*
  * Replace the entry with a newer registration, taking over its strings, and
- * cancel a pending removal.
+ * cancel a pending removal. What was said before a later start is forgotten.
  */
 void
 upstream_update(
     struct upstream *upstream, struct upstream_entry *entry, int64_t now_ms)
 {
+	if (entry->started_ms != upstream->entry.started_ms) {
+		upstream->notice = (struct upstream_notice){ 0 };
+		upstream->load.rate_limit_per_ks = 0;
+	}
 	upstream_entry_clear(&upstream->entry);
 	upstream->entry = *entry;
 	*entry = (struct upstream_entry){ 0 };
@@ -96,13 +100,18 @@
 }
 
 /*
- * Store a load report of the upstream's guard.
+ * Store a load report of the upstream's guard. A guard that has just started
+ * may not know of a limit that the upstream has named before.
  */
 void
 upstream_set_load(
     struct upstream *upstream, const struct load_report *load, int64_t now_ms)
 {
+	uint32_t rate_limit_per_ks = upstream->load.rate_limit_per_ks;
+
 	upstream->load = *load;
+	if (!load->rate_limit_known)
+		upstream->load.rate_limit_per_ks = rate_limit_per_ks;
 	upstream->load_ms = now_ms;
 	upstream->own_in_flight_at_load = upstream->own_in_flight;
 }
--- a/fleet/upstream_notice.c
+++ b/fleet/upstream_notice.c
@@ -11,6 +11,7 @@
 	struct upstream_notice before = *known;
 
 	*known = *latest;
+	known->known = true;
 	known->leaving = before.leaving || latest->leaving;
 	if (latest->rate_limit_invalid) {
 		known->has_rate_limit = before.has_rate_limit;
--- a/guard/admission.c
+++ b/guard/admission.c
@@ -63,16 +63,6 @@
 	admission->limit = slots * LIMIT_SCALE;
 }
 
-/*
- * Treat the upstream as cold until a time, and limit its rate until then.
- */
-void
-admission_set_cold(struct admission *admission, int64_t until_ms, double per_s)
-{
-	admission->cold_until_ms = until_ms;
-	admission->cold_per_s = per_s;
-}
-
 /*
  * Open or close. Closing refuses the queued requests.
  */
@@ -121,83 +111,6 @@
 	    admission->bulk_in_flight >= admission->bulk_limit;
 }
 
-static uint32_t
-current_limit(const struct admission *admission)
-{
-	/* After a pause a single request probes the upstream. */
-	if (admission->pause_ms > 0)
-		return 1;
-	return MAX(1, admission->limit / LIMIT_SCALE);
-}
-
-static bool
-is_cold(const struct admission *admission, int64_t now_ms)
-{
-	return admission->cold_until_ms > now_ms;
-}
-
-static void
-prune_starts(struct admission *admission, int64_t now_ms)
-{
-	while (!g_queue_is_empty(&admission->starts)) {
-		const int64_t *oldest = g_queue_peek_head(&admission->starts);
-
-		if (now_ms - *oldest < COLD_WINDOW_MS &&
-		    g_queue_get_length(&admission->starts) < COLD_STARTS_MAX)
-			return;
-		g_free(g_queue_pop_head(&admission->starts));
-	}
-}
-
-static void
-record_start(struct admission *admission, const struct admission_waiter *waiter,
-    int64_t now_ms)
-{
-	int64_t *start_ms = g_new(int64_t, 1);
-
-	*start_ms = now_ms;
-	g_queue_push_tail(&admission->starts, start_ms);
-	admission->in_flight++;
-	admission->bulk_in_flight += waiter->bulk;
-}
-
-/* Earliest time for the next start; now_ms or earlier means at once. */
-static int64_t
-next_start_ms(struct admission *admission, int64_t now_ms)
-{
-	const int64_t *oldest;
-	uint32_t starts_max;
-
-	if (admission->paused_until_ms > now_ms)
-		return admission->paused_until_ms;
-	prune_starts(admission, now_ms);
-	if (!is_cold(admission, now_ms))
-		return now_ms;
-	starts_max = MAX(1, (uint32_t)admission->cold_per_s);
-	if (g_queue_get_length(&admission->starts) < starts_max)
-		return now_ms;
-	oldest = g_queue_peek_nth(&admission->starts,
-	    g_queue_get_length(&admission->starts) - starts_max);
-	return MIN(*oldest + COLD_WINDOW_MS, admission->cold_until_ms);
-}
-
-/* Expected wait of a request with ahead others before it in the queue. */
-static int64_t
-expected_wait_ms(const struct admission *admission,
-    const struct admission_waiter *waiter, uint32_t ahead, int64_t now_ms)
-{
-	double by_limit = (double)(ahead + 1) * admission->latency_us / 1000 /
-	    current_limit(admission);
-	double by_rate = 0, by_link = 0;
-
-	if (is_cold(admission, now_ms) && admission->cold_per_s > 0)
-		by_rate = (double)(ahead + 1) * 1000 / admission->cold_per_s;
-	if (waiter->bulk && admission->bulk_limit > 0)
-		by_link = (double)admission_bulk_ahead(admission, waiter) *
-		    admission->bulk_transfer_ms;
-	return (int64_t)MAX(MAX(by_limit, by_rate), by_link);
-}
-
 /*
  * Start, queue or refuse a request. The waiter must stay valid while it is
  * queued. A full queue evicts its last request, unless that is the new one.
@@ -221,16 +134,17 @@
 		return ADMISSION_REFUSED;
 	}
 	if (g_queue_get_length(&admission->queue) == admission->bulk_queued &&
-	    admission->in_flight < current_limit(admission) &&
+	    admission->in_flight < admission_limit(admission) &&
 	    !(waiter->bulk &&
 		(admission->bulk_queued > 0 ||
 		    admission_is_bulk_full(admission))) &&
-	    next_start_ms(admission, now_ms) <= now_ms) {
-		record_start(admission, waiter, now_ms);
+	    admission_next_start_ms(admission, now_ms) <= now_ms) {
+		admission_record_start(admission, waiter, now_ms);
 		return ADMISSION_RUN;
 	}
 	ahead = admission_enqueue(admission, waiter);
-	if (now_ms + expected_wait_ms(admission, waiter, ahead, now_ms) >
+	if (now_ms +
+		admission_expected_wait_ms(admission, waiter, ahead, now_ms) >
 	    waiter->latest_start_ms)
 		*reason = ADMISSION_TOO_LATE;
 	else if (g_queue_get_length(&admission->queue) >
@@ -271,17 +185,17 @@
 			wake_ms = waiter->latest_start_ms + 1;
 		}
 	}
-	while (admission->in_flight < current_limit(admission)) {
+	while (admission->in_flight < admission_limit(admission)) {
 		struct admission_waiter *waiter =
 		    admission_next_startable(admission);
-		int64_t allowed_ms = next_start_ms(admission, now_ms);
+		int64_t allowed_ms = admission_next_start_ms(admission, now_ms);
 
 		if (waiter == NULL)
 			break;
 		if (allowed_ms > now_ms)
 			return wake_ms == 0 ? allowed_ms
 					    : MIN(wake_ms, allowed_ms);
-		record_start(admission, waiter, now_ms);
+		admission_record_start(admission, waiter, now_ms);
 		admission_dequeue(admission, waiter, ADMISSION_OK);
 	}
 	return g_queue_is_empty(&admission->queue) ? 0 : wake_ms;
@@ -306,9 +220,9 @@
 struct load_report
 admission_report(const struct admission *admission, int64_t now_ms)
 {
-	uint32_t limit = current_limit(admission);
+	uint32_t limit = admission_limit(admission);
 
-	if (is_cold(admission, now_ms)) {
+	if (admission_is_cold(admission, now_ms)) {
 		double rate =
 		    admission->cold_per_s * admission->latency_us / 1e6;
 
@@ -326,6 +240,8 @@
 		    ? admission->bulk_queued + 1
 		    : admission->bulk_queued,
 		.bulk_transfer_ms = admission->bulk_transfer_ms,
+		.rate_wait_ms = (uint32_t)pacer_wait_ms(&admission->pacer,
+		    g_queue_get_length((GQueue *)&admission->queue), now_ms),
 		.accepting =
 		    admission->open && admission->paused_until_ms <= now_ms,
 	};
--- a/include/fleet/upstream.h
+++ b/include/fleet/upstream.h
@@ -32,6 +32,15 @@
 	uint32_t failures_per_mille; /* of recent requests */
 	uint32_t bulk_waiting;       /* large responses queued for the link */
 	uint32_t bulk_transfer_ms;   /* link time of one large response */
+	/*
+	 * Limit that the upstream has named, in requests per 1,000 seconds
+	 * from all nodes together, and the wait of one more request by it; 0:
+	 * none. Unless its node has heard from the upstream since the node's
+	 * start, it knows of no limit.
+	 */
+	bool rate_limit_known;
+	uint32_t rate_limit_per_ks;
+	uint32_t rate_wait_ms;
 	bool accepting;
 };
 
--- a/include/fleet/upstream_notice.h
+++ b/include/fleet/upstream_notice.h
@@ -9,6 +9,7 @@
  * registration in the store, and known while the store is away.
  */
 struct upstream_notice {
+	bool known; /* it has responded, to the node that holds this notice */
 	bool has_rate_limit;
 	/* The limit can't be read; the one known before holds. */
 	bool rate_limit_invalid;
--- a/include/guard/admission.h
+++ b/include/guard/admission.h
@@ -9,9 +9,10 @@
 
 /*
  * Admission control for one upstream: a concurrency limit, a rate limit while
- * the upstream is cold, and a short queue ordered by priority, then by whether
- * the request can still meet its objective, then by its latest start. A pure
- * state machine without I/O; times are milliseconds of a monotonic clock.
+ * the upstream is cold or names one, and a short queue ordered by priority,
+ * then by whether the request can still meet its objective, then by its latest
+ * start. A pure state machine without I/O; times are milliseconds of a
+ * monotonic clock.
  */
 struct admission;
 
@@ -77,6 +78,12 @@
 /* Limit the rate to per_s requests a second until until_ms. */
 void admission_set_cold(
     struct admission *admission, int64_t until_ms, double per_s);
+/*
+ * Limit the rate to per_ks requests in 1,000 seconds; 0: no limit. Queued
+ * requests that can't start in time by a new limit are refused.
+ */
+void admission_set_rate_limit(
+    struct admission *admission, uint32_t per_ks, int64_t now_ms);
 /*
  * Limit how many requests with large responses run at once; 0: no limit.
  * transfer_ms is the time that this host's network link needs for one such
--- a/include/guard/admission_private.h
+++ b/include/guard/admission_private.h
@@ -2,6 +2,7 @@
 #define TREFOILHILL_GUARD_ADMISSION_PRIVATE_H
 
 #include "guard/admission.h"
+#include "guard/pacer.h"
 
 /* Internals of the admission; include only from its own sources. */
 enum {
@@ -29,6 +30,7 @@
 	GQueue queue; /* struct admission_waiter *, most urgent first */
 	int64_t cold_until_ms;
 	double cold_per_s;
+	struct pacer pacer; /* by the limit that the upstream has named */
 	GQueue starts; /* int64_t *, times of recent starts, oldest first */
 	uint32_t latency_us; /* moving average */
 	bool latency_known;  /* an upstream has responded since the start */
@@ -39,6 +41,13 @@
 	bool recovered; /* not yet reported by admission_take_recovered */
 };
 
+uint32_t admission_limit(const struct admission *admission);
+bool admission_is_cold(const struct admission *admission, int64_t now_ms);
+void admission_record_start(struct admission *admission,
+    const struct admission_waiter *waiter, int64_t now_ms);
+int64_t admission_next_start_ms(struct admission *admission, int64_t now_ms);
+int64_t admission_expected_wait_ms(const struct admission *admission,
+    const struct admission_waiter *waiter, uint32_t ahead, int64_t now_ms);
 bool admission_is_bulk_full(const struct admission *admission);
 uint32_t admission_enqueue(
     struct admission *admission, struct admission_waiter *waiter);
--- a/include/trefoilhill-proxy/gate.h
+++ b/include/trefoilhill-proxy/gate.h
@@ -30,6 +30,11 @@
 /* Record what an upstream says of itself in a response to this node. */
 void gate_record_notice(struct gate *gate, struct upstream *upstream,
     const struct upstream_notice *notice);
+/*
+ * A peer has been told of a limit by the upstream, in requests per 1,000 s; 0:
+ * of none.
+ */
+void gate_adopt_rate_limit(struct gate *gate, uint32_t per_ks);
 bool gate_accepts_instance(const struct gate *gate, struct str instance);
 void gate_record_mismatch(struct gate *gate);
 
--- /dev/null
+++ b/include/trefoilhill-proxy/gate_private.h
@@ -0,0 +1,33 @@
+#ifndef TREFOILHILL_TREFOILHILL_PROXY_GATE_PRIVATE_H
+#define TREFOILHILL_TREFOILHILL_PROXY_GATE_PRIVATE_H
+
+#include "guard/bulk_limit.h"
+#include "trefoilhill-proxy/gate.h"
+#include "trefoilhill-proxy/instance_probe.h"
+
+/* Private to the source files of the gate. */
+struct gate {
+	uv_timer_t *timer;
+	struct proxy *proxy;
+	struct admission *admission;
+	struct run_list runs;
+	struct http_pool *pool;
+	struct sockaddr_in address;
+	struct instance_probe *probe;
+	struct upstream *upstream; /* a reference; NULL: none registered */
+	/* Instance found in place of the registered one; NULL: none. */
+	struct upstream *probed;
+	char *probed_for_id; /* id of the registered one it replaces */
+	char *upstream_id;
+	char *service;
+	char *replaced_id; /* previous instance of the same service */
+	uint64_t started_ms;
+	bool zone_out;
+	struct bulk_limit bulk_limit;
+	int64_t mismatch_until_ms;     /* another instance responded */
+	int64_t assumed_cold_until_ms; /* assumed, not reported */
+};
+
+void gate_apply_rate_limit(struct gate *gate);
+
+#endif
--- a/include/trefoilhill-proxy/hop.h
+++ b/include/trefoilhill-proxy/hop.h
@@ -32,6 +32,8 @@
 	 */
 	bool confirm;
 	int64_t body_length;
+	/* Limit that the instance has named, as in struct load_report. */
+	uint32_t rate_limit_per_ks;
 };
 
 enum hop_outcome {
--- a/include/trefoilhill-proxy/instance_probe.h
+++ b/include/trefoilhill-proxy/instance_probe.h
@@ -10,10 +10,12 @@
  */
 struct instance_probe;
 
-/* What a healthy upstream reports about itself. */
+/* What an upstream reports about itself. */
 struct instance_info {
 	struct str id;   /* valid during the callback */
 	int64_t cold_ms; /* remaining time as a cold instance; 0: not cold */
+	struct upstream_notice notice;
+	bool healthy;
 };
 
 struct instance_probe_ops {
--- a/route/balance.c
+++ b/route/balance.c
@@ -6,6 +6,7 @@
 	/* An upstream that fails more often is avoided like a lost one. */
 	FAILING_AVOID_PER_MILLE = 400,
 	PER_MILLE = 1000,
+	MS_PER_KS = 1000 * 1000,
 	/*
 	 * An answer from another zone takes one more round trip, and traffic
 	 * between zones is expensive, above all for large answers.
@@ -45,18 +46,36 @@
 	    now_ms - upstream->load_ms < REPORT_MAX_AGE_MS;
 }
 
-/* Requests at the upstream: the last report plus those sent since then. */
+/* Requests that this node has sent to the upstream since the last report. */
 static uint32_t
-estimate_requests(const struct upstream *upstream, bool fresh)
+requests_since_report(const struct upstream *upstream)
 {
-	uint32_t since =
-	    upstream->own_in_flight > upstream->own_in_flight_at_load
+	return upstream->own_in_flight > upstream->own_in_flight_at_load
 	    ? upstream->own_in_flight - upstream->own_in_flight_at_load
 	    : 0;
+}
 
+/* Requests at the upstream: the last report plus those sent since then. */
+static uint32_t
+estimate_requests(const struct upstream *upstream, bool fresh)
+{
 	if (!fresh)
 		return upstream->own_in_flight;
-	return upstream->load.in_flight + upstream->load.queued + since;
+	return upstream->load.in_flight + upstream->load.queued +
+	    requests_since_report(upstream);
+}
+
+/* Expected wait by the limit that the upstream has named. */
+static uint64_t
+rate_wait_ms(const struct upstream *upstream)
+{
+	const struct load_report *load = &upstream->load;
+
+	if (load->rate_limit_per_ks == 0)
+		return 0;
+	return load->rate_wait_ms +
+	    (uint64_t)requests_since_report(upstream) * MS_PER_KS /
+	    load->rate_limit_per_ks;
 }
 
 /*
@@ -78,6 +97,8 @@
 
 	if (requests >= limit)
 		wait_ms = (requests - limit + 1) * latency_us / 1000 / limit;
+	if (fresh)
+		wait_ms = MAX(wait_ms, rate_wait_ms(upstream));
 	time_ms = run_ms * latency_us / MAX(mean_us, 1);
 	time_ms += time_ms * FULL_LOAD_SLOWDOWN_PERCENT * MIN(requests, limit) /
 	    limit / 100;
--- a/tests/proxy/test_fuzz.c
+++ b/tests/proxy/test_fuzz.c
@@ -146,6 +146,9 @@
 		.position = { 3, 99 },
 		.age_ms = 20,
 		.upstream = g_strdup("i-1"),
+		.load = { .rate_limit_known = true,
+		    .rate_limit_per_ks = 14800,
+		    .rate_wait_ms = 130 },
 		.lost = { { { 7 }, 120 } },
 		.lost_count = 1,
 		.items = g_ptr_array_new_with_free_func(replica_item_free),
@@ -176,6 +179,9 @@
 	CU_ASSERT_EQUAL(message.position.era, 3);
 	CU_ASSERT_EQUAL(message.position.revision, 99);
 	CU_ASSERT_EQUAL(message.items->len, 3);
+	CU_ASSERT_TRUE(message.load.rate_limit_known);
+	CU_ASSERT_EQUAL(message.load.rate_limit_per_ks, 14800);
+	CU_ASSERT_EQUAL(message.load.rate_wait_ms, 130);
 	CU_ASSERT_EQUAL(message.lost_count, 1);
 	CU_ASSERT_EQUAL(message.lost[0].host.s_addr, 7);
 	CU_ASSERT_EQUAL(message.lost[0].age_ms, 120);
@@ -190,7 +196,7 @@
 	static const char *const names[] = { "X-Trefoilhill-Hop",
 		"X-Trefoilhill-Instance", "X-Trefoilhill-Load",
 		"X-Trefoilhill-Not-Run", "X-Deadline", "X-Cold-Remaining",
-		"X-Attempt-Id" };
+		"X-Attempt-Id", "Server-Limit", "Server-Leaving" };
 	struct platform_request_headers request;
 	struct platform_response_headers response;
 	struct hop_response hop_response;
@@ -201,7 +207,8 @@
 
 		for (size_t j = 0; j < G_N_ELEMENTS(names); j++)
 			http_head_add(head, str_from(names[j]),
-			    i == j ? bytes : str_from("1 2 3 4 5 6 7 8 9"));
+			    i == j ? bytes
+				   : str_from("1 2 3 4 5 6 7 8 9 0 1 2"));
 		if (hop_read_request(head, &hop)) {
 			CU_ASSERT_TRUE(hop.remaining_ms <= HOP_TIME_MAX_MS);
 			CU_ASSERT_TRUE(hop.queue_timeout_ms >= 0 &&
@@ -218,17 +225,69 @@
 static void
 test_header_fields(void)
 {
-	static const char hop[] = "1500 300 1 1 0 0 0 1 12";
-	static const char load[] = "12 3 0 90000 0 0 5 1 87";
+	static const char hop[] = "1500 300 1 1 0 0 0 1 12 14800";
+	static const char load[] = "12 3 0 90000 0 0 5 1 87 1 14800 130";
 
 	fuzz(hop, strlen(hop), parse_fields);
 	fuzz(load, strlen(load), parse_fields);
 }
 
+/* What one node writes, another reads; an earlier version says less. */
+static void
+test_hop_fields(void)
+{
+	struct load_report load = { .limit = UINT32_MAX,
+		.in_flight = UINT32_MAX,
+		.queued = UINT32_MAX,
+		.latency_us = UINT32_MAX,
+		.failures_per_mille = UINT32_MAX,
+		.bulk_waiting = UINT32_MAX,
+		.bulk_transfer_ms = UINT32_MAX,
+		.accepting = true,
+		.rate_limit_known = true,
+		.rate_limit_per_ks = 14800,
+		.rate_wait_ms = UINT32_MAX };
+	struct hop_request request = { .instance = str_from("i-1"),
+		.caller = str_from("desk"),
+		.remaining_ms = 1500,
+		.body_length = 12,
+		.rate_limit_per_ks = 14800 };
+	struct http_head *head = http_head_new();
+	struct hop_response response;
+	GString *text = g_string_new(NULL);
+	char **lines;
+
+	hop_write_load(text, &load, 87);
+	hop_write_request(text, &request);
+	lines = g_strsplit(text->str, "\r\n", -1);
+	for (size_t i = 0; lines[i][0] != '\0'; i++) {
+		char **field = g_strsplit(lines[i], ": ", 2);
+
+		http_head_add(head, str_from(field[0]), str_from(field[1]));
+		g_strfreev(field);
+	}
+	hop_read_response(head, &response);
+	CU_ASSERT_TRUE(response.has_load && response.load.rate_limit_known);
+	CU_ASSERT_EQUAL(response.load.rate_limit_per_ks, 14800);
+	CU_ASSERT_EQUAL(response.load.rate_wait_ms, UINT32_MAX);
+	CU_ASSERT_TRUE_FATAL(hop_read_request(head, &request));
+	CU_ASSERT_EQUAL(request.rate_limit_per_ks, 14800);
+	http_head_clear(head);
+	http_head_add(head, str_from("X-Trefoilhill-Load"),
+	    str_from("12 3 0 90000 0 0 5 1 87"));
+	hop_read_response(head, &response);
+	CU_ASSERT_TRUE(response.has_load && !response.load.rate_limit_known);
+	CU_ASSERT_EQUAL(response.load.rate_limit_per_ks, 0);
+	g_strfreev(lines);
+	g_string_free(text, TRUE);
+	http_head_free(head);
+}
+
 static const struct test_case cases[] = {
 	{ "items of the store", test_items },
 	{ "heartbeats", test_heartbeats },
 	{ "header fields", test_header_fields },
+	{ "fields between nodes", test_hop_fields },
 	{ NULL, NULL },
 };
 
--- a/tests/route/test_balance.c
+++ b/tests/route/test_balance.c
@@ -110,6 +110,35 @@
 	fixture_clear(&f);
 }
 
+/* The wait by a limit that the upstream has named counts as any other. */
+static void
+test_limited_upstream_is_spared(void)
+{
+	struct load_report load = { .limit = 10,
+		.latency_us = 100000,
+		.accepting = true,
+		.rate_limit_known = true,
+		.rate_limit_per_ks = 2000,
+		.rate_wait_ms = 400 };
+	struct upstream *limited, *other;
+	struct fixture f;
+
+	fixture_init(&f);
+	limited = add_upstream(&f, "i-1", "a", "10.0.0.1");
+	other = add_upstream(&f, "i-2", "b", "10.0.0.2");
+	set_report(other, 0, 100);
+	upstream_set_load(limited, &load, NOW_MS);
+	CU_ASSERT_EQUAL(count_picks(&f, other), PICKS);
+	load.rate_wait_ms = 0;
+	upstream_set_load(limited, &load, NOW_MS);
+	CU_ASSERT_EQUAL(count_picks(&f, limited), PICKS);
+	/* One request was sent since, and takes the place of the next 500 ms.
+	 */
+	limited->own_in_flight++;
+	CU_ASSERT_EQUAL(count_picks(&f, other), PICKS);
+	fixture_clear(&f);
+}
+
 static void
 test_unusable_upstreams_are_never_chosen(void)
 {
@@ -279,6 +308,7 @@
 
 static const struct test_case cases[] = {
 	{ "local zone until it is slow", test_local_zone_until_it_is_slow },
+	{ "a limited upstream is spared", test_limited_upstream_is_spared },
 	{ "unusable upstreams are never chosen",
 	    test_unusable_upstreams_are_never_chosen },
 	{ "failing and lost upstreams are a last resort",
--- a/tests/soak/test_limit_exceeded.py
+++ b/tests/soak/test_limit_exceeded.py
@@ -72,6 +72,8 @@
     limited.limit_per_s = LIMIT_PER_S
     named = loop.time()
     await asyncio.sleep(KNOWN_AFTER_S + WINDOW_S)
+    # The health check would tell the restarted node of the limit.
+    limited.health_delay_s = WINDOW_S
     await mesh.hosts[0].stop_node(signal.SIGKILL)
     await mesh.hosts[0].start_node()
     await mesh.wait_ready(mesh.hosts[0])
@@ -83,12 +85,16 @@
         caller.cancel()
     during = [t for t in limited.starts if named + KNOWN_AFTER_S <= t < lifted]
     after = [t for t in limited.starts if t > lifted]
+    log = (mesh.directory / "node-1.log").read_text()
+    told_by_peer = any('"gate_notice"' in line and '"from":"peer"' in line
+                       for line in log.splitlines())
     served = load.statuses.count(200) / len(load.statuses)
     print(f"{most_in_window(during)} requests in {WINDOW_S:.0f} s, "
           f"{ALLOWED:.0f} allowed; {len(during)} while limited, "
-          f"{len(after)} afterwards; {served:.3f} served")
+          f"{len(after)} afterwards; {served:.3f} served; restarted node "
+          f"told by a peer: {told_by_peer}")
     return (0 < most_in_window(during) <= ALLOWED and
-            len(after) > ALLOWED and served > 0.95)
+            len(after) > ALLOWED and served > 0.95 and told_by_peer)
 
 
 if __name__ == "__main__":
--- a/tests/soak/upstream.py
+++ b/tests/soak/upstream.py
@@ -44,6 +44,7 @@
         self.cold_until = 0.0
         self.limit_per_s = None  # that it names in its responses
         self.leaving = False  # as above
+        self.health_delay_s = 0.0
         self.server = None
         self.writers = set()
 
@@ -90,6 +91,7 @@
             await reader.readexactly(length)
         request = headers.get("x-attempt-id", "")
         if head.split(" ", 2)[1] == HEALTH_PATH:
+            await asyncio.sleep(self.health_delay_s)
             left = self.cold_until - asyncio.get_running_loop().time()
             return await self.reply(
                 writer, 200, b"", "", f"X-Instance-Id: {self.id}\r\n"
--- a/trefoilhill-proxy/attempt_request.c
+++ b/trefoilhill-proxy/attempt_request.c
@@ -75,6 +75,7 @@
 		.repeat = is_repeat(attempt),
 		.confirm = attempt->needs_confirmation,
 		.body_length = exchange->body->len,
+		.rate_limit_per_ks = attempt->upstream->load.rate_limit_per_ks,
 	};
 
 	if (attempt->local)
--- a/trefoilhill-proxy/attempt_response.c
+++ b/trefoilhill-proxy/attempt_response.c
@@ -55,7 +55,7 @@
 		return;
 	}
 	/* Status 421 comes from another upstream than the intended one. */
-	if (head->status != 421)
+	if (headers.id.len > 0 && head->status != 421)
 		gate_record_notice(
 		    attempt->proxy->gate, attempt->upstream, &headers.notice);
 	if (headers.not_run || head->status == 421) {
--- a/trefoilhill-proxy/exchange_dispatch.c
+++ b/trefoilhill-proxy/exchange_dispatch.c
@@ -170,6 +170,8 @@
 		exchange_respond(exchange, 503, "other_instance", false);
 		return;
 	}
+	gate_adopt_rate_limit(
+	    exchange->proxy->gate, exchange->hop.rate_limit_per_ks);
 	start_attempt(
 	    exchange, upstream, exchange->hop.queue_timeout_ms, false, false);
 }
--- a/trefoilhill-proxy/exchange_response.c
+++ b/trefoilhill-proxy/exchange_response.c
@@ -64,8 +64,11 @@
 		return;
 	load = gate_load_report(exchange->proxy->gate);
 	/* The local instance's load doesn't apply to the intended one. */
-	if (exchange->misdirected)
+	if (exchange->misdirected) {
 		load.accepting = false;
+		load.rate_limit_known = false;
+		load.rate_limit_per_ks = 0;
+	}
 	hop_write_load(exchange->response_head, &load, run_ms);
 }
 
--- a/trefoilhill-proxy/gate.c
+++ b/trefoilhill-proxy/gate.c
@@ -1,8 +1,6 @@
 #include <string.h>
 
-#include "guard/bulk_limit.h"
-#include "trefoilhill-proxy/gate.h"
-#include "trefoilhill-proxy/instance_probe.h"
+#include "trefoilhill-proxy/gate_private.h"
 
 enum {
 	QUEUE_MAX = 256,   /* requests; their bodies are small or paused */
@@ -23,28 +21,6 @@
 	COLD_RATE_PERCENT = 90,
 };
 
-struct gate {
-	uv_timer_t *timer;
-	struct proxy *proxy;
-	struct admission *admission;
-	struct run_list runs;
-	struct http_pool *pool;
-	struct sockaddr_in address;
-	struct instance_probe *probe;
-	struct upstream *upstream; /* a reference; NULL: none registered */
-	/* Instance found in place of the registered one; NULL: none. */
-	struct upstream *probed;
-	char *probed_for_id; /* id of the registered one it replaces */
-	char *upstream_id;
-	char *service;
-	char *replaced_id; /* previous instance of the same service */
-	uint64_t started_ms;
-	bool zone_out;
-	struct bulk_limit bulk_limit;
-	int64_t mismatch_until_ms;     /* another instance responded */
-	int64_t assumed_cold_until_ms; /* assumed, not reported */
-};
-
 static void handle_instance(void *arg, const struct instance_info *info);
 
 /*
@@ -205,10 +181,15 @@
 	    catalog_upstream_at(gate->proxy->catalog, &gate->address);
 	struct upstream_entry entry;
 
-	if (registered == NULL || registered->entry.draining ||
+	if (registered == NULL)
+		return;
+	if (str_equal(str_from(registered->entry.id), info->id)) {
+		gate_record_notice(gate, registered, &info->notice);
+		return;
+	}
+	if (!info->healthy || registered->entry.draining ||
 	    !str_equal(gate->proxy->settings->upstream.service,
-		str_from(registered->entry.service)) ||
-	    str_equal(str_from(registered->entry.id), info->id))
+		str_from(registered->entry.service)))
 		return;
 	entry = registered->entry;
 	entry.id = str_dup_cstr(info->id);
@@ -223,6 +204,7 @@
 	g_free(gate->probed_for_id);
 	gate->probed_for_id = g_strdup(registered->entry.id);
 	gate_refresh(gate);
+	gate_record_notice(gate, gate->probed, &info->notice);
 }
 
 /* Switch to another upstream, or to a restarted one, or to none. */
@@ -299,6 +281,9 @@
 	if (registered != NULL &&
 	    g_strcmp0(registered->entry.id, gate->probed_for_id) == 0)
 		return gate->probed;
+	if (registered != NULL &&
+	    g_strcmp0(registered->entry.id, gate->probed->entry.id) == 0)
+		registered->notice = gate->probed->notice;
 	upstream_unref(gate->probed);
 	gate->probed = NULL;
 	return registered;
@@ -322,6 +307,7 @@
 		return;
 	}
 	admission_set_slots(gate->admission, gate->upstream->entry.slots);
+	gate_apply_rate_limit(gate);
 	refresh_cold(gate, now_ms);
 	admission_set_open(gate->admission, !gate->zone_out);
 	gate_poll(gate);
@@ -366,28 +352,6 @@
 	    gate->admission, bounds.concurrent, bounds.transfer_ms);
 }
 
-/*
- * Record what an upstream says of itself in a response.
- */
-void
-gate_record_notice(struct gate *gate, struct upstream *upstream,
-    const struct upstream_notice *notice)
-{
-	struct json_line *line;
-
-	if (!upstream_notice_update(&upstream->notice, notice))
-		return;
-	line = json_log_begin(gate->proxy->log, LOG_CLASS_STATE, "gate_notice");
-	json_line_cstr(line, "upstream", upstream->entry.id);
-	json_line_bool(line, "limited", upstream->notice.has_rate_limit);
-	json_line_bool(
-	    line, "limit_invalid", upstream->notice.rate_limit_invalid);
-	json_line_int(
-	    line, "rate_limit_per_ks", upstream->notice.rate_limit_per_ks);
-	json_line_bool(line, "leaving", upstream->notice.leaving);
-	json_log_end(line);
-}
-
 /*
  * Tell whether a request for an instance may run here: the instance is the
  * current one, or the one that it replaced for the same service.
@@ -424,7 +388,16 @@
 {
 	struct load_report report =
 	    admission_report(gate->admission, proxy_now_ms(gate->proxy));
+	const struct upstream *upstream = gate->upstream;
 
+	if (upstream != NULL) {
+		const struct upstream_notice *notice = &upstream->notice;
+
+		report.rate_limit_known = notice->known;
+		if (notice->has_rate_limit)
+			report.rate_limit_per_ks =
+			    MAX(notice->rate_limit_per_ks, 1);
+	}
 	if (gate->proxy->stopping ||
 	    gate->mismatch_until_ms > proxy_now_ms(gate->proxy))
 		report.accepting = false;
--- a/trefoilhill-proxy/heartbeat_message.c
+++ b/trefoilhill-proxy/heartbeat_message.c
@@ -13,7 +13,7 @@
  * hosts and ages; has items, is snapshot, base revision; items of key,
  * revision, encoding, value.
  */
-#define MESSAGE_TYPE "(ttxxbs(uuuuuuub)a(uu)bbta(styay))"
+#define MESSAGE_TYPE "(ttxxbs(uuuuuuubbuu)a(uu)bbta(styay))"
 
 /* Encoding of an item's value on the wire. */
 enum item_encoding {
@@ -133,17 +133,18 @@
 heartbeat_message_encode(const struct heartbeat_message *message)
 {
 	const struct load_report *load = &message->load;
-	GVariant *variant =
-	    g_variant_new("(ttxxbs(uuuuuuub)@a(uu)bbt@a(styay))",
-		(guint64)message->position.era,
-		(guint64)message->position.revision, (gint64)message->age_ms,
-		(gint64)message->removal_grace_ms, message->stopping,
-		message->upstream == NULL ? "" : message->upstream, load->limit,
-		load->in_flight, load->queued, load->latency_us,
-		load->failures_per_mille, load->bulk_waiting,
-		load->bulk_transfer_ms, load->accepting, lost_encode(message),
-		message->items != NULL, message->is_snapshot,
-		(guint64)message->base_revision, items_encode(message->items));
+	GVariant *variant = g_variant_new(
+	    "(ttxxbs(uuuuuuubbuu)@a(uu)bbt@a(styay))",
+	    (guint64)message->position.era, (guint64)message->position.revision,
+	    (gint64)message->age_ms, (gint64)message->removal_grace_ms,
+	    message->stopping,
+	    message->upstream == NULL ? "" : message->upstream, load->limit,
+	    load->in_flight, load->queued, load->latency_us,
+	    load->failures_per_mille, load->bulk_waiting,
+	    load->bulk_transfer_ms, load->accepting, load->rate_limit_known,
+	    load->rate_limit_per_ks, load->rate_wait_ms, lost_encode(message),
+	    message->items != NULL, message->is_snapshot,
+	    (guint64)message->base_revision, items_encode(message->items));
 	GBytes *bytes;
 
 	g_variant_ref_sink(variant);
@@ -219,7 +220,7 @@
 	GVariant *variant =
 	    g_variant_new_from_bytes(G_VARIANT_TYPE(MESSAGE_TYPE), copy, FALSE);
 	struct load_report *load = &message->load;
-	gboolean stopping, accepting, has_items, is_snapshot;
+	gboolean stopping, accepting, rate_limit_known, has_items, is_snapshot;
 	guint64 era, revision, base_revision;
 	gint64 age_ms, removal_grace_ms;
 	GVariant *items = NULL, *lost = NULL;
@@ -230,11 +231,12 @@
 	valid = bytes.len > 0 && g_variant_is_normal_form(variant);
 	if (!valid)
 		goto done;
-	g_variant_get(variant, "(ttxxbs(uuuuuuub)@a(uu)bbt@a(styay))", &era,
+	g_variant_get(variant, "(ttxxbs(uuuuuuubbuu)@a(uu)bbt@a(styay))", &era,
 	    &revision, &age_ms, &removal_grace_ms, &stopping,
 	    &message->upstream, &load->limit, &load->in_flight, &load->queued,
 	    &load->latency_us, &load->failures_per_mille, &load->bulk_waiting,
-	    &load->bulk_transfer_ms, &accepting, &lost, &has_items,
+	    &load->bulk_transfer_ms, &accepting, &rate_limit_known,
+	    &load->rate_limit_per_ks, &load->rate_wait_ms, &lost, &has_items,
 	    &is_snapshot, &base_revision, &items);
 	message->position.era = era;
 	message->position.revision = revision;
@@ -244,6 +246,7 @@
 	message->is_snapshot = is_snapshot;
 	message->base_revision = base_revision;
 	load->accepting = accepting;
+	load->rate_limit_known = rate_limit_known;
 	lost_decode(lost, message);
 	g_variant_unref(lost);
 	if (has_items)
--- a/trefoilhill-proxy/hop.c
+++ b/trefoilhill-proxy/hop.c
@@ -17,7 +17,7 @@
 static const struct str rejected_field = NAME("X-Trefoilhill-Reached");
 
 enum {
-	FIELD_TEXT_MAX = 128,
+	FIELD_TEXT_MAX = 192,
 };
 
 /*
@@ -41,12 +41,12 @@
 	char value[FIELD_TEXT_MAX];
 	int len = g_snprintf(value, sizeof(value),
 	    "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %u %d %d %d %d %d "
-	    "%" G_GINT64_FORMAT,
+	    "%" G_GINT64_FORMAT " %u",
 	    (gint64)request->remaining_ms, (gint64)request->queue_timeout_ms,
 	    request->priority, request->idempotent ? 1 : 0,
 	    request->bulk ? 1 : 0, request->late ? 1 : 0,
 	    request->repeat ? 1 : 0, request->confirm ? 1 : 0,
-	    (gint64)request->body_length);
+	    (gint64)request->body_length, request->rate_limit_per_ks);
 
 	http_field_append(text, request_field, str_make(value, (size_t)len));
 	http_field_append(text, instance_field, request->instance);
@@ -76,20 +76,23 @@
 	char value[FIELD_TEXT_MAX];
 	gint64 remaining_ms, queue_timeout_ms, body_length = 0;
 	int idempotent, bulk, late, repeat = 0, confirm = 0;
+	uint32_t rate_limit_per_ks = 0;
 
-	/* Nodes of earlier versions don't send the last three numbers. */
+	/* Nodes of earlier versions don't send the last four numbers. */
 	if (!value_copy(head, request_field, value, sizeof(value)) ||
 	    sscanf(value,
 		"%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %u %d %d %d %d %d "
-		"%" G_GINT64_FORMAT,
+		"%" G_GINT64_FORMAT " %u",
 		&remaining_ms, &queue_timeout_ms, &request->priority,
-		&idempotent, &bulk, &late, &repeat, &confirm, &body_length) < 6)
+		&idempotent, &bulk, &late, &repeat, &confirm, &body_length,
+		&rate_limit_per_ks) < 6)
 		return false;
 	if (remaining_ms > HOP_TIME_MAX_MS || remaining_ms < -HOP_TIME_MAX_MS ||
 	    queue_timeout_ms > HOP_TIME_MAX_MS || queue_timeout_ms < 0)
 		return false;
 	request->confirm = confirm != 0;
 	request->body_length = MAX(body_length, 0);
+	request->rate_limit_per_ks = rate_limit_per_ks;
 	request->repeat = repeat != 0;
 	request->late = late != 0;
 	request->bulk = bulk != 0;
@@ -110,10 +113,12 @@
 {
 	char value[FIELD_TEXT_MAX];
 	int len = g_snprintf(value, sizeof(value),
-	    "%u %u %u %u %u %u %u %d %" G_GINT64_FORMAT, load->limit,
-	    load->in_flight, load->queued, load->latency_us,
+	    "%u %u %u %u %u %u %u %d %" G_GINT64_FORMAT " %d %u %u",
+	    load->limit, load->in_flight, load->queued, load->latency_us,
 	    load->failures_per_mille, load->bulk_waiting,
-	    load->bulk_transfer_ms, load->accepting ? 1 : 0, (gint64)run_ms);
+	    load->bulk_transfer_ms, load->accepting ? 1 : 0, (gint64)run_ms,
+	    load->rate_limit_known ? 1 : 0, load->rate_limit_per_ks,
+	    load->rate_wait_ms);
 
 	http_field_append(text, load_field, str_make(value, (size_t)len));
 }
@@ -144,7 +149,7 @@
 	char value[FIELD_TEXT_MAX];
 	struct load_report *load = &response->load;
 	gint64 run_ms;
-	int accepting;
+	int accepting, rate_limit_known = 0;
 
 	*response = (struct hop_response){ .outcome = HOP_RESPONSE };
 	response->reason = http_head_find(head, not_run_field);
@@ -157,13 +162,17 @@
 	}
 	response->upstream_rejected =
 	    http_head_find(head, rejected_field).ptr != NULL;
+	/* Nodes of earlier versions don't send the last three numbers. */
 	if (!value_copy(head, load_field, value, sizeof(value)) ||
-	    sscanf(value, "%u %u %u %u %u %u %u %d %" G_GINT64_FORMAT,
+	    sscanf(value,
+		"%u %u %u %u %u %u %u %d %" G_GINT64_FORMAT " %d %u %u",
 		&load->limit, &load->in_flight, &load->queued,
 		&load->latency_us, &load->failures_per_mille,
 		&load->bulk_waiting, &load->bulk_transfer_ms, &accepting,
-		&run_ms) != 9)
+		&run_ms, &rate_limit_known, &load->rate_limit_per_ks,
+		&load->rate_wait_ms) < 9)
 		return;
+	load->rate_limit_known = rate_limit_known != 0;
 	response->run_ms = run_ms;
 	load->accepting = accepting != 0;
 	response->has_load = true;
--- a/trefoilhill-proxy/instance_probe.c
+++ b/trefoilhill-proxy/instance_probe.c
@@ -100,10 +100,12 @@
 		return;
 	}
 	probe->attempts_left = 0;
-	if (result->status != STATUS_OK || headers.instance.len == 0)
+	if (headers.instance.len == 0)
 		return;
 	info.id = headers.instance;
 	info.cold_ms = MAX(headers.cold_ms, 0);
+	info.notice = headers.notice;
+	info.healthy = result->status == STATUS_OK;
 	probe->ops.handle_instance(probe->ops.arg, &info);
 }
 
