fleet, guard, proxy: send nothing more to an upstream that says it leaves

Callers saw no failure; an upstream that had announced that it leaves went on getting requests while its registration still said ready, as when the store was away.

Cause: the announcement in a response was relayed and not read, the same class as the named limit: what an upstream says in its responses was dropped, and only the store decided.

Change: the gate closes at the first response with the announcement, refuses what is queued, and tells its peers. Responses between nodes and heartbeats name the id and the start that leave, so that a node which relays the announcement knows it at that moment, also when the gate's node starts again. It holds for that start of the upstream: neither an older or newer report of the same start, nor a lapse of the registration, nor a restored store brings it back. A later start under the same id does.

Catalog and balance tests.

--- a/fleet/catalog_upstreams.c
+++ b/fleet/catalog_upstreams.c
@@ -90,6 +90,9 @@
 	catalog_emit_event(catalog, CATALOG_EVENT_UPSTREAM_GONE,
 	    upstream->entry.id, upstream->entry.service, revision);
 	departed_add(catalog->departed, &upstream->entry);
+	if (upstream->notice.leaving)
+		departed_add_leaving(catalog->departed, upstream->entry.id,
+		    upstream->entry.started_ms);
 	upstream->listed = false;
 	group_remove(catalog, upstream);
 	g_hash_table_remove(catalog->upstreams, upstream->entry.id);
@@ -109,7 +112,7 @@
 
 	if (upstream == NULL)
 		return;
-	if (origin->grace_ms == 0 || upstream->entry.draining) {
+	if (origin->grace_ms == 0 || upstream_is_leaving(upstream)) {
 		upstream_remove(catalog, upstream, revision);
 		return;
 	}
@@ -171,6 +174,7 @@
 	uint64_t revision = origin->position.revision;
 	int64_t now_ms = origin->now_ms;
 	struct in_addr old_host;
+	bool leaving;
 
 	if (upstream == NULL && departed_covers(catalog->departed, entry)) {
 		catalog_emit_event(catalog, CATALOG_EVENT_REGISTRATION_STALE,
@@ -195,7 +199,9 @@
 	}
 	old_host = upstream->entry.address.sin_addr;
 	group_remove(catalog, upstream);
+	leaving = departed_covers(catalog->departed, entry);
 	upstream_update(upstream, entry, now_ms);
+	upstream->notice.leaving |= leaving;
 	group_add(catalog, upstream);
 	if (old_host.s_addr != upstream->entry.address.sin_addr.s_addr) {
 		struct fleet_peer *old_peer = upstream->peer;
@@ -209,6 +215,30 @@
 	upstream_emit_event(catalog, upstream, revision);
 }
 
+/*
+ * Record that an upstream has announced that it leaves. The announcement may
+ * arrive before the registration of that start, and holds until a later one.
+ */
+void
+catalog_mark_leaving(
+    struct catalog *catalog, struct str id, uint64_t started_ms)
+{
+	struct upstream *upstream = catalog_upstream(catalog, id);
+	char *name;
+
+	if (upstream != NULL && upstream->entry.started_ms == started_ms) {
+		if (upstream->notice.leaving)
+			return;
+		upstream->notice.leaving = true;
+		catalog_emit_event(catalog, CATALOG_EVENT_UPSTREAM_LEAVING,
+		    upstream->entry.id, upstream->entry.service, 0);
+		return;
+	}
+	name = str_dup_cstr(id);
+	departed_add_leaving(catalog->departed, name, started_ms);
+	g_free(name);
+}
+
 /*
  * Remove the upstreams that did not register again within their grace period.
  */
--- a/fleet/departed.c
+++ b/fleet/departed.c
@@ -60,28 +60,25 @@
 	return sequence <= departure->sequence;
 }
 
-/*
- * Remember the last registration of an upstream. One that names no start can't
- * be told from a later one, and is not remembered.
- */
-void
-departed_add(struct departed *departed, const struct upstream_entry *entry)
+/* A start of 0 can't be told from a later one, and is not remembered. */
+static void
+departure_put(struct departed *departed, const char *id, uint64_t started_ms,
+    uint64_t sequence)
 {
-	struct departure *departure =
-	    g_hash_table_lookup(departed->by_id, entry->id);
+	struct departure *departure = g_hash_table_lookup(departed->by_id, id);
 
-	if (entry->started_ms == 0)
+	if (started_ms == 0)
 		return;
 	if (departure == NULL) {
 		departure = g_new0(struct departure, 1);
-		departure->id = g_strdup(entry->id);
+		departure->id = g_strdup(id);
 		g_hash_table_insert(departed->by_id, departure->id, departure);
 		g_queue_push_tail(&departed->order, departure);
-	} else if (is_no_newer(entry->started_ms, entry->sequence, departure)) {
+	} else if (is_no_newer(started_ms, sequence, departure)) {
 		return;
 	}
-	departure->started_ms = entry->started_ms;
-	departure->sequence = entry->sequence;
+	departure->started_ms = started_ms;
+	departure->sequence = sequence;
 	if (g_queue_get_length(&departed->order) <= DEPARTED_MAX)
 		return;
 	departure = g_queue_pop_head(&departed->order);
@@ -89,6 +86,26 @@
 	departure_free(departure);
 }
 
+/*
+ * Remember the last registration of an upstream.
+ */
+void
+departed_add(struct departed *departed, const struct upstream_entry *entry)
+{
+	departure_put(departed, entry->id, entry->started_ms, entry->sequence);
+}
+
+/*
+ * Remember an upstream whose further registrations say nothing, up to its next
+ * start.
+ */
+void
+departed_add_leaving(
+    struct departed *departed, const char *id, uint64_t started_ms)
+{
+	departure_put(departed, id, started_ms, UINT64_MAX);
+}
+
 /*
  * Tell whether a registration is no newer than the last one of an upstream that
  * has left.
--- a/fleet/upstream.c
+++ b/fleet/upstream.c
@@ -99,6 +99,16 @@
 	upstream->cold_until_ms = now_ms + upstream->entry.cold_ms;
 }
 
+/*
+ * Tell whether the upstream is to get no more requests, by its registration or
+ * by what it says itself.
+ */
+bool
+upstream_is_leaving(const struct upstream *upstream)
+{
+	return upstream->entry.draining || upstream->notice.leaving;
+}
+
 /*
  * Store a load report of the upstream's guard. A guard that has just started
  * may not know of a limit that the upstream has named before.
--- a/include/fleet/catalog.h
+++ b/include/fleet/catalog.h
@@ -43,6 +43,7 @@
 	CATALOG_EVENT_UPSTREAM_READY,
 	CATALOG_EVENT_UPSTREAM_DRAINING,
 	CATALOG_EVENT_UPSTREAM_COLD,
+	CATALOG_EVENT_UPSTREAM_LEAVING, /* it says so in its responses */
 	CATALOG_EVENT_UPSTREAM_MISSING, /* unregistered, in grace period */
 	CATALOG_EVENT_UPSTREAM_GONE,
 	/* A registration older than the known one was ignored. */
@@ -87,6 +88,11 @@
 /* Apply a change; ownership of its contents may move to the catalog. */
 void catalog_apply(struct catalog *catalog, struct catalog_change *change,
     const struct catalog_origin *origin);
+/*
+ * An upstream of this id and start has announced in a response that it leaves.
+ */
+void catalog_mark_leaving(
+    struct catalog *catalog, struct str id, uint64_t started_ms);
 /* Remove upstreams whose grace period has ended. */
 void catalog_expire(struct catalog *catalog, int64_t now_ms);
 
--- a/include/fleet/upstream.h
+++ b/include/fleet/upstream.h
@@ -82,6 +82,8 @@
 /* Replace the entry with a newer registration. */
 void upstream_update(
     struct upstream *upstream, struct upstream_entry *entry, int64_t now_ms);
+/* Does it drain, or has it announced in a response that it leaves? */
+bool upstream_is_leaving(const struct upstream *upstream);
 /* False if the entry is from an earlier start or a lower sequence number. */
 bool upstream_entry_is_current(
     const struct upstream *upstream, const struct upstream_entry *entry);
--- a/include/trefoilhill-proxy/heartbeat_message.h
+++ b/include/trefoilhill-proxy/heartbeat_message.h
@@ -21,8 +21,10 @@
 	/* How much longer a removed registration may be restored. */
 	int64_t removal_grace_ms;
 	bool stopping;
-	char *upstream;          /* id of the sender's upstream; empty: none */
-	struct load_report load; /* of that upstream */
+	char *upstream; /* id of the sender's upstream; empty: none */
+	uint64_t upstream_started_ms; /* Unix time of its start */
+	bool upstream_leaving;        /* it has announced that it leaves */
+	struct load_report load;      /* of that upstream */
 	struct lost_host lost[HEARTBEAT_LOST_MAX];
 	size_t lost_count;
 	GPtrArray *items; /* struct replica_item; NULL: none included */
--- a/include/trefoilhill-proxy/hop.h
+++ b/include/trefoilhill-proxy/hop.h
@@ -49,6 +49,8 @@
 	bool has_load;
 	struct load_report load;
 	int64_t run_ms; /* the upstream's time until its response head */
+	struct str leaving_instance; /* an upstream that leaves; or empty */
+	uint64_t leaving_started_ms; /* when it started */
 };
 
 bool hop_field_is_internal(struct str name);
@@ -58,6 +60,8 @@
     const struct http_head *head, struct hop_request *request);
 void hop_write_load(
     GString *text, const struct load_report *load, int64_t run_ms);
+/* Tell that the upstream of this id and start leaves. */
+void hop_write_leaving(GString *text, struct str instance, uint64_t started_ms);
 void hop_write_outcome(GString *text, enum hop_outcome outcome,
     const char *reason, bool upstream_rejected);
 void hop_read_response(
--- a/route/balance.c
+++ b/route/balance.c
@@ -139,7 +139,7 @@
 is_usable(
     const struct balance_request *request, const struct upstream *upstream)
 {
-	return upstream->listed && !upstream->entry.draining &&
+	return upstream->listed && !upstream_is_leaving(upstream) &&
 	    !is_tried(request, upstream) &&
 	    !catalog_zone_is_out(request->catalog, upstream->entry.zone);
 }
--- a/tests/fleet/test_catalog.c
+++ b/tests/fleet/test_catalog.c
@@ -103,6 +103,51 @@
 	catalog_free(f.catalog);
 }
 
+/* Neither the store nor a grace period keeps one that leaves in use. */
+static void
+test_leaving_holds_until_a_later_start(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	apply(&f, make_entry("i-1", "10.0.0.1", 1000, 1), false);
+	catalog_mark_leaving(f.catalog, str_from("i-1"), 1000);
+	CU_ASSERT_EQUAL(f.last, CATALOG_EVENT_UPSTREAM_LEAVING);
+	CU_ASSERT_TRUE(upstream_is_leaving(find(&f, "i-1")));
+	apply(&f, make_entry("i-1", "10.0.0.1", 1000, 2), false);
+	CU_ASSERT_TRUE(upstream_is_leaving(find(&f, "i-1")));
+	remove_upstream(&f, "i-1", 0, 1700);
+	CU_ASSERT_PTR_NULL(find(&f, "i-1"));
+	apply(&f, make_entry("i-1", "10.0.0.1", 1000, 9), false);
+	CU_ASSERT_EQUAL(f.last, CATALOG_EVENT_REGISTRATION_STALE);
+	CU_ASSERT_PTR_NULL(find(&f, "i-1"));
+	apply(&f, make_entry("i-1", "10.0.0.1", 2000, 1), false);
+	CU_ASSERT_FALSE(upstream_is_leaving(find(&f, "i-1")));
+	catalog_free(f.catalog);
+}
+
+/* A peer may tell of it before the registration of that start is known. */
+static void
+test_leaving_is_known_before_the_registration(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	catalog_mark_leaving(f.catalog, str_from("i-1"), 1000);
+	apply(&f, make_entry("i-1", "10.0.0.1", 1000, 1), false);
+	CU_ASSERT_PTR_NULL(find(&f, "i-1"));
+	apply(&f, make_entry("i-2", "10.0.0.2", 1000, 1), false);
+	catalog_mark_leaving(f.catalog, str_from("i-2"), 2000);
+	CU_ASSERT_FALSE(upstream_is_leaving(find(&f, "i-2")));
+	apply(&f, make_entry("i-2", "10.0.0.2", 2000, 1), false);
+	CU_ASSERT_TRUE(upstream_is_leaving(find(&f, "i-2")));
+	/* Told late, of an earlier start. */
+	apply(&f, make_entry("i-3", "10.0.0.3", 2000, 1), false);
+	catalog_mark_leaving(f.catalog, str_from("i-3"), 1000);
+	CU_ASSERT_FALSE(upstream_is_leaving(find(&f, "i-3")));
+	catalog_free(f.catalog);
+}
+
 static void
 test_grace_period_of_unregistered_upstream(void)
 {
@@ -201,6 +246,10 @@
 }
 
 static const struct test_case cases[] = {
+	{ "leaving holds until a later start",
+	    test_leaving_holds_until_a_later_start },
+	{ "leaving is known before the registration",
+	    test_leaving_is_known_before_the_registration },
 	{ "a registration of an earlier start is stale",
 	    test_registration_of_earlier_start_is_stale },
 	{ "grace period of an unregistered upstream",
--- a/tests/proxy/test_fuzz.c
+++ b/tests/proxy/test_fuzz.c
@@ -146,6 +146,8 @@
 		.position = { 3, 99 },
 		.age_ms = 20,
 		.upstream = g_strdup("i-1"),
+		.upstream_started_ms = 1700000000000,
+		.upstream_leaving = true,
 		.load = { .rate_limit_known = true,
 		    .rate_limit_per_ks = 14800,
 		    .rate_wait_ms = 130 },
@@ -179,6 +181,8 @@
 	CU_ASSERT_EQUAL(message.position.era, 3);
 	CU_ASSERT_EQUAL(message.position.revision, 99);
 	CU_ASSERT_EQUAL(message.items->len, 3);
+	CU_ASSERT_TRUE(message.upstream_leaving);
+	CU_ASSERT_EQUAL(message.upstream_started_ms, 1700000000000);
 	CU_ASSERT_TRUE(message.load.rate_limit_known);
 	CU_ASSERT_EQUAL(message.load.rate_limit_per_ks, 14800);
 	CU_ASSERT_EQUAL(message.load.rate_wait_ms, 130);
@@ -196,7 +200,8 @@
 	static const char *const names[] = { "X-Trefoilhill-Hop",
 		"X-Trefoilhill-Instance", "X-Trefoilhill-Load",
 		"X-Trefoilhill-Not-Run", "X-Deadline", "X-Cold-Remaining",
-		"X-Attempt-Id", "Server-Limit", "Server-Leaving" };
+		"X-Attempt-Id", "Server-Limit", "Server-Leaving",
+		"X-Trefoilhill-Leaving" };
 	struct platform_request_headers request;
 	struct platform_response_headers response;
 	struct hop_response hop_response;
@@ -226,10 +231,12 @@
 test_header_fields(void)
 {
 	static const char hop[] = "1500 300 1 1 0 0 0 1 12 14800";
+	static const char leaving[] = "1700000000000 i-1";
 	static const char load[] = "12 3 0 90000 0 0 5 1 87 1 14800 130";
 
 	fuzz(hop, strlen(hop), parse_fields);
 	fuzz(load, strlen(load), parse_fields);
+	fuzz(leaving, strlen(leaving), parse_fields);
 }
 
 /* What one node writes, another reads; an earlier version says less. */
@@ -259,6 +266,7 @@
 
 	hop_write_load(text, &load, 87);
 	hop_write_request(text, &request);
+	hop_write_leaving(text, str_from("i-1"), 1700000000000);
 	lines = g_strsplit(text->str, "\r\n", -1);
 	for (size_t i = 0; lines[i][0] != '\0'; i++) {
 		char **field = g_strsplit(lines[i], ": ", 2);
@@ -270,6 +278,8 @@
 	CU_ASSERT_TRUE(response.has_load && response.load.rate_limit_known);
 	CU_ASSERT_EQUAL(response.load.rate_limit_per_ks, 14800);
 	CU_ASSERT_EQUAL(response.load.rate_wait_ms, UINT32_MAX);
+	CU_ASSERT_TRUE(str_equal(response.leaving_instance, str_from("i-1")));
+	CU_ASSERT_EQUAL(response.leaving_started_ms, 1700000000000);
 	CU_ASSERT_TRUE_FATAL(hop_read_request(head, &request));
 	CU_ASSERT_EQUAL(request.rate_limit_per_ks, 14800);
 	http_head_clear(head);
@@ -278,6 +288,7 @@
 	hop_read_response(head, &response);
 	CU_ASSERT_TRUE(response.has_load && !response.load.rate_limit_known);
 	CU_ASSERT_EQUAL(response.load.rate_limit_per_ks, 0);
+	CU_ASSERT_EQUAL(response.leaving_instance.len, 0);
 	g_strfreev(lines);
 	g_string_free(text, TRUE);
 	http_head_free(head);
--- a/tests/route/test_balance.c
+++ b/tests/route/test_balance.c
@@ -146,12 +146,14 @@
 		.kind = CATALOG_ZONE_OUT,
 		.subject = g_strdup("b"),
 	};
-	struct upstream *draining;
+	struct upstream *draining, *leaving;
 	struct fixture f;
 
 	fixture_init(&f);
 	draining = add_upstream(&f, "i-1", "a", "10.0.0.1");
 	draining->entry.draining = true;
+	leaving = add_upstream(&f, "i-3", "a", "10.0.0.3");
+	leaving->notice.leaving = true;
 	add_upstream(&f, "i-2", "b", "10.0.0.2");
 	catalog_apply(f.catalog, &out, &(struct catalog_origin){ 0 });
 	catalog_change_clear(&out);
--- a/trefoilhill-proxy/attempt_response.c
+++ b/trefoilhill-proxy/attempt_response.c
@@ -97,6 +97,9 @@
 	peer_health_responded(attempt->proxy, upstream->peer);
 	if (response.has_load)
 		upstream_set_load(upstream, &response.load, now_ms);
+	if (response.leaving_instance.len > 0)
+		catalog_mark_leaving(attempt->proxy->catalog,
+		    response.leaving_instance, response.leaving_started_ms);
 	if (response.outcome != HOP_RESPONSE) {
 		attempt->upstream_rejected = response.upstream_rejected;
 		g_snprintf(
--- a/trefoilhill-proxy/exchange_response.c
+++ b/trefoilhill-proxy/exchange_response.c
@@ -58,6 +58,7 @@
 static void
 write_load_field(struct exchange *exchange, int64_t run_ms)
 {
+	const struct upstream *upstream = gate_upstream(exchange->proxy->gate);
 	struct load_report load;
 
 	if (exchange->origin != CALLER_PEER)
@@ -70,6 +71,9 @@
 		load.rate_limit_per_ks = 0;
 	}
 	hop_write_load(exchange->response_head, &load, run_ms);
+	if (upstream != NULL && upstream->notice.leaving)
+		hop_write_leaving(exchange->response_head,
+		    str_from(upstream->entry.id), upstream->entry.started_ms);
 }
 
 static bool
--- a/trefoilhill-proxy/gate.c
+++ b/trefoilhill-proxy/gate.c
@@ -187,7 +187,7 @@
 		gate_record_notice(gate, registered, &info->notice);
 		return;
 	}
-	if (!info->healthy || registered->entry.draining ||
+	if (!info->healthy || upstream_is_leaving(registered) ||
 	    !str_equal(gate->proxy->settings->upstream.service,
 		str_from(registered->entry.service)))
 		return;
@@ -302,7 +302,7 @@
 	    (upstream != NULL &&
 		upstream->entry.started_ms != gate->started_ms))
 		set_upstream(gate, upstream);
-	if (gate->upstream == NULL || gate->upstream->entry.draining) {
+	if (gate->upstream == NULL || upstream_is_leaving(gate->upstream)) {
 		admission_set_open(gate->admission, false);
 		return;
 	}
--- a/trefoilhill-proxy/gate_notice.c
+++ b/trefoilhill-proxy/gate_notice.c
@@ -1,4 +1,5 @@
 #include "trefoilhill-proxy/gate_private.h"
+#include "trefoilhill-proxy/heartbeat.h"
 
 /* What the upstream says of itself, to this node or to a peer. */
 
@@ -34,19 +35,26 @@
 }
 
 /*
- * Record what an upstream says of itself in a response.
+ * Record what an upstream says of itself in a response. One that leaves gets no
+ * further requests, and the peers are told.
  */
 void
 gate_record_notice(struct gate *gate, struct upstream *upstream,
     const struct upstream_notice *notice)
 {
+	bool was_leaving = upstream->notice.leaving;
+
 	if (!upstream_notice_update(&upstream->notice, notice))
 		return;
 	log_notice(gate, upstream, "upstream");
+	if (upstream->notice.leaving && !was_leaving)
+		catalog_mark_leaving(gate->proxy->catalog,
+		    str_from(upstream->entry.id), upstream->entry.started_ms);
 	if (upstream != gate->upstream)
 		return;
-	gate_apply_rate_limit(gate);
-	gate_poll(gate);
+	gate_refresh(gate);
+	if (upstream->notice.leaving && !was_leaving)
+		heartbeat_announce(gate->proxy->heartbeat);
 }
 
 /*
--- a/trefoilhill-proxy/heartbeat.c
+++ b/trefoilhill-proxy/heartbeat.c
@@ -125,6 +125,10 @@
 		.load = gate_load_report(proxy->gate),
 	};
 
+	if (upstream != NULL) {
+		message.upstream_started_ms = upstream->entry.started_ms;
+		message.upstream_leaving = upstream->notice.leaving;
+	}
 	lost_hosts_collect(proxy, &message);
 	return message;
 }
@@ -138,6 +142,9 @@
 	struct upstream *upstream =
 	    catalog_upstream(proxy->catalog, str_from(message->upstream));
 
+	if (message->upstream_leaving)
+		catalog_mark_leaving(proxy->catalog,
+		    str_from(message->upstream), message->upstream_started_ms);
 	if (upstream == NULL || upstream == gate_upstream(proxy->gate))
 		return;
 	upstream_set_load(upstream, &message->load, proxy_now_ms(proxy));
--- a/trefoilhill-proxy/heartbeat_message.c
+++ b/trefoilhill-proxy/heartbeat_message.c
@@ -9,11 +9,11 @@
 };
 
 /*
- * era, revision, age, removal grace, stopping; upstream and its load; lost
- * hosts and ages; has items, is snapshot, base revision; items of key,
- * revision, encoding, value.
+ * era, revision, age, removal grace, stopping; upstream, its start, whether it
+ * leaves, and its load; lost hosts and ages; has items, is snapshot, base
+ * revision; items of key, revision, encoding, value.
  */
-#define MESSAGE_TYPE "(ttxxbs(uuuuuuubbuu)a(uu)bbta(styay))"
+#define MESSAGE_TYPE "(ttxxbstb(uuuuuuubbuu)a(uu)bbta(styay))"
 
 /* Encoding of an item's value on the wire. */
 enum item_encoding {
@@ -134,12 +134,13 @@
 {
 	const struct load_report *load = &message->load;
 	GVariant *variant = g_variant_new(
-	    "(ttxxbs(uuuuuuubbuu)@a(uu)bbt@a(styay))",
+	    "(ttxxbstb(uuuuuuubbuu)@a(uu)bbt@a(styay))",
 	    (guint64)message->position.era, (guint64)message->position.revision,
 	    (gint64)message->age_ms, (gint64)message->removal_grace_ms,
 	    message->stopping,
-	    message->upstream == NULL ? "" : message->upstream, load->limit,
-	    load->in_flight, load->queued, load->latency_us,
+	    message->upstream == NULL ? "" : message->upstream,
+	    (guint64)message->upstream_started_ms, message->upstream_leaving,
+	    load->limit, load->in_flight, load->queued, load->latency_us,
 	    load->failures_per_mille, load->bulk_waiting,
 	    load->bulk_transfer_ms, load->accepting, load->rate_limit_known,
 	    load->rate_limit_per_ks, load->rate_wait_ms, lost_encode(message),
@@ -220,8 +221,9 @@
 	GVariant *variant =
 	    g_variant_new_from_bytes(G_VARIANT_TYPE(MESSAGE_TYPE), copy, FALSE);
 	struct load_report *load = &message->load;
-	gboolean stopping, accepting, rate_limit_known, has_items, is_snapshot;
-	guint64 era, revision, base_revision;
+	gboolean upstream_leaving, stopping, accepting, rate_limit_known,
+	    has_items, is_snapshot;
+	guint64 era, revision, base_revision, upstream_started_ms;
 	gint64 age_ms, removal_grace_ms;
 	GVariant *items = NULL, *lost = NULL;
 	bool valid;
@@ -231,10 +233,11 @@
 	valid = bytes.len > 0 && g_variant_is_normal_form(variant);
 	if (!valid)
 		goto done;
-	g_variant_get(variant, "(ttxxbs(uuuuuuubbuu)@a(uu)bbt@a(styay))", &era,
-	    &revision, &age_ms, &removal_grace_ms, &stopping,
-	    &message->upstream, &load->limit, &load->in_flight, &load->queued,
-	    &load->latency_us, &load->failures_per_mille, &load->bulk_waiting,
+	g_variant_get(variant, "(ttxxbstb(uuuuuuubbuu)@a(uu)bbt@a(styay))",
+	    &era, &revision, &age_ms, &removal_grace_ms, &stopping,
+	    &message->upstream, &upstream_started_ms, &upstream_leaving,
+	    &load->limit, &load->in_flight, &load->queued, &load->latency_us,
+	    &load->failures_per_mille, &load->bulk_waiting,
 	    &load->bulk_transfer_ms, &accepting, &rate_limit_known,
 	    &load->rate_limit_per_ks, &load->rate_wait_ms, &lost, &has_items,
 	    &is_snapshot, &base_revision, &items);
@@ -243,6 +246,8 @@
 	message->age_ms = age_ms;
 	message->removal_grace_ms = removal_grace_ms;
 	message->stopping = stopping;
+	message->upstream_started_ms = upstream_started_ms;
+	message->upstream_leaving = upstream_leaving;
 	message->is_snapshot = is_snapshot;
 	message->base_revision = base_revision;
 	load->accepting = accepting;
--- a/trefoilhill-proxy/hop.c
+++ b/trefoilhill-proxy/hop.c
@@ -14,6 +14,7 @@
 static const struct str load_field = NAME("X-Trefoilhill-Load");
 static const struct str not_run_field = NAME("X-Trefoilhill-Not-Run");
 static const struct str failed_field = NAME("X-Trefoilhill-Failed");
+static const struct str leaving_field = NAME("X-Trefoilhill-Leaving");
 static const struct str rejected_field = NAME("X-Trefoilhill-Reached");
 
 enum {
@@ -123,6 +124,38 @@
 	http_field_append(text, load_field, str_make(value, (size_t)len));
 }
 
+/*
+ * Append that an upstream leaves: its start, and its id, which may have any
+ * length.
+ */
+void
+hop_write_leaving(GString *text, struct str instance, uint64_t started_ms)
+{
+	g_string_append_printf(text, "%.*s: %" G_GUINT64_FORMAT " %.*s\r\n",
+	    STR_ARG(leaving_field), (guint64)started_ms, STR_ARG(instance));
+}
+
+/* Read which upstream leaves, if the field is there and well-formed. */
+static void
+read_leaving(const struct http_head *head, struct hop_response *response)
+{
+	struct str value = http_head_find(head, leaving_field);
+	const char *space =
+	    value.len == 0 ? NULL : memchr(value.ptr, ' ', value.len);
+	uint64_t started_ms = 0;
+
+	if (space == NULL)
+		return;
+	for (const char *at = value.ptr; at < space; at++) {
+		if (!g_ascii_isdigit(*at) || started_ms > UINT64_MAX / 10 - 1)
+			return;
+		started_ms = started_ms * 10 + (uint64_t)(*at - '0');
+	}
+	response->leaving_started_ms = started_ms;
+	response->leaving_instance =
+	    str_make(space + 1, value.len - (size_t)(space + 1 - value.ptr));
+}
+
 /*
  * Append why there is no response from an upstream; nothing for HOP_RESPONSE.
  */
@@ -160,6 +193,7 @@
 		if (response->reason.ptr != NULL)
 			response->outcome = HOP_FAILED;
 	}
+	read_leaving(head, response);
 	response->upstream_rejected =
 	    http_head_find(head, rejected_field).ptr != NULL;
 	/* Nodes of earlier versions don't send the last three numbers. */
--- a/trefoilhill-proxy/proxy.c
+++ b/trefoilhill-proxy/proxy.c
@@ -33,6 +33,7 @@
 	[CATALOG_EVENT_UPSTREAM_READY] = "upstream_in",
 	[CATALOG_EVENT_UPSTREAM_DRAINING] = "upstream_draining",
 	[CATALOG_EVENT_UPSTREAM_COLD] = "upstream_cold",
+	[CATALOG_EVENT_UPSTREAM_LEAVING] = "upstream_leaving",
 	[CATALOG_EVENT_UPSTREAM_MISSING] = "upstream_missing",
 	[CATALOG_EVENT_UPSTREAM_GONE] = "upstream_gone",
 	[CATALOG_EVENT_REGISTRATION_STALE] = "registration_stale",
