http, proxy: bound what is read of responses that are not used

Callers saw their response or an error in time, but requests beside them would wait: the node read without a bound what it then threw away.

Cause: what is relayed is bounded by the caller's own reading, what is thrown away by nothing but a time. The rest of a rejection, of a status 421 and of a response to another request was read for up to a second or to the deadline, and interim responses had no number.

Change: the rest of an unused response is read up to 256 KB, then its connection is closed; on one connection up to 8 responses to other requests and 4 MB of them are skipped, then the attempt has failed with an unknown outcome; more than 16 interim responses are malformed.

Heads, lines, chunk extensions, trailers and bytes after a response were bounded before.

--- a/http/pool.c
+++ b/http/pool.c
@@ -6,6 +6,7 @@
 	SWEEP_INTERVAL_MS = 500,    /* between checks for expired connections */
 	KEEPALIVE_MARGIN_MS = 1000, /* close before the peer's own timeout */
 	DRAIN_TIMEOUT_MS = 500,     /* for the rest of a response to arrive */
+	DRAIN_MAX_BYTES = 256 * 1024, /* more costs as much as a connection */
 };
 
 struct idle_stream {
@@ -73,6 +74,8 @@
 static void
 handle_drain_body(struct http_stream *stream, struct str bytes)
 {
+	if (stream->body_bytes > DRAIN_MAX_BYTES)
+		handle_idle_end(stream, HTTP_END_TOO_LARGE);
 }
 
 static void
--- a/http/stream_parse.c
+++ b/http/stream_parse.c
@@ -105,6 +105,9 @@
 			return -1;
 	} else {
 		head->status = parser->status_code;
+		if (head->status / 100 == 1 &&
+		    ++stream->interim_count > HTTP_INTERIM_MAX)
+			return -1;
 		if (head->status == 100 && stream->ops->handle_continue != NULL)
 			stream->ops->handle_continue(stream);
 		if (head->status / 100 == 1)
@@ -212,6 +215,7 @@
 	stream->message_begun = false;
 	stream->head_done = false;
 	stream->skip_body = false;
+	stream->interim_count = 0;
 	http_parser_init(&stream->parser,
 	    stream->side == HTTP_SIDE_SERVER ? HTTP_REQUEST : HTTP_RESPONSE);
 	stream->parser.data = stream;
--- a/include/http/stream.h
+++ b/include/http/stream.h
@@ -53,6 +53,7 @@
 	HTTP_WRITE_HIGH_BYTES = 256 * 1024, /* pause the source above this */
 	HTTP_WRITE_LOW_BYTES = 64 * 1024,
 	HTTP_PENDING_MAX_BYTES = 64 * 1024, /* unparsed next messages */
+	HTTP_INTERIM_MAX = 16, /* 1xx responses before the final one */
 };
 
 struct http_stream {
@@ -69,8 +70,9 @@
 	struct http_head *head;
 	uint32_t head_max_bytes;
 	uint32_t head_bytes;
-	GByteArray *pending; /* received after this message, or NULL */
-	GString *field_name; /* header field being parsed */
+	uint32_t interim_count; /* of 1xx responses to the current request */
+	GByteArray *pending;    /* received after this message, or NULL */
+	GString *field_name;    /* header field being parsed */
 	GString *field_value;
 	bool in_value;
 	bool connected;
--- a/include/trefoilhill-proxy/attempt.h
+++ b/include/trefoilhill-proxy/attempt.h
@@ -55,6 +55,8 @@
 	struct http_stream *stream; /* NULL: no connection */
 	bool reused;                /* a connection from the pool */
 	bool discarding;            /* skips a response to another request */
+	uint32_t discarded_count;   /* of such responses */
+	uint64_t discarded_bytes;   /* of their bodies */
 	bool response_started;      /* the response head has arrived */
 	bool upstream_rejected;     /* it declined to run the request */
 	bool misdirected; /* another instance is at the address (status 421) */
--- a/tests/http/test_stream.c
+++ b/tests/http/test_stream.c
@@ -229,6 +229,29 @@
 	g_free(filler);
 }
 
+/* Interim responses without end are no response. */
+static void
+test_interim_responses_are_bounded(void)
+{
+	GString *text = g_string_new(NULL);
+	struct fixture f;
+
+	for (int i = 0; i < HTTP_INTERIM_MAX; i++)
+		g_string_append(text, "HTTP/1.1 103 Early Hints\r\n\r\n");
+	fixture_init(&f);
+	raw_send(&f, text->str);
+	raw_send(&f, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+	CU_ASSERT_TRUE(wait_for(&f, "message"));
+	fixture_clear(&f);
+	fixture_init(&f);
+	raw_send(&f, text->str);
+	raw_send(&f, "HTTP/1.1 100 Continue\r\n\r\n");
+	CU_ASSERT_TRUE(wait_for(&f, "end"));
+	CU_ASSERT_EQUAL(f.end_reason, HTTP_END_MALFORMED);
+	fixture_clear(&f);
+	g_string_free(text, TRUE);
+}
+
 /* Bytes received on an idle connection must not answer the next request. */
 static void
 test_pool_drops_a_connection_with_late_bytes(void)
@@ -268,6 +291,7 @@
 	{ "two responses in one segment", test_two_responses_in_one_segment },
 	{ "bytes that are not HTTP", test_bytes_that_are_not_http },
 	{ "a large head is refused", test_large_head_is_refused },
+	{ "interim responses are bounded", test_interim_responses_are_bounded },
 	{ "the pool drops a connection with late bytes",
 	    test_pool_drops_a_connection_with_late_bytes },
 	{ NULL, NULL },
--- a/trefoilhill-proxy/attempt_response.c
+++ b/trefoilhill-proxy/attempt_response.c
@@ -6,6 +6,16 @@
 #include "trefoilhill-proxy/gate.h"
 #include "trefoilhill-proxy/peer_health.h"
 
+enum {
+	/*
+	 * Duplicate responses to earlier requests that are skipped on one
+	 * connection, and their size. More are not worth waiting for the
+	 * response that follows them.
+	 */
+	DISCARDED_MAX = 8,
+	DISCARDED_MAX_BYTES = 4 * 1024 * 1024,
+};
+
 /* Keep the connection if the rest of the response arrives soon. */
 static void
 stream_drain(struct attempt *attempt)
@@ -39,6 +49,18 @@
 	attempt_release(attempt, ADMISSION_FAILED);
 }
 
+/* Count a duplicate response that is skipped, or bytes of it. */
+static void
+count_discarded(struct attempt *attempt, uint32_t responses, size_t bytes)
+{
+	attempt->discarded_count += responses;
+	attempt->discarded_bytes += bytes;
+	if (attempt->discarded_count > DISCARDED_MAX ||
+	    attempt->discarded_bytes > DISCARDED_MAX_BYTES)
+		attempt_fail(
+		    attempt, ATTEMPT_FAILURE_UNKNOWN, "answers_discarded");
+}
+
 /* Check a response head from the upstream on this host. */
 static void
 read_upstream_head(struct attempt *attempt)
@@ -52,6 +74,7 @@
 		/* A duplicate response to an earlier request. */
 		attempt->discarding = true;
 		proxy_count(&attempt->proxy->stats, STAT_RESPONSES_DISCARDED);
+		count_discarded(attempt, 1, 0);
 		return;
 	}
 	/* Status 421 comes from another upstream than the intended one. */
@@ -138,8 +161,10 @@
 {
 	struct attempt *attempt = stream->owner;
 
-	if (attempt->discarding)
+	if (attempt->discarding) {
+		count_discarded(attempt, 0, bytes.len);
 		return;
+	}
 	attempt->response_bytes += bytes.len;
 	attempt->ops->handle_body(attempt, bytes);
 }
