http, proxy: gather tiny chunks of a response before relaying them

Callers saw no answer at their deadline, and other requests at the node waited: six responses of 4-byte chunks without end kept the event loop busy for over 3 s, so that the deadline's timer fired late.

Cause: each chunk was relayed by three writes of its own, about 900,000 for what libuv reads in one turn of the loop, and each queued write was an allocation.

Change: the body bytes that a stream has received at once are relayed as one chunk; the stream tells when they have all been delivered (handle_body_pause).

Conclusion: request bodies of tiny chunks above 64 KB are pushed in the same way and stay open.

--- a/http/stream_parse.c
+++ b/http/stream_parse.c
@@ -198,6 +198,8 @@
 	}
 	if (error != HPE_OK || (len > 0 && used < len))
 		handle_parse_error(stream);
+	else if (stream->head_done && stream->ops->handle_body_pause != NULL)
+		stream->ops->handle_body_pause(stream);
 }
 
 /*
--- a/include/http/stream.h
+++ b/include/http/stream.h
@@ -41,6 +41,8 @@
 	    struct http_stream *stream, enum http_end_reason reason);
 	/* The write queue fell below HTTP_WRITE_LOW_BYTES. May be NULL. */
 	void (*handle_drain)(struct http_stream *stream);
+	/* The body bytes received at once have been delivered. May be NULL. */
+	void (*handle_body_pause)(struct http_stream *stream);
 	/* The first byte of a message was received. May be NULL. */
 	void (*handle_first_byte)(struct http_stream *stream);
 	/* An interim response asks to continue the request. May be NULL. */
--- a/include/trefoilhill-proxy/attempt.h
+++ b/include/trefoilhill-proxy/attempt.h
@@ -20,6 +20,8 @@
 	void (*handle_head)(struct attempt *attempt);
 	/* A part of the response body; bytes are valid during the call. */
 	void (*handle_body)(struct attempt *attempt, struct str bytes);
+	/* The body bytes received at once have been passed on. */
+	void (*handle_body_pause)(struct attempt *attempt);
 	/* The response is complete. The attempt is released afterwards. */
 	void (*handle_end)(struct attempt *attempt);
 	/* No complete response. The attempt is released afterwards. */
@@ -87,6 +89,7 @@
     struct attempt *attempt, enum attempt_failure failure, const char *reason);
 void attempt_handle_head(struct http_stream *stream);
 void attempt_handle_body(struct http_stream *stream, struct str bytes);
+void attempt_handle_body_pause(struct http_stream *stream);
 void attempt_handle_message(struct http_stream *stream);
 void attempt_connect(struct attempt *attempt);
 void attempt_release(struct attempt *attempt, enum admission_outcome outcome);
--- a/include/trefoilhill-proxy/exchange.h
+++ b/include/trefoilhill-proxy/exchange.h
@@ -61,7 +61,7 @@
 	int64_t response_started_ms; /* when its head arrived */
 	int64_t response_run_ms;     /* the upstream's time until then */
 	GString *response_head;      /* formatted status line and fields */
-	GByteArray *buffered_body;   /* received before the head is sent */
+	GByteArray *buffered_body;   /* received and not yet passed on */
 	struct shaper_flow flow;     /* for a large response */
 	bool response_complete;      /* received; some may be unsent */
 	bool committed;              /* the response head has been sent */
@@ -99,6 +99,7 @@
     const char *event, const struct attempt *attempt, const char *reason);
 void exchange_relay_head(struct exchange *exchange, struct attempt *attempt);
 void exchange_relay_body(struct exchange *exchange, struct str bytes);
+void exchange_relay_buffered(struct exchange *exchange);
 void exchange_relay_end(struct exchange *exchange);
 
 #endif
--- a/tests/soak/test_endless_bytes.py
+++ b/tests/soak/test_endless_bytes.py
@@ -46,6 +46,8 @@
     "continue": ("", "HTTP/1.1 100 Continue\r\n\r\n", False),
     "hints": ("", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n", False),
     "unframed": (OK + "{}\r\n\r\n", "x", True),
+    "chunks": (OK + "{}\r\nTransfer-Encoding: chunked\r\n\r\n",
+               "4\r\nabcd\r\n", True),
     "extension": (OK + "{}\r\nTransfer-Encoding: chunked\r\n\r\n4;",
                   "a", False),
     "trailers": (OK + "{}\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
--- a/trefoilhill-proxy/attempt.c
+++ b/trefoilhill-proxy/attempt.c
@@ -233,6 +233,7 @@
 const struct http_stream_ops attempt_stream_ops = {
 	.handle_head = attempt_handle_head,
 	.handle_body = attempt_handle_body,
+	.handle_body_pause = attempt_handle_body_pause,
 	.handle_message = attempt_handle_message,
 	.handle_end = handle_end,
 	.handle_drain = handle_drain,
--- a/trefoilhill-proxy/attempt_response.c
+++ b/trefoilhill-proxy/attempt_response.c
@@ -169,6 +169,18 @@
 	attempt->ops->handle_body(attempt, bytes);
 }
 
+/*
+ * Relay what was gathered of the response body.
+ */
+void
+attempt_handle_body_pause(struct http_stream *stream)
+{
+	struct attempt *attempt = stream->owner;
+
+	if (attempt->response_started && !attempt->discarding)
+		attempt->ops->handle_body_pause(attempt);
+}
+
 static enum admission_outcome
 response_outcome(const struct attempt *attempt)
 {
--- a/trefoilhill-proxy/exchange_dispatch.c
+++ b/trefoilhill-proxy/exchange_dispatch.c
@@ -377,6 +377,12 @@
 	exchange_relay_body(attempt->exchange, bytes);
 }
 
+static void
+handle_body_pause(struct attempt *attempt)
+{
+	exchange_relay_buffered(attempt->exchange);
+}
+
 static void
 handle_end(struct attempt *attempt)
 {
@@ -391,6 +397,7 @@
 const struct attempt_ops exchange_attempt_ops = {
 	.handle_head = handle_head,
 	.handle_body = handle_body,
+	.handle_body_pause = handle_body_pause,
 	.handle_end = handle_end,
 	.handle_failed = handle_failed,
 };
--- a/trefoilhill-proxy/exchange_response.c
+++ b/trefoilhill-proxy/exchange_response.c
@@ -117,6 +117,44 @@
 	shaper_write(shaper, &exchange->flow, bytes);
 }
 
+/* Stop reading from the upstream while the caller is behind. */
+static void
+pause_if_behind(struct exchange *exchange)
+{
+	struct http_stream *to = exchange->caller->stream;
+
+	if ((http_stream_queued_bytes(to) > HTTP_WRITE_HIGH_BYTES ||
+		shaper_flow_pending(&exchange->flow) > FLOW_HIGH_WATER_BYTES) &&
+	    exchange->responding != NULL &&
+	    exchange->responding->stream != NULL)
+		http_stream_pause(exchange->responding->stream);
+}
+
+/*
+ * Send the buffered part of the body, as one chunk if the response is chunked.
+ * Does nothing before the head is sent.
+ */
+void
+exchange_relay_buffered(struct exchange *exchange)
+{
+	GByteArray *buffered = exchange->buffered_body;
+	char chunk_header[CHUNK_HEADER_MAX];
+	int len;
+
+	if (!exchange->committed || buffered->len == 0)
+		return;
+	if (exchange->chunked) {
+		len = g_snprintf(chunk_header, sizeof(chunk_header), "%x\r\n",
+		    buffered->len);
+		send_bytes(exchange, str_make(chunk_header, (size_t)len));
+	}
+	send_bytes(exchange, str_make(buffered->data, buffered->len));
+	if (exchange->chunked)
+		send_bytes(exchange, str_from("\r\n"));
+	g_byte_array_set_size(buffered, 0);
+	pause_if_behind(exchange);
+}
+
 /* Send the response head and the buffered part of the body. */
 static void
 commit_response(struct exchange *exchange, bool has_length, uint64_t length)
@@ -144,10 +182,7 @@
 		    text->len + exchange->buffered_body->len);
 	} else {
 		send_bytes(exchange, str_make(text->str, text->len));
-		if (exchange->buffered_body->len > 0)
-			exchange_relay_body(exchange,
-			    str_make(exchange->buffered_body->data,
-				exchange->buffered_body->len));
+		exchange_relay_buffered(exchange);
 	}
 	g_byte_array_set_size(exchange->buffered_body, 0);
 }
@@ -180,36 +215,24 @@
 }
 
 /*
- * Relay a part of the response body. It is buffered until the head is sent.
+ * Relay a part of the response body. It is buffered until the head is sent, and
+ * then, if the response is chunked, until all bytes received at once are there:
+ * an upstream may send many tiny chunks.
  */
 void
 exchange_relay_body(struct exchange *exchange, struct str bytes)
 {
-	struct http_stream *to = exchange->caller->stream;
-	char chunk_header[CHUNK_HEADER_MAX];
-	int len;
+	GByteArray *buffered = exchange->buffered_body;
 
-	if (!exchange->committed) {
-		g_byte_array_append(exchange->buffered_body,
-		    (const guint8 *)bytes.ptr, (guint)bytes.len);
-		if (exchange->buffered_body->len > RESPONSE_BUFFER_BYTES)
-			commit_response(exchange, false, 0);
-		return;
-	}
-	if (exchange->chunked) {
-		len = g_snprintf(
-		    chunk_header, sizeof(chunk_header), "%zx\r\n", bytes.len);
-		send_bytes(exchange, str_make(chunk_header, (size_t)len));
-		send_bytes(exchange, bytes);
-		send_bytes(exchange, str_from("\r\n"));
-	} else {
+	if (exchange->committed && !exchange->chunked) {
 		send_bytes(exchange, bytes);
+		pause_if_behind(exchange);
+		return;
 	}
-	if ((http_stream_queued_bytes(to) > HTTP_WRITE_HIGH_BYTES ||
-		shaper_flow_pending(&exchange->flow) > FLOW_HIGH_WATER_BYTES) &&
-	    exchange->responding != NULL &&
-	    exchange->responding->stream != NULL)
-		http_stream_pause(exchange->responding->stream);
+	g_byte_array_append(
+	    buffered, (const guint8 *)bytes.ptr, (guint)bytes.len);
+	if (!exchange->committed && buffered->len > RESPONSE_BUFFER_BYTES)
+		commit_response(exchange, false, 0);
 }
 
 static void
@@ -242,6 +265,7 @@
 	if (!exchange->committed)
 		commit_response(exchange, !has_no_body(exchange),
 		    exchange->buffered_body->len);
+	exchange_relay_buffered(exchange);
 	if (exchange->chunked)
 		send_bytes(exchange, str_from("0\r\n\r\n"));
 	exchange_log(exchange,
