fleet, proxy: keep what upstreams said when their registration lapses

Callers saw no failure. A registration that runs out while the store is away removes the upstream from the catalog, and its return creates a new object: the limit that it had named was lost at its own gate and at all entries at once, so that a burst as large as its slots followed.

Cause: the limit was kept with the listed upstream. Responses to requests that began before also went to the old object.

Change: the table of departed upstreams keeps the notice and the limit with the start that they belong to, and gives them back to a registration of that start. Responses count for the listed upstream of the same id and start. A relayed response tells a peer of the upstream that made it, not of the one that is registered by then.

--- a/fleet/catalog_upstreams.c
+++ b/fleet/catalog_upstreams.c
@@ -89,10 +89,7 @@
 
 	catalog_emit_event(catalog, CATALOG_EVENT_UPSTREAM_GONE,
 	    upstream->entry.id, upstream->entry.service, revision);
-	departed_add(catalog->departed, &upstream->entry);
-	if (upstream->notice.leaving)
-		departed_add_leaving(catalog->departed, upstream->entry.id,
-		    upstream->entry.started_ms);
+	departed_add(catalog->departed, upstream);
 	upstream->listed = false;
 	group_remove(catalog, upstream);
 	g_hash_table_remove(catalog->upstreams, upstream->entry.id);
@@ -185,6 +182,7 @@
 		upstream =
 		    upstream_new(entry, peer_get_or_create(catalog, entry));
 		upstream->cold_until_ms = now_ms + upstream->entry.cold_ms;
+		departed_restore(catalog->departed, upstream);
 		g_hash_table_insert(
 		    catalog->upstreams, g_strdup(upstream->entry.id), upstream);
 		group_add(catalog, upstream);
@@ -215,6 +213,24 @@
 	upstream_emit_event(catalog, upstream, revision);
 }
 
+/*
+ * Return the listed upstream of the same id and start as one that a request
+ * holds, which may have been removed and listed again meanwhile; or that one.
+ */
+struct upstream *
+catalog_current(const struct catalog *catalog, struct upstream *upstream)
+{
+	struct upstream *listed;
+
+	if (upstream->listed)
+		return upstream;
+	listed = catalog_upstream(catalog, str_from(upstream->entry.id));
+	if (listed == NULL ||
+	    listed->entry.started_ms != upstream->entry.started_ms)
+		return upstream;
+	return listed;
+}
+
 /*
  * Record that an upstream has announced that it leaves. The announcement may
  * arrive before the registration of that start, and holds until a later one.
--- a/fleet/departed.c
+++ b/fleet/departed.c
@@ -8,6 +8,8 @@
 	char *id;
 	uint64_t started_ms;
 	uint64_t sequence;
+	struct upstream_notice notice; /* last known of that start */
+	uint32_t rate_limit_per_ks;    /* in the last load report */
 };
 
 struct departed {
@@ -60,25 +62,41 @@
 	return sequence <= departure->sequence;
 }
 
-/* A start of 0 can't be told from a later one, and is not remembered. */
-static void
-departure_put(struct departed *departed, const char *id, uint64_t started_ms,
+/*
+ * Return what is remembered of an upstream, after noting a registration of it.
+ * A start of 0 can't be told from a later one: NULL is returned.
+ */
+static struct departure *
+departure_note(struct departed *departed, const char *id, uint64_t started_ms,
     uint64_t sequence)
 {
 	struct departure *departure = g_hash_table_lookup(departed->by_id, id);
 
 	if (started_ms == 0)
-		return;
+		return NULL;
 	if (departure == NULL) {
 		departure = g_new0(struct departure, 1);
 		departure->id = g_strdup(id);
 		g_hash_table_insert(departed->by_id, departure->id, departure);
 		g_queue_push_tail(&departed->order, departure);
-	} else if (is_no_newer(started_ms, sequence, departure)) {
-		return;
 	}
-	departure->started_ms = started_ms;
-	departure->sequence = sequence;
+	if (started_ms < departure->started_ms)
+		return departure;
+	if (started_ms > departure->started_ms) {
+		departure->started_ms = started_ms;
+		departure->sequence = 0;
+		departure->notice = (struct upstream_notice){ 0 };
+		departure->rate_limit_per_ks = 0;
+	}
+	departure->sequence = MAX(departure->sequence, sequence);
+	return departure;
+}
+
+static void
+remove_oldest(struct departed *departed)
+{
+	struct departure *departure;
+
 	if (g_queue_get_length(&departed->order) <= DEPARTED_MAX)
 		return;
 	departure = g_queue_pop_head(&departed->order);
@@ -87,12 +105,21 @@
 }
 
 /*
- * Remember the last registration of an upstream.
+ * Remember an upstream with its last registration.
  */
 void
-departed_add(struct departed *departed, const struct upstream_entry *entry)
+departed_add(struct departed *departed, const struct upstream *upstream)
 {
-	departure_put(departed, entry->id, entry->started_ms, entry->sequence);
+	const struct upstream_entry *entry = &upstream->entry;
+	struct departure *departure =
+	    departure_note(departed, entry->id, entry->started_ms,
+		upstream->notice.leaving ? UINT64_MAX : entry->sequence);
+
+	if (departure != NULL && departure->started_ms == entry->started_ms) {
+		departure->notice = upstream->notice;
+		departure->rate_limit_per_ks = upstream->load.rate_limit_per_ks;
+	}
+	remove_oldest(departed);
 }
 
 /*
@@ -103,7 +130,24 @@
 departed_add_leaving(
     struct departed *departed, const char *id, uint64_t started_ms)
 {
-	departure_put(departed, id, started_ms, UINT64_MAX);
+	departure_note(departed, id, started_ms, UINT64_MAX);
+	remove_oldest(departed);
+}
+
+/*
+ * Restore what was known of an upstream that is back without a new start.
+ */
+void
+departed_restore(const struct departed *departed, struct upstream *upstream)
+{
+	const struct departure *departure =
+	    g_hash_table_lookup(departed->by_id, upstream->entry.id);
+
+	if (departure == NULL ||
+	    departure->started_ms != upstream->entry.started_ms)
+		return;
+	upstream->notice = departure->notice;
+	upstream->load.rate_limit_per_ks = departure->rate_limit_per_ks;
 }
 
 /*
--- a/include/fleet/catalog.h
+++ b/include/fleet/catalog.h
@@ -108,6 +108,9 @@
 /* Most recently started upstream listed at this address, or NULL. */
 struct upstream *catalog_upstream_at(
     const struct catalog *catalog, const struct sockaddr_in *address);
+/* The listed upstream of the same id and start, or else this one. */
+struct upstream *catalog_current(
+    const struct catalog *catalog, struct upstream *upstream);
 bool catalog_zone_is_out(const struct catalog *catalog, const char *zone);
 /* Host address (network order) to struct fleet_peer. */
 GHashTable *catalog_peers(const struct catalog *catalog);
--- a/tests/fleet/test_catalog.c
+++ b/tests/fleet/test_catalog.c
@@ -126,6 +126,37 @@
 	catalog_free(f.catalog);
 }
 
+/* A registration may lapse and return while the upstream goes on. */
+static void
+test_named_limit_outlives_a_lapse(void)
+{
+	struct load_report load = { .rate_limit_known = true,
+		.rate_limit_per_ks = 1500 };
+	struct upstream *held;
+	struct fixture f;
+
+	fixture_init(&f);
+	apply(&f, make_entry("i-1", "10.0.0.1", 1000, 1), false);
+	held = upstream_ref(find(&f, "i-1"));
+	upstream_set_load(held, &load, 0);
+	held->notice.has_rate_limit = true;
+	held->notice.rate_limit_per_ks = 1500;
+	remove_upstream(&f, "i-1", 0, 0);
+	CU_ASSERT_PTR_EQUAL(catalog_current(f.catalog, held), held);
+	apply(&f, make_entry("i-1", "10.0.0.1", 1000, 2), false);
+	CU_ASSERT_EQUAL(find(&f, "i-1")->load.rate_limit_per_ks, 1500);
+	CU_ASSERT_TRUE(find(&f, "i-1")->notice.has_rate_limit);
+	CU_ASSERT_PTR_EQUAL(catalog_current(f.catalog, held), find(&f, "i-1"));
+	/* Another start is another upstream. */
+	remove_upstream(&f, "i-1", 0, 0);
+	apply(&f, make_entry("i-1", "10.0.0.1", 2000, 1), false);
+	CU_ASSERT_EQUAL(find(&f, "i-1")->load.rate_limit_per_ks, 0);
+	CU_ASSERT_FALSE(find(&f, "i-1")->notice.has_rate_limit);
+	CU_ASSERT_PTR_EQUAL(catalog_current(f.catalog, held), held);
+	upstream_unref(held);
+	catalog_free(f.catalog);
+}
+
 /* A peer may tell of it before the registration of that start is known. */
 static void
 test_leaving_is_known_before_the_registration(void)
@@ -248,6 +279,7 @@
 static const struct test_case cases[] = {
 	{ "leaving holds until a later start",
 	    test_leaving_holds_until_a_later_start },
+	{ "a named limit outlives a lapse", test_named_limit_outlives_a_lapse },
 	{ "leaving is known before the registration",
 	    test_leaving_is_known_before_the_registration },
 	{ "a registration of an earlier start is stale",
--- a/trefoilhill-proxy/attempt_response.c
+++ b/trefoilhill-proxy/attempt_response.c
@@ -119,7 +119,9 @@
 	hop_read_response(head, &response);
 	peer_health_responded(attempt->proxy, upstream->peer);
 	if (response.has_load)
-		upstream_set_load(upstream, &response.load, now_ms);
+		upstream_set_load(
+		    catalog_current(attempt->proxy->catalog, upstream),
+		    &response.load, now_ms);
 	if (response.leaving_instance.len > 0)
 		catalog_mark_leaving(attempt->proxy->catalog,
 		    response.leaving_instance, response.leaving_started_ms);
--- a/trefoilhill-proxy/exchange_response.c
+++ b/trefoilhill-proxy/exchange_response.c
@@ -55,10 +55,11 @@
 	g_string_append(exchange->response_head, "Connection: close\r\n");
 }
 
+/* Tell a peer the load of the upstream here, and whether upstream leaves. */
 static void
-write_load_field(struct exchange *exchange, int64_t run_ms)
+write_load_fields(
+    struct exchange *exchange, const struct upstream *upstream, int64_t run_ms)
 {
-	const struct upstream *upstream = gate_upstream(exchange->proxy->gate);
 	struct load_report load;
 
 	if (exchange->origin != CALLER_PEER)
@@ -208,7 +209,9 @@
 			    text, name, http_head_value(from->head, i));
 	}
 	write_connection_field(exchange);
-	write_load_field(exchange, attempt->run_ms);
+	write_load_fields(exchange,
+	    catalog_current(exchange->proxy->catalog, attempt->upstream),
+	    attempt->run_ms);
 	if (exchange->origin == CALLER_PEER ||
 	    (from->has_length && from->length > RESPONSE_BUFFER_BYTES))
 		commit_response(exchange, from->has_length, from->length);
@@ -334,7 +337,7 @@
 	else if (retryable)
 		write_retry_after(exchange);
 	write_connection_field(exchange);
-	write_load_field(exchange, 0);
+	write_load_fields(exchange, gate_upstream(exchange->proxy->gate), 0);
 	g_string_append_printf(text, "Content-Length: %zu\r\n\r\n",
 	    exchange->is_head_method ? 0 : strlen(reason));
 	http_stream_write_pair(exchange->caller->stream,
--- a/trefoilhill-proxy/gate_notice.c
+++ b/trefoilhill-proxy/gate_notice.c
@@ -42,8 +42,10 @@
 gate_record_notice(struct gate *gate, struct upstream *upstream,
     const struct upstream_notice *notice)
 {
-	bool was_leaving = upstream->notice.leaving;
+	bool was_leaving;
 
+	upstream = catalog_current(gate->proxy->catalog, upstream);
+	was_leaving = upstream->notice.leaving;
 	if (!upstream_notice_update(&upstream->notice, notice))
 		return;
 	log_notice(gate, upstream, "upstream");
