fleet, proxy: let a peer's stop end with its grace period

Callers saw later responses: a node that had heard that a peer stops avoided its upstream until the two exchanged a heartbeat again.

Cause: the report was kept without an end, and heartbeats go to random peers. In a fleet of 294 nodes that beat to two of them each 500 ms, a pair meets in either direction about every 37 s on average (worked out, not measured), while a process is back within about a second of its end.

Change: the report holds for the deployment's grace period, in which the process ends.

Result: lost_peers, 'a stop ends with its grace period'; before, the second half of the test could not hold, as nothing ended the state.

Conclusion: found by looking for what peers pass on and one node keeps.

--- a/fleet/upstream.c
+++ b/fleet/upstream.c
@@ -225,6 +225,29 @@
 	return now_ms - peer->lost_ms;
 }
 
+/*
+ * Record whether the peer is shutting down.
+ */
+void
+fleet_peer_set_stopping(
+    struct fleet_peer *peer, bool stopping, uint32_t grace_ms, int64_t now_ms)
+{
+	if (!stopping)
+		peer->stopping_until_ms = 0;
+	else if (!fleet_peer_is_stopping(peer, now_ms))
+		peer->stopping_until_ms = now_ms + grace_ms;
+}
+
+/*
+ * Tell whether the peer is shutting down. Its grace period has ended after a
+ * time, and another process may have started in its place.
+ */
+bool
+fleet_peer_is_stopping(const struct fleet_peer *peer, int64_t now_ms)
+{
+	return peer->stopping_until_ms > now_ms;
+}
+
 /*
  * Tell whether the peer is still avoided after a failure, or with its zone.
  */
--- a/include/fleet/upstream.h
+++ b/include/fleet/upstream.h
@@ -54,8 +54,8 @@
 	int64_t avoid_until_ms;
 	int64_t last_contact_ms; /* last response or heartbeat; 0: never */
 	int64_t
-	    lost_ms;   /* when it last did not respond, to any node; 0: none */
-	bool stopping; /* it reported that it is shutting down */
+	    lost_ms; /* when it last did not respond, to any node; 0: none */
+	int64_t stopping_until_ms; /* by its own report; 0: not stopping */
 };
 
 /* An upstream's registration and this node's state of it; ref-counted. */
@@ -110,6 +110,13 @@
  * ago to tell.
  */
 int64_t fleet_peer_lost_age_ms(const struct fleet_peer *peer, int64_t now_ms);
+/*
+ * Record the peer's report of whether it is shutting down, which takes up to
+ * grace_ms. A report may be the last one for long.
+ */
+void fleet_peer_set_stopping(
+    struct fleet_peer *peer, bool stopping, uint32_t grace_ms, int64_t now_ms);
+bool fleet_peer_is_stopping(const struct fleet_peer *peer, int64_t now_ms);
 /* Is the peer avoided after its own failures, or with its whole zone? */
 bool fleet_peer_is_avoided(const struct fleet_peer *peer, int64_t now_ms);
 
--- a/route/balance.c
+++ b/route/balance.c
@@ -157,7 +157,8 @@
 	bool fresh = is_fresh(upstream, now_ms);
 
 	if (fleet_peer_is_avoided(upstream->peer, now_ms) ||
-	    upstream->peer->stopping || (fresh && !upstream->load.accepting))
+	    fleet_peer_is_stopping(upstream->peer, now_ms) ||
+	    (fresh && !upstream->load.accepting))
 		return BALANCE_UNREACHABLE;
 	if (fresh &&
 	    upstream->load.failures_per_mille > FAILING_AVOID_PER_MILLE)
--- a/tests/fleet/test_lost_peers.c
+++ b/tests/fleet/test_lost_peers.c
@@ -152,10 +152,30 @@
 	fleet_zone_unref(zone);
 }
 
+/* The process that starts next need not meet every node soon. */
+static void
+test_stop_ends_with_its_grace_period(void)
+{
+	struct fleet_zone *zone = fleet_zone_new("a");
+	struct fleet_peer *peer = fleet_peer_new((struct in_addr){ 1 }, zone);
+
+	fleet_peer_set_stopping(peer, true, 6000, 1000);
+	fleet_peer_set_stopping(peer, true, 6000, 4000);
+	CU_ASSERT_TRUE(fleet_peer_is_stopping(peer, 6999));
+	CU_ASSERT_FALSE(fleet_peer_is_stopping(peer, 7000));
+	fleet_peer_set_stopping(peer, true, 6000, 8000);
+	fleet_peer_set_stopping(peer, false, 6000, 8100);
+	CU_ASSERT_FALSE(fleet_peer_is_stopping(peer, 8100));
+	fleet_peer_unref(peer);
+	fleet_zone_unref(zone);
+}
+
 static const struct test_case cases[] = {
 	{ "hosts lost together are told of",
 	    test_hosts_lost_together_are_told_of },
 	{ "own contact overrides reports", test_own_contact_overrides_reports },
+	{ "a stop ends with its grace period",
+	    test_stop_ends_with_its_grace_period },
 	{ NULL, NULL },
 };
 
--- a/trefoilhill-proxy/follower_role.c
+++ b/trefoilhill-proxy/follower_role.c
@@ -85,7 +85,8 @@
 
 		if (g_strcmp0(peer->zone->name,
 			proxy->settings->node.zone.ptr) == 0 &&
-		    host_rank(peer->host) < own && !peer->stopping &&
+		    host_rank(peer->host) < own &&
+		    !fleet_peer_is_stopping(peer, now_ms) &&
 		    !fleet_peer_is_avoided(peer, now_ms))
 			ahead++;
 	}
--- a/trefoilhill-proxy/heartbeat.c
+++ b/trefoilhill-proxy/heartbeat.c
@@ -133,6 +133,13 @@
 	return message;
 }
 
+static void
+set_stopping(struct proxy *proxy, struct fleet_peer *peer, bool stopping)
+{
+	fleet_peer_set_stopping(peer, stopping, proxy->settings->node.grace_ms,
+	    proxy_now_ms(proxy));
+}
+
 /* Take over what the sender says of its upstream, itself and others. */
 static void
 update_peers(
@@ -148,7 +155,7 @@
 	if (upstream == NULL || upstream == gate_upstream(proxy->gate))
 		return;
 	upstream_set_load(upstream, &message->load, proxy_now_ms(proxy));
-	upstream->peer->stopping = message->stopping;
+	set_stopping(proxy, upstream->peer, message->stopping);
 	peer_health_responded(proxy, upstream->peer);
 	/* A node of another zone may be cut off from what is reachable here. */
 	if (g_strcmp0(upstream->entry.zone, proxy->settings->node.zone.ptr) ==
@@ -315,7 +322,7 @@
 	}
 	if (peer != NULL) {
 		peer_health_responded(proxy, peer);
-		peer->stopping = message.stopping;
+		set_stopping(proxy, peer, message.stopping);
 	}
 	handle_peer_message(heartbeat, call->host, &message, call->push);
 	heartbeat_message_clear(&message);
