soak: limits and announcements of upstreams, at random

Change: upstreams name a limit, or announce that they leave before the store knows, beside all other faults. What each node has passed on binds its requests from then on; a restart, a pause and for a limit a cut excuse the node.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -4,6 +4,7 @@
 import collections
 
 from mesh import CALLER_PORT
+from notices import Notices
 from upstream import body_for
 
 DEADLINE_S = 2.0
@@ -31,6 +32,7 @@
         self.wrong = []
         self.responses = []  # (time, ok) of "get" requests
         self.stopping = False
+        self.notices = Notices()
         # Deadline sent by callers that give up, after GIVE_UP_AFTER_S.
         self.give_up_deadline_s = GIVE_UP_AFTER_S
 
@@ -53,7 +55,7 @@
                     continue
             kind = self.rng.choices(("get", "post", "bulk", "give_up"),
                                     (60, 25, 10, 5))[0]
-            keep = await self.send_request(kind, reader, writer)
+            keep = await self.send_request(host, kind, reader, writer)
             if not keep:
                 writer.transport.abort()
                 reader = writer = None
@@ -61,7 +63,7 @@
         if writer is not None:
             writer.transport.abort()
 
-    async def send_request(self, kind, reader, writer):
+    async def send_request(self, host, kind, reader, writer):
         request = self.next_id()
         prefix = "get" if kind == "give_up" else kind
         method = "POST" if kind == "post" else "GET"
@@ -76,6 +78,7 @@
                 f"X-Deadline: {int(deadline_s * 1000)}\r\n"
                 f"Content-Length: {len(body)}\r\n\r\n").encode() + body
         now = asyncio.get_running_loop().time()
+        self.notices.sent[request] = (host.number, now)
         try:
             writer.write(text)
             response = await asyncio.wait_for(self.read(reader),
@@ -88,6 +91,7 @@
         except (OSError, asyncio.IncompleteReadError, ValueError):
             response = Response()
         self.check(kind, request, response)
+        self.notices.handle_response(host, response)
         if kind == "get":
             self.responses.append((now, response.status == 200))
         return response.complete and \
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -36,6 +36,8 @@
         self.rng = random.Random(seed)
         self.mesh = Mesh(options.program, directory, options.hosts, self.rng)
         self.callers = Callers(self.mesh, random.Random(seed + 1))
+        self.notices = self.callers.notices
+        self.mesh.record.handle_run = self.notices.handle_run
         self.seconds = options.seconds
         self.failures = []
         self.leaving = []  # (upstream, time) after recovery
@@ -48,10 +50,11 @@
 
     # Faults: each method injects one and returns when it is over.
 
-    @staticmethod
-    async def kill_for(host, down_s):
+    async def kill_for(self, host, down_s):
         async with host.lock:
+            self.notices.handle_restart(host)
             await host.stop_node(signal.SIGKILL)
+            self.notices.handle_restart(host)
             await asyncio.sleep(down_s)
             await host.start_node()
 
@@ -66,13 +69,16 @@
     async def node_paused(self):
         host = self.pick_host()
         host.send_signal(signal.SIGSTOP)
+        self.notices.handle_restart(host)
         await asyncio.sleep(self.rng.uniform(0.3, 3))
         host.send_signal(signal.SIGCONT)
+        self.notices.handle_restart(host)
 
     async def node_stopped(self):
         host = self.pick_host()
         async with host.lock:
             status = await host.stop_node(signal.SIGTERM)
+            self.notices.handle_restart(host)
             await host.start_node()
         if status != 0:
             self.fail(f"node {host.number} ended with {status} on SIGTERM")
@@ -83,22 +89,26 @@
             await asyncio.sleep(0.05)
 
     async def link_fault(self):
-        link = self.pick_host().link
+        host = self.pick_host()
+        link = host.link
+        self.notices.handle_cut(host)
         link.mode = self.rng.choice(("delay", "cut", "one_way", "reset"))
         link.delay_s = self.rng.uniform(0.02, 0.2)
         if link.mode == "reset":
             link.reset()
         await asyncio.sleep(self.rng.uniform(0.3, 3))
         link.mode = "up"
+        self.notices.handle_cut(host)
 
     async def zone_cut(self):
         zone = self.rng.choice(ZONES)
-        cut = [h.link for h in self.mesh.hosts if h.zone == zone]
-        for link in cut:
-            link.mode = "cut"
+        cut = [h for h in self.mesh.hosts if h.zone == zone]
+        for host in cut:
+            host.link.mode = "cut"
         await asyncio.sleep(self.rng.uniform(0.5, 3))
-        for link in cut:
-            link.mode = "up"
+        for host in cut:
+            host.link.mode = "up"
+            self.notices.handle_cut(host)
 
     async def connections_reset(self):
         for host in self.rng.sample(self.mesh.hosts, 3):
@@ -167,6 +177,28 @@
             await asyncio.sleep(DRAIN_LIMIT_S + 1)
             await self.replace(host, 0)
 
+    async def limit_named(self):
+        """An upstream names a limit for a while."""
+        host = self.pick_host()
+        async with host.upstream_lock:
+            if host.upstream.id in self.notices.limited:
+                return
+            limited = host.upstream
+            self.notices.name_limit(
+                limited, self.rng.choice((0, 0.4, 1, 2.5, 6, 15)))
+            await asyncio.sleep(self.rng.uniform(4, 9))
+            self.notices.end_limit(limited)
+
+    async def leaving_announced(self):
+        """An upstream says that it leaves; the store may learn it later."""
+        host = self.pick_host()
+        async with host.upstream_lock:
+            host.upstream.leaving = True
+            await asyncio.sleep(self.rng.uniform(0, 3))
+            self.mesh.register(host, "draining")
+            await asyncio.sleep(DRAIN_LIMIT_S + 1)
+            await self.replace(host, 0)
+
     async def replace(self, host, down_s):
         old_upstream = host.upstream
         await old_upstream.crash()
@@ -179,7 +211,8 @@
               link_fault, link_fault, zone_cut, connections_reset,
               store_fault, store_restored, store_compacted, config_changes, config_changes,
               invalid_entry, evacuated, upstream_faulty, upstream_faulty,
-              upstream_crashed, upstream_drained)
+              upstream_crashed, upstream_drained, limit_named, limit_named,
+              leaving_announced)
 
     async def inject_faults(self):
         loop = asyncio.get_running_loop()
@@ -294,7 +327,8 @@
             self.check_runs()
             for upstream in self.mesh.upstreams:
                 self.check_cold(upstream)
-            for text in self.callers.wrong:
+            self.notices.check_limits()
+            for text in self.callers.wrong + self.notices.failures:
                 self.fail(text)
         finally:
             await self.mesh.stop()
--- a/tests/soak/upstream.py
+++ b/tests/soak/upstream.py
@@ -14,9 +14,12 @@
         self.runs = {}  # request id: list of (time, upstream id)
         self.missing_caller = []
         self.open = 0
+        self.handle_run = None  # called with (request, upstream)
 
     def add_run(self, request, time, upstream):
         self.runs.setdefault(request, []).append((time, upstream.id))
+        if self.handle_run is not None:
+            self.handle_run(request, upstream)
 
 
 def body_for(request, size):
