--- a/include/trefoilhill-proxy/gate_private.h
+++ b/include/trefoilhill-proxy/gate_private.h
@@ -29,5 +29,12 @@
 };
 
 void gate_apply_rate_limit(struct gate *gate);
+void gate_log_state(
+    struct gate *gate, const char *event, bool open, int64_t cold_ms);
+void gate_record_replaced_id(
+    struct gate *gate, const struct upstream *upstream);
+void gate_probe_start(struct gate *gate);
+void gate_handle_instance(void *arg, const struct instance_info *info);
+struct upstream *gate_current_upstream(struct gate *gate);
 
 #endif
--- a/trefoilhill-proxy/gate.c
+++ b/trefoilhill-proxy/gate.c
@@ -1,5 +1,3 @@
-#include <string.h>
-
 #include "trefoilhill-proxy/gate_private.h"
 
 enum {
@@ -9,8 +7,6 @@
 	IDLE_CONNECTIONS_MAX = 32,
 	IDLE_DEFAULT_MS = 600, /* if the upstream names no timeout */
 	IDLE_MAX_MS = 5000,
-	/* A change in the platform's store is usually known by then. */
-	MISMATCH_HOLD_MS = 500,
 	PERCENT = 100,
 	PER_MILLE = 1000,
 	/*
@@ -21,8 +17,6 @@
 	COLD_RATE_PERCENT = 90,
 };
 
-static void handle_instance(void *arg, const struct instance_info *info);
-
 /*
  * Return the gate of the upstream whose address is in the settings, or NULL
  * with error set if that address is invalid.
@@ -41,7 +35,8 @@
 		.idle_max_ms = IDLE_MAX_MS,
 	};
 	struct str address = proxy->settings->upstream.address;
-	struct instance_probe_ops ops = { .handle_instance = handle_instance };
+	struct instance_probe_ops ops = { .handle_instance =
+					      gate_handle_instance };
 	struct gate *gate;
 
 	if (!http_address_parse(address, &pool.address)) {
@@ -125,8 +120,11 @@
 	return gate->upstream;
 }
 
-static void
-log_state(struct gate *gate, const char *event, bool open, int64_t cold_ms)
+/*
+ * Log a change of the gate.
+ */
+void
+gate_log_state(struct gate *gate, const char *event, bool open, int64_t cold_ms)
 {
 	struct json_line *line =
 	    json_log_begin(gate->proxy->log, LOG_CLASS_STATE, event);
@@ -137,80 +135,6 @@
 	json_log_end(line);
 }
 
-/* Keep the id by which peers may still address the upstream. */
-static void
-record_replaced_id(struct gate *gate, const struct upstream *upstream)
-{
-	if (g_strcmp0(gate->upstream_id, upstream->entry.id) == 0)
-		return;
-	g_clear_pointer(&gate->replaced_id, g_free);
-	if (g_strcmp0(gate->service, upstream->entry.service) == 0)
-		gate->replaced_id = g_strdup(gate->upstream_id);
-	g_free(gate->service);
-	gate->service = g_strdup(upstream->entry.service);
-}
-
-/*
- * Ask the upstream for its instance id, as its registration may be older than
- * its last start. Done only once after the start of this process: the settings
- * are new then and name the current service, which the upstream doesn't report.
- */
-static void
-probe_start(struct gate *gate)
-{
-	const struct mesh_config *config = catalog_config(gate->proxy->catalog);
-	const struct mesh_service *service = config == NULL
-	    ? NULL
-	    : mesh_config_service(config, gate->upstream->entry.service);
-
-	if (service != NULL &&
-	    str_equal(gate->proxy->settings->upstream.service,
-		str_from(service->name)))
-		instance_probe_start(gate->probe, service->health_path);
-}
-
-/*
- * Handle the instance id of the upstream. An unregistered instance replaces the
- * registered one until its own registration arrives.
- */
-static void
-handle_instance(void *arg, const struct instance_info *info)
-{
-	struct gate *gate = arg;
-	struct upstream *registered =
-	    catalog_upstream_at(gate->proxy->catalog, &gate->address);
-	struct upstream_entry entry;
-
-	if (registered == NULL)
-		return;
-	if (str_equal(str_from(registered->entry.id), info->id)) {
-		/* Its registration may date from before it became cold. */
-		registered->cold_until_ms = MAX(registered->cold_until_ms,
-		    proxy_now_ms(gate->proxy) + info->cold_ms);
-		gate_record_notice(gate, registered, &info->notice);
-		gate_refresh(gate);
-		return;
-	}
-	if (!info->healthy || upstream_is_leaving(registered) ||
-	    !str_equal(gate->proxy->settings->upstream.service,
-		str_from(registered->entry.service)))
-		return;
-	entry = registered->entry;
-	entry.id = str_dup_cstr(info->id);
-	entry.service = g_strdup(registered->entry.service);
-	entry.zone = g_strdup(registered->entry.zone);
-	entry.started_ms = registered->entry.started_ms + 1;
-	entry.cold_ms = (uint32_t)MIN(info->cold_ms, G_MAXINT32);
-	upstream_unref(gate->probed);
-	gate->probed = upstream_new(&entry, registered->peer);
-	gate->probed->cold_until_ms =
-	    proxy_now_ms(gate->proxy) + gate->probed->entry.cold_ms;
-	g_free(gate->probed_for_id);
-	gate->probed_for_id = g_strdup(registered->entry.id);
-	gate_refresh(gate);
-	gate_record_notice(gate, gate->probed, &info->notice);
-}
-
 /* Switch to another upstream, or to a restarted one, or to none. */
 static void
 set_upstream(struct gate *gate, struct upstream *upstream)
@@ -223,15 +147,15 @@
 	    gate->started_ms == upstream->entry.started_ms)
 		return;
 	if (gate->upstream_id == NULL)
-		probe_start(gate);
-	record_replaced_id(gate, upstream);
+		gate_probe_start(gate);
+	gate_record_replaced_id(gate, upstream);
 	g_free(gate->upstream_id);
 	gate->upstream_id = g_strdup(upstream->entry.id);
 	gate->started_ms = upstream->entry.started_ms;
 	gate->mismatch_until_ms = 0;
 	admission_reset(gate->admission);
 	http_pool_close_idle(gate->pool);
-	log_state(gate, "gate_upstream", true, upstream->entry.cold_ms);
+	gate_log_state(gate, "gate_upstream", true, upstream->entry.cold_ms);
 }
 
 /* Requests per second that are sent to the upstream while it is cold. */
@@ -262,7 +186,8 @@
 	if ((gate->zone_out && !zone_out) ||
 	    admission_take_recovered(gate->admission)) {
 		gate->assumed_cold_until_ms = now_ms + service->cold_ms;
-		log_state(gate, "gate_assumed_cold", true, service->cold_ms);
+		gate_log_state(
+		    gate, "gate_assumed_cold", true, service->cold_ms);
 	}
 	gate->zone_out = zone_out;
 	admission_set_cold(gate->admission,
@@ -270,36 +195,13 @@
 	    cold_rate(gate, service));
 }
 
-/*
- * Return the upstream registered here, or the instance that the probe found in
- * its place; NULL if none is registered.
- */
-static struct upstream *
-current_upstream(struct gate *gate)
-{
-	struct upstream *registered =
-	    catalog_upstream_at(gate->proxy->catalog, &gate->address);
-
-	if (gate->probed == NULL)
-		return registered;
-	if (registered != NULL &&
-	    g_strcmp0(registered->entry.id, gate->probed_for_id) == 0)
-		return gate->probed;
-	if (registered != NULL &&
-	    g_strcmp0(registered->entry.id, gate->probed->entry.id) == 0)
-		registered->notice = gate->probed->notice;
-	upstream_unref(gate->probed);
-	gate->probed = NULL;
-	return registered;
-}
-
 /*
  * Update the registered upstream and its state from the catalog.
  */
 void
 gate_refresh(struct gate *gate)
 {
-	struct upstream *upstream = current_upstream(gate);
+	struct upstream *upstream = gate_current_upstream(gate);
 	int64_t now_ms = proxy_now_ms(gate->proxy);
 
 	if (upstream != gate->upstream ||
@@ -356,34 +258,6 @@
 	    gate->admission, bounds.concurrent, bounds.transfer_ms);
 }
 
-/*
- * Tell whether a request for an instance may run here: the instance is the
- * current one, or the one that it replaced for the same service.
- */
-bool
-gate_accepts_instance(const struct gate *gate, struct str instance)
-{
-	if (gate->upstream == NULL)
-		return false;
-	return str_equal(str_from(gate->upstream->entry.id), instance) ||
-	    (gate->replaced_id != NULL &&
-		str_equal(str_from(gate->replaced_id), instance));
-}
-
-/*
- * Record that another instance than the registered one responded. Requests are
- * sent elsewhere for a short time, until its registration is known.
- */
-void
-gate_record_mismatch(struct gate *gate)
-{
-	int64_t now_ms = proxy_now_ms(gate->proxy);
-
-	if (gate->mismatch_until_ms <= now_ms)
-		log_state(gate, "gate_instance_doubted", true, 0);
-	gate->mismatch_until_ms = now_ms + MISMATCH_HOLD_MS;
-}
-
 /*
  * Return the load of the upstream, as reported to peers.
  */
--- /dev/null
+++ b/trefoilhill-proxy/gate_instance.c
@@ -0,0 +1,135 @@
+#include "trefoilhill-proxy/gate_private.h"
+
+/* Which instance is at the upstream's address, if not the registered one. */
+
+enum {
+	/* A change in the platform's store is usually known by then. */
+	MISMATCH_HOLD_MS = 500,
+};
+
+/*
+ * Keep the id by which peers may still address the upstream.
+ */
+void
+gate_record_replaced_id(struct gate *gate, const struct upstream *upstream)
+{
+	if (g_strcmp0(gate->upstream_id, upstream->entry.id) == 0)
+		return;
+	g_clear_pointer(&gate->replaced_id, g_free);
+	if (g_strcmp0(gate->service, upstream->entry.service) == 0)
+		gate->replaced_id = g_strdup(gate->upstream_id);
+	g_free(gate->service);
+	gate->service = g_strdup(upstream->entry.service);
+}
+
+/*
+ * Ask the upstream for its instance id, as its registration may be older than
+ * its last start. Done only once after the start of this process: the settings
+ * are new then and name the current service, which the upstream doesn't report.
+ */
+void
+gate_probe_start(struct gate *gate)
+{
+	const struct mesh_config *config = catalog_config(gate->proxy->catalog);
+	const struct mesh_service *service = config == NULL
+	    ? NULL
+	    : mesh_config_service(config, gate->upstream->entry.service);
+
+	if (service != NULL &&
+	    str_equal(gate->proxy->settings->upstream.service,
+		str_from(service->name)))
+		instance_probe_start(gate->probe, service->health_path);
+}
+
+/*
+ * Handle the instance id of the upstream. An unregistered instance replaces the
+ * registered one until its own registration arrives.
+ */
+void
+gate_handle_instance(void *arg, const struct instance_info *info)
+{
+	struct gate *gate = arg;
+	struct upstream *registered =
+	    catalog_upstream_at(gate->proxy->catalog, &gate->address);
+	struct upstream_entry entry;
+
+	if (registered == NULL)
+		return;
+	if (str_equal(str_from(registered->entry.id), info->id)) {
+		/* Its registration may date from before it became cold. */
+		registered->cold_until_ms = MAX(registered->cold_until_ms,
+		    proxy_now_ms(gate->proxy) + info->cold_ms);
+		gate_record_notice(gate, registered, &info->notice);
+		gate_refresh(gate);
+		return;
+	}
+	if (!info->healthy || upstream_is_leaving(registered) ||
+	    !str_equal(gate->proxy->settings->upstream.service,
+		str_from(registered->entry.service)))
+		return;
+	entry = registered->entry;
+	entry.id = str_dup_cstr(info->id);
+	entry.service = g_strdup(registered->entry.service);
+	entry.zone = g_strdup(registered->entry.zone);
+	entry.started_ms = registered->entry.started_ms + 1;
+	entry.cold_ms = (uint32_t)MIN(info->cold_ms, G_MAXINT32);
+	upstream_unref(gate->probed);
+	gate->probed = upstream_new(&entry, registered->peer);
+	gate->probed->cold_until_ms =
+	    proxy_now_ms(gate->proxy) + gate->probed->entry.cold_ms;
+	g_free(gate->probed_for_id);
+	gate->probed_for_id = g_strdup(registered->entry.id);
+	gate_refresh(gate);
+	gate_record_notice(gate, gate->probed, &info->notice);
+}
+
+/*
+ * Return the upstream registered here, or the instance that the probe found in
+ * its place; NULL if none is registered.
+ */
+struct upstream *
+gate_current_upstream(struct gate *gate)
+{
+	struct upstream *registered =
+	    catalog_upstream_at(gate->proxy->catalog, &gate->address);
+
+	if (gate->probed == NULL)
+		return registered;
+	if (registered != NULL &&
+	    g_strcmp0(registered->entry.id, gate->probed_for_id) == 0)
+		return gate->probed;
+	if (registered != NULL &&
+	    g_strcmp0(registered->entry.id, gate->probed->entry.id) == 0)
+		registered->notice = gate->probed->notice;
+	upstream_unref(gate->probed);
+	gate->probed = NULL;
+	return registered;
+}
+
+/*
+ * Tell whether a request for an instance may run here: the instance is the
+ * current one, or the one that it replaced for the same service.
+ */
+bool
+gate_accepts_instance(const struct gate *gate, struct str instance)
+{
+	if (gate->upstream == NULL)
+		return false;
+	return str_equal(str_from(gate->upstream->entry.id), instance) ||
+	    (gate->replaced_id != NULL &&
+		str_equal(str_from(gate->replaced_id), instance));
+}
+
+/*
+ * Record that another instance than the registered one responded. Requests are
+ * sent elsewhere for a short time, until its registration is known.
+ */
+void
+gate_record_mismatch(struct gate *gate)
+{
+	int64_t now_ms = proxy_now_ms(gate->proxy);
+
+	if (gate->mismatch_until_ms <= now_ms)
+		gate_log_state(gate, "gate_instance_doubted", true, 0);
+	gate->mismatch_until_ms = now_ms + MISMATCH_HOLD_MS;
+}
