common: flush the log by the steady clock

Callers see nothing; an operator may lose the last lines of a process that ends.

Cause: json_log_free waited for its writer until a time of day. A jump of that clock forward ends the wait at once, and one back prolongs it. Whether this is what was seen of the test json-log in KNOWN-RED.txt, where the writer had not written within 2 s, isn't shown: the entry stays.

Change: the condition variable uses the monotonic clock.

--- a/common/json_log.c
+++ b/common/json_log.c
@@ -90,6 +90,7 @@
 json_log_new(const struct json_log_settings *settings, struct clock *clock)
 {
 	struct json_log *log = g_new0(struct json_log, 1);
+	pthread_condattr_t condition;
 
 	log->settings = *settings;
 	log->node = str_dup_cstr(settings->node);
@@ -98,7 +99,11 @@
 	log->line.text = g_string_sized_new(512);
 	log->pending = g_string_new(NULL);
 	pthread_mutex_init(&log->lock, NULL);
-	pthread_cond_init(&log->changed, NULL);
+	/* The time of day may jump while the last lines are flushed. */
+	pthread_condattr_init(&condition);
+	pthread_condattr_setclock(&condition, CLOCK_MONOTONIC);
+	pthread_cond_init(&log->changed, &condition);
+	pthread_condattr_destroy(&condition);
 	log->started = pthread_create(&log->writer, NULL, writer_run, log) == 0;
 	return log;
 }
@@ -116,7 +121,7 @@
 
 	if (log == NULL)
 		return;
-	clock_gettime(CLOCK_REALTIME, &until);
+	clock_gettime(CLOCK_MONOTONIC, &until);
 	until = timespec_plus_ms(until, flush_ms);
 	pthread_mutex_lock(&log->lock);
 	log->stopping = true;
