wire: read what has arrived after sending frames that waited

Callers of trefoilhilld saw no answer until the next frame to the same peer, or their deadline.

Cause: the descriptor of a ZeroMQ socket is edge triggered, and an operation on the socket takes the edge. Frames that had waited for a connection were sent after the socket had been read, so answers that arrived meanwhile stayed unread. libzmq looks for them once in about a millisecond only, so it takes a busy machine.

Change: what has arrived is read after the frames that waited are sent.

--- a/tests/wire/test_transport.c
+++ b/tests/wire/test_transport.c
@@ -11,6 +11,9 @@
 #include "wire/transport.h"
 
 enum {
+	ANSWER_ROUNDS = 4,
+	WAITING_FRAMES = 250,
+	WAITING_BODY_BYTES = 64,
 	FRAMES_MAX = 512,
 	STEP_US = 2000,
 	WAIT_US = 3 * 1000 * 1000,
@@ -47,15 +50,17 @@
     struct str body)
 {
 	struct inbox *inbox = arg;
+	struct transport *reply_transport;
 
 	pthread_mutex_lock(&inbox->lock);
+	reply_transport = inbox->reply_transport;
 	if (inbox->count < FRAMES_MAX)
 		g_strlcpy(inbox->heads[inbox->count++], head.ptr,
 		    MIN(head.len + 1, sizeof(inbox->heads[0])));
 	inbox->body_len += body.len;
 	pthread_mutex_unlock(&inbox->lock);
-	if (inbox->reply_transport != NULL)
-		transport_reply(inbox->reply_transport, origin, FRAME_CALL,
+	if (reply_transport != NULL)
+		transport_reply(reply_transport, origin, FRAME_CALL,
 		    g_bytes_new("answer", 6), NULL);
 }
 
@@ -91,6 +96,21 @@
 	return false;
 }
 
+/*
+ * The host address of this process's nodes. On a shared one, another process
+ * may take the port of a peer that is down for a while.
+ */
+static const char *
+own_host(void)
+{
+	static char host[INET_ADDRSTRLEN];
+	pid_t pid = getpid();
+
+	g_snprintf(host, sizeof(host), "127.%d.%d.%d", 64 + (pid >> 16 & 63),
+	    pid >> 8 & 255, pid & 255);
+	return host;
+}
+
 static void
 node_open(struct node *node, const char *address)
 {
@@ -105,8 +125,8 @@
 	pthread_mutex_init(&node->inbox.lock, NULL);
 	node->transport = NULL;
 	for (int i = 0; node->transport == NULL && i < PORT_COUNT; i++) {
-		g_snprintf(node->address, sizeof(node->address), "127.0.0.1:%d",
-		    PORT_FIRST + (getpid() + i) % PORT_COUNT);
+		g_snprintf(node->address, sizeof(node->address), "%s:%d",
+		    own_host(), PORT_FIRST + i);
 		if (address != NULL)
 			g_strlcpy(
 			    node->address, address, sizeof(node->address));
@@ -127,6 +147,15 @@
 	pthread_mutex_destroy(&node->inbox.lock);
 }
 
+/* Let a node answer each frame. */
+static void
+answer_frames(struct node *node)
+{
+	pthread_mutex_lock(&node->inbox.lock);
+	node->inbox.reply_transport = node->transport;
+	pthread_mutex_unlock(&node->inbox.lock);
+}
+
 static void
 send_head(struct node *from, const char *address, const char *head)
 {
@@ -143,7 +172,7 @@
 
 	node_open(&a, NULL);
 	node_open(&b, NULL);
-	b.inbox.reply_transport = b.transport;
+	answer_frames(&b);
 	for (int i = 0; i < 200; i++) {
 		g_snprintf(text, sizeof(text), "%d", i);
 		send_head(&a, b.address, text);
@@ -198,15 +227,15 @@
 
 	relay->target = address;
 	relay->target.sin_port = htons((uint16_t)atoi(strchr(target, ':') + 1));
-	inet_pton(AF_INET, "127.0.0.1", &relay->target.sin_addr);
-	inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+	inet_pton(AF_INET, own_host(), &relay->target.sin_addr);
+	inet_pton(AF_INET, own_host(), &address.sin_addr);
 	relay->listener = socket(AF_INET, SOCK_STREAM, 0);
 	g_assert_cmpint(
 	    bind(relay->listener, (struct sockaddr *)&address, sizeof(address)),
 	    ==, 0);
 	g_assert_cmpint(listen(relay->listener, 1), ==, 0);
 	getsockname(relay->listener, (struct sockaddr *)&address, &len);
-	g_snprintf(relay->address, sizeof(relay->address), "127.0.0.1:%d",
+	g_snprintf(relay->address, sizeof(relay->address), "%s:%d", own_host(),
 	    ntohs(address.sin_port));
 	pthread_create(&relay->thread, NULL, relay_run, relay);
 }
@@ -242,6 +271,35 @@
 	relay_close(&relay);
 }
 
+/*
+ * Frames that waited for a connection are answered while the rest of them is
+ * still being sent: each answer arrives.
+ */
+static void
+test_answers_to_waiting_frames_arrive(void)
+{
+	for (int round = 0; round < ANSWER_ROUNDS; round++) {
+		GBytes *body = g_bytes_new_take(
+		    g_malloc0(WAITING_BODY_BYTES), WAITING_BODY_BYTES);
+		struct node a, b;
+		struct relay relay;
+
+		node_open(&a, NULL);
+		node_open(&b, NULL);
+		answer_frames(&b);
+		relay_open(&relay, b.address);
+		for (int i = 0; i < WAITING_FRAMES; i++)
+			transport_send(a.transport, str_from(relay.address),
+			    FRAME_CALL, g_bytes_new("x", 1), g_bytes_ref(body));
+		CU_ASSERT_TRUE(
+		    wait_for(&a.inbox, &a.inbox.count, WAITING_FRAMES));
+		node_close(&a);
+		node_close(&b);
+		relay_close(&relay);
+		g_bytes_unref(body);
+	}
+}
+
 static void
 test_body_is_carried(void)
 {
@@ -368,6 +426,8 @@
 		    test_frames_arrive_in_order_and_are_answered },
 		{ "frames wait for a slow connection",
 		    test_frames_wait_for_a_slow_connection },
+		{ "answers to waiting frames arrive",
+		    test_answers_to_waiting_frames_arrive },
 		{ "body is carried", test_body_is_carried },
 		{ "frame for dead peer is not sent later",
 		    test_frame_for_dead_peer_is_not_sent_later },
--- a/wire/transport_loop.c
+++ b/wire/transport_loop.c
@@ -92,6 +92,28 @@
 		handler->handle_frame(handler->arg, origin, head, body);
 }
 
+/*
+ * Receive all messages waiting on a socket. ZeroMQ's descriptor is edge
+ * triggered, so this must follow each operation on a socket.
+ */
+static void
+receive_all(struct transport *transport, void *socket, bool has_origin)
+{
+	struct received_message received;
+	enum receive_result result;
+
+	while ((result = received_message_read(
+		    &received, socket, has_origin)) != RECEIVE_NONE) {
+		if (result == RECEIVE_FRAME)
+			dispatch_frame(transport, &received.origin,
+			    received_message_first_part(&received),
+			    received_message_body(&received));
+		else
+			count_rejected(transport, FRAME_MALFORMED);
+		received_message_release(&received);
+	}
+}
+
 /*
  * Send the pending frames of a peer, or drop those that have timed out.
  */
@@ -113,30 +135,11 @@
 			    transport, out, TRANSPORT_DROPPED_UNREACHABLE);
 		}
 	}
-	if (had_pending && g_queue_is_empty(&peer->pending))
+	if (!had_pending)
+		return;
+	if (g_queue_is_empty(&peer->pending))
 		transport->peers_with_pending--;
-}
-
-/*
- * Receive all messages waiting on a socket. ZeroMQ's descriptor is edge
- * triggered, so this must follow each operation on a socket.
- */
-static void
-receive_all(struct transport *transport, void *socket, bool has_origin)
-{
-	struct received_message received;
-	enum receive_result result;
-
-	while ((result = received_message_read(
-		    &received, socket, has_origin)) != RECEIVE_NONE) {
-		if (result == RECEIVE_FRAME)
-			dispatch_frame(transport, &received.origin,
-			    received_message_first_part(&received),
-			    received_message_body(&received));
-		else
-			count_rejected(transport, FRAME_MALFORMED);
-		received_message_release(&received);
-	}
+	receive_all(transport, peer->socket, false);
 }
 
 static struct transport_peer *
