trefoilhilld: don't read the body of a shed without end

Callers got 504 at their deadline where 503 was true: the upstream had said in the head that it did not start the request.

Change: after 64 KB of it the connection is closed; a shed counts as one by its head, however its body ends.

Endless interim responses were bounded by libcurl already, and have a test now.

--- a/include/trefoilhilld/upstream_client_state.h
+++ b/include/trefoilhilld/upstream_client_state.h
@@ -27,7 +27,8 @@
 	bool prereq_called; /* libcurl has asked for permission to send */
 	bool read_paused;   /* waiting for more of the request body */
 	bool head_sent;
-	uint64_t sent; /* response body bytes forwarded */
+	uint64_t sent;      /* response body bytes forwarded */
+	uint64_t discarded; /* response body bytes of a shed */
 	uint64_t body_read;
 	uint64_t body_credit_granted;
 };
--- a/tests/daemon/fake_upstream.c
+++ b/tests/daemon/fake_upstream.c
@@ -105,6 +105,23 @@
 	    "Retry-After: 3\r\nContent-Length: 0\r\n\r\n");
 }
 
+/* Sends text without end, until the client disconnects. */
+static void
+respond_endlessly(struct fake_upstream *upstream, struct mg_connection *conn,
+    const char *head, const char *text)
+{
+	GString *piece = g_string_new(NULL);
+
+	while (piece->len < CHUNK_BYTES)
+		g_string_append(piece, text);
+	mg_disable_connection_keep_alive(conn);
+	mg_write(conn, head, strlen(head));
+	while (mg_write(conn, piece->str, piece->len) > 0)
+		;
+	atomic_fetch_add(&upstream->aborted_responses, 1);
+	g_string_free(piece, TRUE);
+}
+
 static void
 check_body(struct fake_upstream *upstream, struct mg_connection *conn)
 {
@@ -141,6 +158,14 @@
 		respond_truncated(conn, size);
 	else if (g_str_has_prefix(path, "/slow/"))
 		respond_slowly(upstream, conn);
+	else if (g_str_has_prefix(path, "/shed-endless/"))
+		respond_endlessly(upstream, conn,
+		    "HTTP/1.1 503 Busy\r\nX-Standin-Outcome: shed\r\n"
+		    "Retry-After: 3\r\n\r\n",
+		    "x");
+	else if (g_str_has_prefix(path, "/interim/"))
+		respond_endlessly(upstream, conn, "",
+		    "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n");
 	else if (g_str_has_prefix(path, "/wait/")) {
 		usleep((useconds_t)size * 1000);
 		respond_size(conn, 2);
--- a/tests/daemon/test_data_path.c
+++ b/tests/daemon/test_data_path.c
@@ -253,6 +253,47 @@
 	fixture_close(fixture);
 }
 
+/* Send a request, and wait until the upstream's response is aborted. */
+static struct reply
+get_aborted(struct fixture *fixture, const char *path)
+{
+	struct caller_request request = { .path = path,
+		.headers = { "Trefoilhill-Timeout-Ms: 10000" } };
+	struct reply reply = send_request(fixture, &request);
+	unsigned int aborted = 0;
+
+	for (int i = 0; i < 100 && aborted == 0; i++) {
+		usleep(10000);
+		aborted = atomic_load(&fixture->upstreams[1].aborted_responses);
+	}
+	CU_ASSERT_EQUAL(aborted, 1);
+	return reply;
+}
+
+/* The rest of a response that isn't used is not read without end. */
+static void
+test_endless_shed_is_refused_as_not_run(void)
+{
+	struct fixture *fixture = fixture_open(REMOTE);
+	struct reply reply = get_aborted(fixture, "/shed-endless/1");
+
+	CU_ASSERT_EQUAL(reply.status, 503);
+	CU_ASSERT_STRING_EQUAL(reply.outcome, "not-run");
+	CU_ASSERT_PTR_NOT_NULL(strstr(reply.error, "\"error\":\"shed\""));
+	fixture_close(fixture);
+}
+
+static void
+test_endless_interim_responses_are_no_response(void)
+{
+	struct fixture *fixture = fixture_open(REMOTE);
+	struct reply reply = get_aborted(fixture, "/interim/1");
+
+	CU_ASSERT_EQUAL(reply.status, 502);
+	CU_ASSERT_STRING_EQUAL(reply.outcome, "unknown");
+	fixture_close(fixture);
+}
+
 static void
 test_dead_upstream_is_refused_as_not_run(void)
 {
@@ -421,6 +462,10 @@
 		    test_deadline_is_passed_on_to_upstream },
 		{ "shed is refused as not run",
 		    test_shed_is_refused_as_not_run },
+		{ "endless shed is refused as not run",
+		    test_endless_shed_is_refused_as_not_run },
+		{ "endless interim responses are no response",
+		    test_endless_interim_responses_are_no_response },
 		{ "dead upstream is refused as not run",
 		    test_dead_upstream_is_refused_as_not_run },
 		{ "dead node is refused as not run",
--- a/trefoilhilld/data_path/upstream_client.c
+++ b/trefoilhilld/data_path/upstream_client.c
@@ -7,6 +7,8 @@
 	POLL_MAX_MS = 1000,
 	/* libcurl allocates a buffer of this size for each request. */
 	RECEIVE_BYTES = 16 * 1024,
+	/* More of a shed's body costs as much as a new connection. */
+	SHED_BODY_MAX_BYTES = 64 * 1024,
 	STATUS_SERVER_ERROR = 500,
 	US_PER_MS = 1000,
 };
@@ -127,8 +129,10 @@
 	struct upstream_client *client = arg;
 	size_t len = size * count;
 
-	if (client->parser.shed)
-		return len;
+	if (client->parser.shed) {
+		client->discarded += len;
+		return client->discarded > SHED_BODY_MAX_BYTES ? 0 : len;
+	}
 	g_byte_array_append(client->pending, (const guint8 *)bytes, (guint)len);
 	return flush_pending(client, CALL_CHUNK_BYTES) ? len : 0;
 }
@@ -378,6 +382,7 @@
 	client->read_paused = false;
 	client->head_sent = false;
 	client->sent = 0;
+	client->discarded = 0;
 	client->body_read = 0;
 	client->body_credit_granted = 0;
 	response_parser_reset(&client->parser);
@@ -388,7 +393,8 @@
 	outcome = run_transfer(client);
 	curl_multi_remove_handle(client->multi, client->easy);
 	service_call_set_multi(call, NULL);
-	if (outcome == TRANSFER_COMPLETE)
+	/* A shed is known by its head, also when its body never ends. */
+	if (outcome == TRANSFER_COMPLETE || client->parser.shed)
 		finish_complete(client, result);
 	else
 		finish_incomplete(client, result, outcome);
