proxy: handle signals that arrive while the node starts

Callers could lose connections: a process that was told to stop or to read its settings in its first moments ended at once.

Cause: the handlers were installed after the listeners were open; until then SIGTERM and SIGHUP had their default action.

Change: the signals are blocked first in main, and unblocked once their handlers are installed. The soak starts nodes with them blocked, since nothing in the program can cover the time before main.

--- a/tests/soak/mesh.py
+++ b/tests/soak/mesh.py
@@ -82,8 +82,11 @@
             caller=CALLER_PORT, mesh=MESH_PORT, ready=READY_PORT,
             app=APP_PORT, grace=GRACE_MS, store=":".join(map(str, STORE))))
         log = open(self.mesh.directory / f"node-{self.number}.log", "ab")
+        # Signals that are sent before the program runs wait until it does.
         self.process = await asyncio.create_subprocess_exec(
-            self.mesh.program, "--config", str(path), stdout=log, stderr=log)
+            self.mesh.program, "--config", str(path), stdout=log, stderr=log,
+            preexec_fn=lambda: signal.pthread_sigmask(
+                signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGHUP)))
         log.close()
 
     def send_signal(self, number):
--- a/trefoilhill-proxy/main.c
+++ b/trefoilhill-proxy/main.c
@@ -41,6 +41,19 @@
 	proxy_reload(process->proxy, process->config);
 }
 
+/* Block or unblock the signals that the loop handles. */
+static void
+mask_signals(int how)
+{
+	sigset_t signals;
+
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGTERM);
+	sigaddset(&signals, SIGINT);
+	sigaddset(&signals, SIGHUP);
+	pthread_sigmask(how, &signals, NULL);
+}
+
 static int
 run(struct settings *settings, const char *config)
 {
@@ -62,6 +75,7 @@
 	uv_signal_start(&terminate, handle_stop, SIGTERM);
 	uv_signal_start(&interrupt, handle_stop, SIGINT);
 	uv_signal_start(&hang_up, handle_reload, SIGHUP);
+	mask_signals(SIG_UNBLOCK);
 	uv_run(loop, UV_RUN_DEFAULT);
 	proxy_free(process.proxy);
 	return EXIT_SUCCESS;
@@ -77,6 +91,8 @@
 	struct settings *settings;
 	int status;
 
+	/* Their default action would end a process that accepts callers. */
+	mask_signals(SIG_BLOCK);
 	status = daemon_options_load(&options, argc, argv, &settings);
 	if (status >= 0)
 		return status;
