--- a/tests/wire/test_transport.c
+++ b/tests/wire/test_transport.c
@@ -1,12 +1,11 @@
 #include <arpa/inet.h>
-#include <poll.h>
 #include <pthread.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 #include <zmq.h>
 
 #include "harness.h"
+#include "relay.h"
 #include "wire/frame.h"
 #include "wire/transport.h"
 
@@ -19,15 +18,6 @@
 	WAIT_US = 3 * 1000 * 1000,
 	PORT_FIRST = 23100,
 	PORT_COUNT = 400,
-	CONNECT_DELAY_MS = 500,
-};
-
-/* TCP relay for one connection; connects to its target after a delay. */
-struct relay {
-	pthread_t thread;
-	int listener;
-	char address[32];
-	struct sockaddr_in target;
 };
 
 struct inbox {
@@ -187,66 +177,6 @@
 	node_close(&b);
 }
 
-static bool
-forward_bytes(int from, int to)
-{
-	char bytes[4096];
-	ssize_t count = read(from, bytes, sizeof(bytes));
-
-	return count > 0 && write(to, bytes, (size_t)count) == count;
-}
-
-static void *
-relay_run(void *arg)
-{
-	struct relay *relay = arg;
-	struct pollfd ends[2] = { { .events = POLLIN }, { .events = POLLIN } };
-	bool open = true;
-
-	ends[0].fd = accept(relay->listener, NULL, NULL);
-	usleep(CONNECT_DELAY_MS * 1000);
-	ends[1].fd = socket(AF_INET, SOCK_STREAM, 0);
-	open = connect(ends[1].fd, (struct sockaddr *)&relay->target,
-		   sizeof(relay->target)) == 0;
-	while (open && poll(ends, 2, -1) > 0) {
-		if (ends[0].revents != 0)
-			open = forward_bytes(ends[0].fd, ends[1].fd);
-		if (open && ends[1].revents != 0)
-			open = forward_bytes(ends[1].fd, ends[0].fd);
-	}
-	close(ends[0].fd);
-	close(ends[1].fd);
-	return NULL;
-}
-
-static void
-relay_open(struct relay *relay, const char *target)
-{
-	struct sockaddr_in address = { .sin_family = AF_INET };
-	socklen_t len = sizeof(address);
-
-	relay->target = address;
-	relay->target.sin_port = htons((uint16_t)atoi(strchr(target, ':') + 1));
-	inet_pton(AF_INET, own_host(), &relay->target.sin_addr);
-	inet_pton(AF_INET, own_host(), &address.sin_addr);
-	relay->listener = socket(AF_INET, SOCK_STREAM, 0);
-	g_assert_cmpint(
-	    bind(relay->listener, (struct sockaddr *)&address, sizeof(address)),
-	    ==, 0);
-	g_assert_cmpint(listen(relay->listener, 1), ==, 0);
-	getsockname(relay->listener, (struct sockaddr *)&address, &len);
-	g_snprintf(relay->address, sizeof(relay->address), "%s:%d", own_host(),
-	    ntohs(address.sin_port));
-	pthread_create(&relay->thread, NULL, relay_run, relay);
-}
-
-static void
-relay_close(struct relay *relay)
-{
-	pthread_join(relay->thread, NULL);
-	close(relay->listener);
-}
-
 /*
  * On a busy host a connection takes long to establish: frames must wait for it
  * instead of being dropped.
@@ -259,7 +189,7 @@
 
 	node_open(&a, NULL);
 	node_open(&b, NULL);
-	relay_open(&relay, b.address);
+	relay_open(&relay, own_host(), b.address);
 	send_head(&a, relay.address, "first");
 	send_head(&a, relay.address, "second");
 	CU_ASSERT_TRUE(wait_for(&b.inbox, &b.inbox.count, 2));
@@ -287,7 +217,7 @@
 		node_open(&a, NULL);
 		node_open(&b, NULL);
 		answer_frames(&b);
-		relay_open(&relay, b.address);
+		relay_open(&relay, own_host(), b.address);
 		for (int i = 0; i < WAITING_FRAMES; i++)
 			transport_send(a.transport, str_from(relay.address),
 			    FRAME_CALL, g_bytes_new("x", 1), g_bytes_ref(body));
