--- a/tests/soak/test_endless_bytes.py
+++ b/tests/soak/test_endless_bytes.py
@@ -116,6 +116,15 @@
         await asyncio.sleep(0.02)
 
 
+async def measure_lag(lags):
+    """Append by how much this process is late, which also counts in what it
+    measures of the node."""
+    while True:
+        began = time.monotonic()
+        await asyncio.sleep(0.01)
+        lags.append(time.monotonic() - began - 0.01)
+
+
 def peak_kb(process):
     for line in open(f"/proc/{process.pid}/status"):
         if line.startswith("VmHWM"):
@@ -125,13 +134,15 @@
 
 async def play_kind(host, kind):
     """Return what was wrong with one kind of endless bytes."""
-    stop, others = asyncio.Event(), []
+    stop, others, lags = asyncio.Event(), [], []
+    meter = asyncio.create_task(measure_lag(lags))
     host.upstream.taken = 0
     load = asyncio.create_task(send_others(stop, others))
     results = await asyncio.gather(
         *(send(kind, f"{kind}-{n}") for n in range(REQUESTS)))
     stop.set()
     await load
+    meter.cancel()
     # What is left over of a connection is read for a while.
     await asyncio.sleep(1.2)
     allowed = (200,) if kind == "after" else (0, 502, 503, 504)
@@ -146,6 +157,8 @@
     if len(slow) > 1:
         wrong.append(f"{len(slow)} of {len(others)} other requests slow or "
                      f"failed, up to {max(slow):.2f} s")
+    if wrong:
+        wrong.append(f"this process was late by up to {max(lags):.2f} s")
     return wrong
 
 
