proxy: log crashes of the upstream and what ran there

Cause: the lines name requests by the id of the caller's attempt, which is new each time, and no line says that an upstream crashed.

Change: quarantine/request_key hashes host, path, calling service and body; it is in each line of a request and in the fields between nodes.

--- a/include/trefoilhill-proxy/attempt.h
+++ b/include/trefoilhill-proxy/attempt.h
@@ -15,6 +15,9 @@
 	ATTEMPT_FAILURE_UNKNOWN, /* the upstream may have run it */
 };
 
+/* Reason of an attempt that ran when the upstream crashed. */
+#define ATTEMPT_REASON_CRASHED "upstream_crashed"
+
 struct attempt_ops {
 	/* The response head has arrived; it is in attempt->stream->head. */
 	void (*handle_head)(struct attempt *attempt);
@@ -62,6 +65,8 @@
 	bool response_started;      /* the response head has arrived */
 	bool upstream_rejected;     /* it declined to run the request */
 	bool misdirected; /* another instance is at the address (status 421) */
+	GList held_link;
+	bool held; /* by the crash watch: has lost its connection */
 	bool ended;
 	unsigned status;
 	int64_t run_ms;     /* from sending to the response head */
--- a/include/trefoilhill-proxy/exchange.h
+++ b/include/trefoilhill-proxy/exchange.h
@@ -2,6 +2,7 @@
 #define TREFOILHILL_TREFOILHILL_PROXY_EXCHANGE_H
 
 #include "platform/headers.h"
+#include "quarantine/request_key.h"
 #include "trefoilhill-proxy/attempt.h"
 #include "trefoilhill-proxy/caller.h"
 #include "trefoilhill-proxy/hop.h"
@@ -23,10 +24,12 @@
 	int64_t deadline_ms;
 	/* The request. */
 	struct http_head *head;
-	struct str id;         /* points into head */
-	GByteArray *body;      /* buffered part */
-	uint64_t body_dropped; /* bytes sent and no longer buffered */
+	struct str id;          /* points into head */
+	struct request_key key; /* for a caller's request once has_key is set */
+	GByteArray *body;       /* buffered part */
+	uint64_t body_dropped;  /* bytes sent and no longer buffered */
 	bool body_complete;
+	bool has_key;
 	bool has_length;
 	uint64_t length;
 	bool is_head_method;
--- a/include/trefoilhill-proxy/gate.h
+++ b/include/trefoilhill-proxy/gate.h
@@ -11,11 +11,13 @@
  * this host. All requests to that upstream pass through it.
  */
 struct gate;
+struct crash_watch;
 
 struct gate *gate_new(struct proxy *proxy, GError **error);
 void gate_free(struct gate *gate);
 struct admission *gate_admission(struct gate *gate);
 struct http_pool *gate_pool(struct gate *gate);
+struct crash_watch *gate_crash_watch(struct gate *gate);
 /* The requests in progress at the upstream. */
 struct run_list *gate_runs(struct gate *gate);
 /* The upstream that is registered at this host's address, or NULL. */
--- a/include/trefoilhill-proxy/hop.h
+++ b/include/trefoilhill-proxy/hop.h
@@ -3,6 +3,7 @@
 
 #include "fleet/upstream.h"
 #include "http/head.h"
+#include "quarantine/request_key.h"
 
 /*
  * Header fields on requests and responses between nodes. They are internal:
@@ -34,6 +35,7 @@
 	int64_t body_length;
 	/* Limit that the instance has named, as in struct load_report. */
 	uint32_t rate_limit_per_ks;
+	struct request_key key; /* 0: from a node of an earlier version */
 };
 
 enum hop_outcome {
--- a/trefoilhill-proxy/attempt.c
+++ b/trefoilhill-proxy/attempt.c
@@ -2,6 +2,7 @@
 
 #include "platform/headers.h"
 #include "trefoilhill-proxy/attempt.h"
+#include "trefoilhill-proxy/crash_watch.h"
 #include "trefoilhill-proxy/exchange.h"
 #include "trefoilhill-proxy/gate.h"
 #include "trefoilhill-proxy/peer_health.h"
@@ -70,6 +71,7 @@
 	if (outcome == ADMISSION_CANCELLED)
 		outcome = cancelled_outcome(attempt, latency_ms);
 	attempt->ended = true;
+	crash_watch_release(gate_crash_watch(gate), attempt);
 	attempt->upstream->own_in_flight--;
 	if (attempt->local)
 		admission_withdraw(gate_admission(gate), &attempt->waiter);
@@ -219,6 +221,12 @@
 		reason = "answer_cut";
 	else if (end == HTTP_END_MALFORMED || end == HTTP_END_TOO_LARGE)
 		reason = "answer_malformed";
+	else if (attempt->local && !upstream_is_leaving(attempt->upstream)) {
+		stream_abort(attempt);
+		crash_watch_hold(
+		    gate_crash_watch(attempt->proxy->gate), attempt);
+		return;
+	}
 	attempt_fail(attempt, ATTEMPT_FAILURE_UNKNOWN, reason);
 }
 
--- a/trefoilhill-proxy/attempt_request.c
+++ b/trefoilhill-proxy/attempt_request.c
@@ -76,6 +76,7 @@
 		.confirm = attempt->needs_confirmation,
 		.body_length = exchange->body->len,
 		.rate_limit_per_ks = attempt->upstream->load.rate_limit_per_ks,
+		.key = exchange->key,
 	};
 
 	if (attempt->local)
--- a/trefoilhill-proxy/exchange.c
+++ b/trefoilhill-proxy/exchange.c
@@ -5,7 +5,7 @@
 
 enum {
 	/* Larger request bodies are streamed. */
-	BODY_BUFFER_BYTES = 64 * 1024,
+	BODY_BUFFER_BYTES = REQUEST_KEY_BODY_BYTES,
 	/* Reading from the caller pauses above this. */
 	BODY_HIGH_WATER_BYTES = 256 * 1024,
 	HEARTBEAT_BODY_MAX = 16 * 1024 * 1024,
@@ -50,6 +50,12 @@
 	json_line_cstr(
 	    line, "from", exchange->origin == CALLER_PEER ? "peer" : "caller");
 	json_line_cstr(line, "reason", reason);
+	if (exchange->has_key) {
+		char key[REQUEST_KEY_TEXT_MAX];
+
+		request_key_format(exchange->key, key);
+		json_line_cstr(line, "key", key);
+	}
 	json_line_int(
 	    line, "age_ms", proxy_now_ms(proxy) - exchange->started_ms);
 	json_line_int(line, "left_ms", exchange_remaining_ms(exchange));
--- a/trefoilhill-proxy/exchange_begin.c
+++ b/trefoilhill-proxy/exchange_begin.c
@@ -158,6 +158,8 @@
 	exchange->late = exchange->hop.late;
 	exchange->priority = exchange->hop.priority;
 	exchange->called_by_repeat = exchange->hop.repeat;
+	exchange->key = exchange->hop.key;
+	exchange->has_key = exchange->key.high != 0 || exchange->key.low != 0;
 	set_deadline(exchange, exchange->hop.remaining_ms);
 	if (!exchange->hop.confirm)
 		return;
--- a/trefoilhill-proxy/exchange_dispatch.c
+++ b/trefoilhill-proxy/exchange_dispatch.c
@@ -194,12 +194,30 @@
 	    retry, hedge);
 }
 
+/* Compute the request's key from what its caller has sent so far. */
+static void
+set_key(struct exchange *exchange)
+{
+	const struct http_head *head = exchange->head;
+	struct request_identity identity = {
+		.host = http_head_find(head, str_from("host")),
+		.target = http_head_span(head, head->target),
+		.caller = exchange->proxy->settings->upstream.service,
+		.body = str_make(exchange->body->data, exchange->body->len),
+	};
+
+	exchange->key = request_key_of(&identity);
+	exchange->has_key = true;
+}
+
 /*
  * Start the first attempt.
  */
 void
 exchange_dispatch(struct exchange *exchange)
 {
+	if (exchange->origin == CALLER_LOCAL)
+		set_key(exchange);
 	if (exchange->origin == CALLER_PEER)
 		dispatch_peer_request(exchange);
 	else
--- a/trefoilhill-proxy/gate.c
+++ b/trefoilhill-proxy/gate.c
@@ -1,3 +1,4 @@
+#include "trefoilhill-proxy/crash_watch.h"
 #include "trefoilhill-proxy/gate_private.h"
 
 enum {
@@ -49,6 +50,7 @@
 	gate->address = pool.address;
 	gate->admission = admission_new(&bounds);
 	gate->pool = http_pool_new(proxy->loop, &pool);
+	gate->crash_watch = crash_watch_new(proxy);
 	ops.arg = gate;
 	gate->probe = instance_probe_new(proxy, gate->pool, &ops);
 	gate->timer = g_new0(uv_timer_t, 1);
@@ -73,6 +75,7 @@
 		return;
 	uv_close((uv_handle_t *)gate->timer, handle_timer_closed);
 	instance_probe_free(gate->probe);
+	crash_watch_free(gate->crash_watch);
 	upstream_unref(gate->upstream);
 	upstream_unref(gate->probed);
 	g_free(gate->probed_for_id);
@@ -102,6 +105,15 @@
 	return &gate->runs;
 }
 
+/*
+ * Return the watch for crashes of the upstream.
+ */
+struct crash_watch *
+gate_crash_watch(struct gate *gate)
+{
+	return gate->crash_watch;
+}
+
 /*
  * Return the pool of connections to the upstream.
  */
--- a/trefoilhill-proxy/hop.c
+++ b/trefoilhill-proxy/hop.c
@@ -42,12 +42,14 @@
 	char value[FIELD_TEXT_MAX];
 	int len = g_snprintf(value, sizeof(value),
 	    "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %u %d %d %d %d %d "
-	    "%" G_GINT64_FORMAT " %u",
+	    "%" G_GINT64_FORMAT " %u %" G_GINT64_MODIFIER
+	    "x %" G_GINT64_MODIFIER "x",
 	    (gint64)request->remaining_ms, (gint64)request->queue_timeout_ms,
 	    request->priority, request->idempotent ? 1 : 0,
 	    request->bulk ? 1 : 0, request->late ? 1 : 0,
 	    request->repeat ? 1 : 0, request->confirm ? 1 : 0,
-	    (gint64)request->body_length, request->rate_limit_per_ks);
+	    (gint64)request->body_length, request->rate_limit_per_ks,
+	    (guint64)request->key.high, (guint64)request->key.low);
 
 	http_field_append(text, request_field, str_make(value, (size_t)len));
 	http_field_append(text, instance_field, request->instance);
@@ -78,15 +80,17 @@
 	gint64 remaining_ms, queue_timeout_ms, body_length = 0;
 	int idempotent, bulk, late, repeat = 0, confirm = 0;
 	uint32_t rate_limit_per_ks = 0;
+	guint64 key_high = 0, key_low = 0;
 
-	/* Nodes of earlier versions don't send the last four numbers. */
+	/* Nodes of earlier versions don't send the last six numbers. */
 	if (!value_copy(head, request_field, value, sizeof(value)) ||
 	    sscanf(value,
 		"%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %u %d %d %d %d %d "
-		"%" G_GINT64_FORMAT " %u",
+		"%" G_GINT64_FORMAT " %u %" G_GINT64_MODIFIER
+		"x %" G_GINT64_MODIFIER "x",
 		&remaining_ms, &queue_timeout_ms, &request->priority,
 		&idempotent, &bulk, &late, &repeat, &confirm, &body_length,
-		&rate_limit_per_ks) < 6)
+		&rate_limit_per_ks, &key_high, &key_low) < 6)
 		return false;
 	if (remaining_ms > HOP_TIME_MAX_MS || remaining_ms < -HOP_TIME_MAX_MS ||
 	    queue_timeout_ms > HOP_TIME_MAX_MS || queue_timeout_ms < 0)
@@ -94,6 +98,7 @@
 	request->confirm = confirm != 0;
 	request->body_length = MAX(body_length, 0);
 	request->rate_limit_per_ks = rate_limit_per_ks;
+	request->key = (struct request_key){ key_high, key_low };
 	request->repeat = repeat != 0;
 	request->late = late != 0;
 	request->bulk = bulk != 0;
--- a/trefoilhill-proxy/stats.c
+++ b/trefoilhill-proxy/stats.c
@@ -37,6 +37,8 @@
 	    "Repeats beside an attempt that had not answered" },
 	[STAT_UPSTREAM_CONNECTIONS] = { "trefoilhill_upstream_connections_total",
 	    "Connections opened to the upstream" },
+	[STAT_UPSTREAM_CRASHES] = { "trefoilhill_upstream_crashes_total",
+	    "Crashes of the upstream while requests were in progress" },
 	[STAT_RESPONSES_DISCARDED] = { "trefoilhill_answers_discarded_total",
 	    "Upstream answers that belonged to no request in progress" },
 	[STAT_STORE_READS] = { "trefoilhill_store_reads_total",
