--- a/tests/soak/upstream.py
+++ b/tests/soak/upstream.py
@@ -48,6 +48,8 @@
         self.limit_per_s = None  # that it names in its responses
         self.leaving = False  # as above
         self.health_delay_s = 0.0
+        self.is_deadly = None  # tells of (target, caller, body): it crashes
+        self.handle_crash = None  # called after such a crash
         self.server = None
         self.writers = set()
 
@@ -90,8 +92,7 @@
             name, _, value = line.partition(":")
             headers[name.lower()] = value.strip()
         length = int(headers.get("content-length", "0"))
-        if length:
-            await reader.readexactly(length)
+        sent_body = await reader.readexactly(length) if length else b""
         request = headers.get("x-attempt-id", "")
         if head.split(" ", 2)[1] == HEALTH_PATH:
             await asyncio.sleep(self.health_delay_s)
@@ -115,6 +116,12 @@
             await asyncio.sleep(self.rng.uniform(0.005, 0.03) * self.slowdown)
         finally:
             self.running -= 1
+        if self.is_deadly is not None and self.server is not None and \
+                self.is_deadly(head.split(" ", 2)[1],
+                               headers.get("x-caller-service"), sent_body):
+            await self.crash()
+            self.handle_crash(self)
+            return False
         size = 60000 if "/bulk/" in head.split(" ", 2)[1] else 400
         body = body_for(request, size)
         if self.rng.random() < self.cut_share:
