quarantine: find the request that crashes upstreams

Each crash takes the answers of all that ran at the upstream, so one crash tells little.

Change: a bounded table of the requests that were in progress at crashes. One that was in two crashes that nothing else explains is quarantined. Two that share a crash and were in as many can't be told apart and stay free; a run that ends well clears a request; what a culprit explains isn't held against others; a request that had lately run well, as a popular one, takes four crashes. Nodes merge what they know: crashes have ids, so that none counts twice. In quarantine a request gets two more runs in an hour, solely while it was in no more than three crashes, and is forgotten when it hasn't come for an hour.

--- /dev/null
+++ b/include/quarantine/blame.h
@@ -0,0 +1,18 @@
+#ifndef TREFOILHILL_QUARANTINE_BLAME_H
+#define TREFOILHILL_QUARANTINE_BLAME_H
+
+#include "quarantine/suspect.h"
+
+/*
+ * Which requests crash upstreams, from which were in progress at which crash.
+ * Answers a load in which one request crashes each upstream that runs it, while
+ * many others lose their answers with it, some of them more than once. Depends
+ * on nothing but the crashes, so that nodes that know the same agree.
+ */
+
+/* Crashes of a suspect that no quarantined request explains. */
+uint32_t blame_count(const struct suspect *suspect, const GPtrArray *suspects);
+/* Set which of the suspects are quarantined. */
+void blame_evaluate(GPtrArray *suspects);
+
+#endif
--- /dev/null
+++ b/include/quarantine/suspect.h
@@ -0,0 +1,57 @@
+#ifndef TREFOILHILL_QUARANTINE_SUSPECT_H
+#define TREFOILHILL_QUARANTINE_SUSPECT_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#include "quarantine/request_key.h"
+
+enum {
+	SUSPECT_CRASHES_MAX = 8, /* further ones add nothing */
+};
+
+/* A crash of an upstream. */
+struct crash {
+	uint64_t id; /* the same on all nodes */
+	int64_t at_ms;
+};
+
+/*
+ * What is known of a request that was in progress when upstreams crashed. All
+ * nodes' knowledge of one request is merged: crashes add up, and a run that
+ * ended well cancels the crashes before it. Times are milliseconds of this
+ * node's monotonic clock.
+ */
+struct suspect {
+	struct request_key key;
+	struct crash crashes[SUSPECT_CRASHES_MAX]; /* since it was cleared */
+	uint32_t crash_count;
+	int64_t cleared_ms; /* end of a run without a crash; 0: none */
+	int64_t seen_ms;    /* when it came last */
+	/* Runs allowed in spite of the quarantine, and the last one's start. */
+	uint32_t trials;
+	int64_t trial_ms;
+	bool has_run_well; /* shortly before a crash that it was in */
+	bool quarantined;
+	bool reported;      /* as the owner of the table was told last */
+	int64_t changed_ms; /* when this node learned the last news */
+};
+
+bool suspect_has_crash(const struct suspect *suspect, uint64_t id);
+/* Returns false if the crash is known, or before a run that ended well. */
+bool suspect_add_crash(struct suspect *suspect, struct crash crash);
+/* A run has ended well. Returns false if there were no crashes. */
+bool suspect_clear(struct suspect *suspect, int64_t at_ms);
+int64_t suspect_last_crash_ms(const struct suspect *suspect);
+/* Add another node's knowledge; returns whether it knew more crashes or trials.
+ */
+bool suspect_merge(struct suspect *suspect, const struct suspect *other);
+/*
+ * As one line of text for other nodes, with times as ages. Parsing returns
+ * false if the text is malformed.
+ */
+void suspect_format(
+    const struct suspect *suspect, int64_t now_ms, GString *out);
+bool suspect_parse(struct str text, int64_t now_ms, struct suspect *suspect);
+
+#endif
--- /dev/null
+++ b/quarantine/blame.c
@@ -0,0 +1,115 @@
+#include "quarantine/blame.h"
+
+enum {
+	/* A request in progress at one crash is one of many. */
+	CRASHES_MIN = 2,
+	/*
+	 * Suspects run one at a time at an upstream and so don't share several
+	 * crashes; one with so many is not spared for another that does.
+	 */
+	CRASHES_SURE = 4,
+};
+
+/* Does a quarantined request other than the suspect explain a crash? */
+static bool
+is_explained(
+    uint64_t crash, const struct suspect *suspect, const GPtrArray *suspects)
+{
+	for (guint i = 0; i < suspects->len; i++) {
+		const struct suspect *other = suspects->pdata[i];
+
+		if (other != suspect && other->quarantined &&
+		    suspect_has_crash(other, crash))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Return how many crashes remain for which a suspect may be the cause.
+ */
+uint32_t
+blame_count(const struct suspect *suspect, const GPtrArray *suspects)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < suspect->crash_count; i++)
+		count +=
+		    !is_explained(suspect->crashes[i].id, suspect, suspects);
+	return count;
+}
+
+static bool
+share_crash(const struct suspect *a, const struct suspect *b)
+{
+	for (uint32_t i = 0; i < a->crash_count; i++) {
+		if (suspect_has_crash(b, a->crashes[i].id))
+			return true;
+	}
+	return false;
+}
+
+/* Was another request in one of the suspect's crashes, and in as many? */
+static bool
+has_rival(
+    const struct suspect *suspect, uint32_t count, const GPtrArray *suspects)
+{
+	for (guint i = 0; i < suspects->len; i++) {
+		const struct suspect *other = suspects->pdata[i];
+
+		if (other != suspect && !other->quarantined &&
+		    other->crash_count >= count &&
+		    share_crash(suspect, other) &&
+		    blame_count(other, suspects) >= count)
+			return true;
+	}
+	return false;
+}
+
+/* How many crashes it takes to quarantine a suspect. */
+static uint32_t
+crashes_needed(const struct suspect *suspect)
+{
+	return suspect->has_run_well ? CRASHES_SURE : CRASHES_MIN;
+}
+
+/* Return the next suspect to quarantine; NULL if there is none. */
+static struct suspect *
+find_culprit(const GPtrArray *suspects)
+{
+	struct suspect *found = NULL;
+	uint32_t most = 0;
+
+	for (guint i = 0; i < suspects->len; i++) {
+		struct suspect *suspect = suspects->pdata[i];
+		uint32_t count;
+
+		if (suspect->quarantined ||
+		    suspect->crash_count < crashes_needed(suspect))
+			continue;
+		count = blame_count(suspect, suspects);
+		if (count < crashes_needed(suspect) || count <= most)
+			continue;
+		if (count < CRASHES_SURE && has_rival(suspect, count, suspects))
+			continue;
+		found = suspect;
+		most = count;
+	}
+	return found;
+}
+
+/*
+ * Quarantine each request that was in progress at several crashes which nothing
+ * else explains. Two that share a crash and were in as many others can't be
+ * told apart; both stay free until a further crash or a run that ends well.
+ */
+void
+blame_evaluate(GPtrArray *suspects)
+{
+	struct suspect *culprit;
+
+	for (guint i = 0; i < suspects->len; i++)
+		((struct suspect *)suspects->pdata[i])->quarantined = false;
+	while ((culprit = find_culprit(suspects)) != NULL)
+		culprit->quarantined = true;
+}
--- /dev/null
+++ b/quarantine/quarantine.c
@@ -0,0 +1,374 @@
+#include <string.h>
+
+#include "quarantine/blame.h"
+#include "quarantine/quarantine.h"
+
+enum {
+	SUSPECTS_MAX = 512,
+	SECOND_MS = 1000,
+	/* Forgotten when it hasn't come for so long. */
+	SUSPECT_AGE_MS = 3600 * SECOND_MS,
+	/* For reports of earlier crashes that are still on their way. */
+	CLEARED_AGE_MS = 60 * SECOND_MS,
+	/* From the last crash to the first trial, and four times that then. */
+	TRIAL_AFTER_MS = 60 * SECOND_MS,
+	TRIALS_MAX = 2,
+	/*
+	 * No trials after so many crashes: with those of two parts of the fleet
+	 * that are cut off from each other, they stay within three runs after
+	 * the third crash.
+	 */
+	TRIAL_CRASHES_MAX = 3,
+	/* A crash with a suspect of so many others is blamed on it alone. */
+	CRASHES_LIKELY = 2,
+};
+
+struct quarantine {
+	struct quarantine_ops ops;
+	GHashTable *by_key; /* its own key to struct suspect */
+	GPtrArray *all;     /* owns them */
+};
+
+static guint
+key_hash(const void *key)
+{
+	return (guint)((const struct request_key *)key)->low;
+}
+
+static gboolean
+key_equal(const void *a, const void *b)
+{
+	return request_key_equal(
+	    *(const struct request_key *)a, *(const struct request_key *)b);
+}
+
+/*
+ * Return an empty table.
+ */
+struct quarantine *
+quarantine_new(struct quarantine_ops ops)
+{
+	struct quarantine *quarantine = g_new0(struct quarantine, 1);
+
+	quarantine->ops = ops;
+	quarantine->by_key = g_hash_table_new(key_hash, key_equal);
+	quarantine->all = g_ptr_array_new_with_free_func(g_free);
+	return quarantine;
+}
+
+/*
+ * Free a table. NULL is allowed.
+ */
+void
+quarantine_free(struct quarantine *quarantine)
+{
+	if (quarantine == NULL)
+		return;
+	g_hash_table_destroy(quarantine->by_key);
+	g_ptr_array_unref(quarantine->all);
+	g_free(quarantine);
+}
+
+static struct suspect *
+lookup(const struct quarantine *quarantine, struct request_key key)
+{
+	return g_hash_table_lookup(quarantine->by_key, &key);
+}
+
+/*
+ * Return what is known of a request.
+ */
+const struct suspect *
+quarantine_find(const struct quarantine *quarantine, struct request_key key)
+{
+	return lookup(quarantine, key);
+}
+
+static void
+remove_at(struct quarantine *quarantine, guint index)
+{
+	struct suspect *suspect = quarantine->all->pdata[index];
+
+	g_hash_table_remove(quarantine->by_key, &suspect->key);
+	g_ptr_array_remove_index_fast(quarantine->all, index);
+}
+
+/* Is a less worth keeping than b? */
+static bool
+is_less_suspect(const struct suspect *a, const struct suspect *b)
+{
+	if (a->quarantined != b->quarantined)
+		return b->quarantined;
+	if (a->crash_count != b->crash_count)
+		return a->crash_count < b->crash_count;
+	return a->seen_ms < b->seen_ms;
+}
+
+static void
+make_room(struct quarantine *quarantine)
+{
+	guint least = 0;
+
+	if (quarantine->all->len < SUSPECTS_MAX)
+		return;
+	for (guint i = 1; i < quarantine->all->len; i++) {
+		if (is_less_suspect(quarantine->all->pdata[i],
+			quarantine->all->pdata[least]))
+			least = i;
+	}
+	remove_at(quarantine, least);
+}
+
+static struct suspect *
+lookup_or_add(struct quarantine *quarantine, struct request_key key)
+{
+	struct suspect *suspect = lookup(quarantine, key);
+
+	if (suspect != NULL)
+		return suspect;
+	make_room(quarantine);
+	suspect = g_new0(struct suspect, 1);
+	suspect->key = key;
+	g_ptr_array_add(quarantine->all, suspect);
+	g_hash_table_insert(quarantine->by_key, &suspect->key, suspect);
+	return suspect;
+}
+
+/* Decide anew who is in quarantine, and report the changes. */
+static void
+evaluate(struct quarantine *quarantine, int64_t now_ms)
+{
+	blame_evaluate(quarantine->all);
+	for (guint i = 0; i < quarantine->all->len; i++) {
+		struct suspect *suspect = quarantine->all->pdata[i];
+
+		if (suspect->quarantined == suspect->reported)
+			continue;
+		suspect->reported = suspect->quarantined;
+		suspect->changed_ms = now_ms;
+		quarantine->ops.handle_verdict(quarantine->ops.arg, suspect);
+	}
+}
+
+static bool
+is_trial_due(const struct suspect *suspect, int64_t now_ms)
+{
+	int64_t last_ms =
+	    MAX(suspect_last_crash_ms(suspect), suspect->trial_ms);
+	int64_t delay_ms = (int64_t)TRIAL_AFTER_MS << (2 * suspect->trials);
+
+	return suspect->trials < TRIALS_MAX &&
+	    suspect->crash_count <= TRIAL_CRASHES_MAX &&
+	    now_ms - last_ms >= delay_ms;
+}
+
+/*
+ * Tell whether a request may run, and note that it has come.
+ */
+enum quarantine_verdict
+quarantine_check(
+    struct quarantine *quarantine, struct request_key key, int64_t now_ms)
+{
+	struct suspect *suspect = lookup(quarantine, key);
+
+	if (suspect == NULL)
+		return QUARANTINE_FREE;
+	suspect->seen_ms = now_ms;
+	if (suspect->quarantined)
+		return is_trial_due(suspect, now_ms) ? QUARANTINE_TRIAL
+						     : QUARANTINE_BLOCKED;
+	return blame_count(suspect, quarantine->all) > 0 ? QUARANTINE_SUSPECT
+							 : QUARANTINE_FREE;
+}
+
+/*
+ * Take the run that is due. Others are blocked from now on.
+ */
+bool
+quarantine_begin_trial(
+    struct quarantine *quarantine, struct request_key key, int64_t now_ms)
+{
+	struct suspect *suspect = lookup(quarantine, key);
+
+	if (suspect == NULL || !suspect->quarantined ||
+	    !is_trial_due(suspect, now_ms))
+		return false;
+	suspect->trials++;
+	suspect->trial_ms = now_ms;
+	suspect->changed_ms = now_ms;
+	return true;
+}
+
+/* The most crashes that one of the requests is the likely cause of. */
+static uint32_t
+most_blamed(const struct quarantine *quarantine, const struct crash_run *runs,
+    size_t count)
+{
+	uint32_t most = 0;
+
+	for (size_t i = 0; i < count; i++) {
+		const struct suspect *suspect = lookup(quarantine, runs[i].key);
+
+		if (suspect != NULL)
+			most = MAX(most, blame_count(suspect, quarantine->all));
+	}
+	return most;
+}
+
+/*
+ * Record a crash. One that a likely culprit was in is not held against the
+ * others, which lost their answers with it.
+ */
+void
+quarantine_add_crash(struct quarantine *quarantine, uint64_t crash_id,
+    const struct crash_run *runs, size_t count, int64_t now_ms)
+{
+	struct crash crash = { .id = crash_id, .at_ms = now_ms };
+	uint32_t most = most_blamed(quarantine, runs, count);
+	uint32_t needed = most >= CRASHES_LIKELY ? most : 0;
+
+	for (size_t i = 0; i < count; i++) {
+		struct suspect *suspect = lookup(quarantine, runs[i].key);
+
+		if (needed > 0 &&
+		    (suspect == NULL ||
+			blame_count(suspect, quarantine->all) < needed))
+			continue;
+		suspect = lookup_or_add(quarantine, runs[i].key);
+		suspect->seen_ms = now_ms;
+		if (!suspect_add_crash(suspect, crash))
+			continue;
+		suspect->has_run_well |= runs[i].has_run_well;
+		suspect->changed_ms = now_ms;
+	}
+	evaluate(quarantine, now_ms);
+}
+
+/*
+ * Record a run that ended well: the request doesn't crash its upstreams.
+ */
+void
+quarantine_add_success(
+    struct quarantine *quarantine, struct request_key key, int64_t now_ms)
+{
+	struct suspect *suspect = lookup(quarantine, key);
+
+	if (suspect == NULL || suspect->crash_count == 0 ||
+	    !suspect_clear(suspect, now_ms))
+		return;
+	suspect->changed_ms = now_ms;
+	evaluate(quarantine, now_ms);
+}
+
+/*
+ * Merge another node's knowledge. What is over its age is not taken up again.
+ */
+bool
+quarantine_merge(
+    struct quarantine *quarantine, const struct suspect *other, int64_t now_ms)
+{
+	struct suspect *suspect = lookup(quarantine, other->key);
+	uint32_t crashes;
+	bool news;
+
+	if (suspect == NULL &&
+	    (other->crash_count == 0 ||
+		now_ms - other->seen_ms > SUSPECT_AGE_MS))
+		return false;
+	if (suspect == NULL)
+		suspect = lookup_or_add(quarantine, other->key);
+	crashes = suspect->crash_count;
+	news = suspect_merge(suspect, other);
+	if (!news && suspect->crash_count == crashes)
+		return false;
+	suspect->changed_ms = now_ms;
+	evaluate(quarantine, now_ms);
+	return news;
+}
+
+/*
+ * Forget requests that haven't come for long, and those that were cleared.
+ */
+void
+quarantine_expire(struct quarantine *quarantine, int64_t now_ms)
+{
+	bool removed = false;
+
+	for (guint i = quarantine->all->len; i > 0; i--) {
+		const struct suspect *suspect = quarantine->all->pdata[i - 1];
+		int64_t age_ms = now_ms - suspect->seen_ms;
+
+		if (age_ms <= SUSPECT_AGE_MS &&
+		    (suspect->crash_count > 0 ||
+			now_ms - suspect->cleared_ms <= CLEARED_AGE_MS))
+			continue;
+		remove_at(quarantine, i - 1);
+		removed = true;
+	}
+	if (removed)
+		evaluate(quarantine, now_ms);
+}
+
+/*
+ * Return a hash of which requests are in quarantine.
+ */
+uint64_t
+quarantine_hash(const struct quarantine *quarantine)
+{
+	uint64_t hash = 0;
+
+	for (guint i = 0; i < quarantine->all->len; i++) {
+		const struct suspect *suspect = quarantine->all->pdata[i];
+
+		if (suspect->quarantined)
+			hash += suspect->key.high ^ suspect->key.low;
+	}
+	return hash;
+}
+
+/* Those that matter most to other nodes first. */
+static gint
+compare_urgency(gconstpointer a, gconstpointer b)
+{
+	const struct suspect *left = *(const struct suspect *const *)a;
+	const struct suspect *right = *(const struct suspect *const *)b;
+
+	if (left->quarantined != right->quarantined)
+		return left->quarantined ? -1 : 1;
+	if (left->crash_count != right->crash_count)
+		return left->crash_count > right->crash_count ? -1 : 1;
+	return left->changed_ms > right->changed_ms ? -1 : 1;
+}
+
+/*
+ * List suspects for other nodes.
+ */
+void
+quarantine_list(const struct quarantine *quarantine, int64_t since_ms,
+    bool all_blocked, size_t max, GPtrArray *out)
+{
+	for (guint i = 0; i < quarantine->all->len; i++) {
+		struct suspect *suspect = quarantine->all->pdata[i];
+
+		if (suspect->changed_ms >= since_ms ||
+		    (all_blocked && suspect->quarantined))
+			g_ptr_array_add(out, suspect);
+	}
+	g_ptr_array_sort(out, compare_urgency);
+	if (out->len > max)
+		g_ptr_array_set_size(out, (gint)max);
+}
+
+/*
+ * Return how many requests are in quarantine.
+ */
+size_t
+quarantine_blocked_count(const struct quarantine *quarantine)
+{
+	size_t count = 0;
+
+	for (guint i = 0; i < quarantine->all->len; i++)
+		count += ((const struct suspect *)quarantine->all->pdata[i])
+			     ->quarantined;
+	return count;
+}
--- /dev/null
+++ b/tests/quarantine/test_suspect.c
@@ -0,0 +1,91 @@
+#include <glib.h>
+
+#include "harness.h"
+#include "quarantine/suspect.h"
+
+enum {
+	NOW_MS = 50000,
+};
+
+static void
+test_text(void)
+{
+	struct suspect suspect = {
+		.key = { 0xabcdef0123456789, 7 },
+		.seen_ms = NOW_MS - 5,
+		.trials = 1,
+		.trial_ms = NOW_MS - 400,
+		.has_run_well = true,
+	};
+	GString *text = g_string_new(NULL);
+	struct suspect copy;
+
+	suspect_add_crash(&suspect, (struct crash){ 0xfeed, NOW_MS - 1000 });
+	suspect_add_crash(&suspect, (struct crash){ 2, NOW_MS - 300 });
+	suspect_format(&suspect, NOW_MS, text);
+	/* The other node's clock shows another time. */
+	CU_ASSERT_TRUE(
+	    suspect_parse(str_make(text->str, text->len), 300, &copy));
+	CU_ASSERT_TRUE(request_key_equal(copy.key, suspect.key));
+	CU_ASSERT_EQUAL(copy.crash_count, 2);
+	CU_ASSERT_EQUAL(copy.crashes[0].id, 0xfeed);
+	CU_ASSERT_EQUAL(copy.crashes[0].at_ms, -700);
+	CU_ASSERT_EQUAL(copy.seen_ms, 295);
+	CU_ASSERT_EQUAL(copy.cleared_ms, 0);
+	CU_ASSERT_EQUAL(copy.trials, 1);
+	CU_ASSERT_EQUAL(copy.trial_ms, -100);
+	CU_ASSERT_TRUE(copy.has_run_well);
+	g_string_free(text, TRUE);
+}
+
+static void
+test_malformed(void)
+{
+	/* Crashes. */
+	static const char too_many[] =
+	    "00000000000000010000000000000002 0 -1 -1 0 0 "
+	    "1 0 2 0 3 0 4 0 5 0 6 0 7 0 8 0 9 0";
+	static const char *const texts[] = {
+		"",
+		"00000000000000010000000000000002",
+		"00000000000000010000000000000002 1 -1 -1 0",
+		"00000000000000010000000000000002 -2 -1 -1 0 0",
+		"00000000000000010000000000000002 1 -1 -1 0 0 7",
+		"00000000000000010000000000000002 1 -1 -1 0 0 7 -1",
+		"00000000000000010000000000000002 1 -1 -1 0 0 7 99999999999",
+		too_many,
+		"key 1 -1 -1 0 0",
+	};
+	struct suspect suspect;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++)
+		CU_ASSERT_FALSE(
+		    suspect_parse(str_from(texts[i]), NOW_MS, &suspect));
+}
+
+/* Crashes before a run that ended well don't count, whenever they are told. */
+static void
+test_cleared(void)
+{
+	struct suspect suspect = { 0 };
+
+	CU_ASSERT_TRUE(suspect_add_crash(&suspect, (struct crash){ 1, 100 }));
+	CU_ASSERT_TRUE(suspect_clear(&suspect, 200));
+	CU_ASSERT_EQUAL(suspect.crash_count, 0);
+	CU_ASSERT_FALSE(suspect_add_crash(&suspect, (struct crash){ 2, 150 }));
+	CU_ASSERT_TRUE(suspect_add_crash(&suspect, (struct crash){ 3, 250 }));
+	CU_ASSERT_FALSE(suspect_clear(&suspect, 200));
+}
+
+static const struct test_case cases[] = {
+	{ "text form", test_text },
+	{ "malformed text", test_malformed },
+	{ "cleared", test_cleared },
+	{ NULL, NULL },
+};
+
+int
+main(void)
+{
+	return harness_run("suspect", cases);
+}
