--- a/guard/admission.c
+++ b/guard/admission.c
@@ -133,11 +133,10 @@
 		*reason = ADMISSION_UNREACHABLE;
 		return ADMISSION_REFUSED;
 	}
-	if (g_queue_get_length(&admission->queue) == admission->bulk_queued &&
+	if (g_queue_get_length(&admission->queue) == admission->passable &&
 	    admission->in_flight < admission_limit(admission) &&
-	    !(waiter->bulk &&
-		(admission->bulk_queued > 0 ||
-		    admission_is_bulk_full(admission))) &&
+	    !(waiter->bulk && admission->bulk_queued > 0) &&
+	    !admission_must_wait(admission, waiter) &&
 	    admission_next_start_ms(admission, now_ms) <= now_ms) {
 		admission_record_start(admission, waiter, now_ms);
 		return ADMISSION_RUN;
--- a/guard/admission_outcome.c
+++ b/guard/admission_outcome.c
@@ -109,6 +109,7 @@
 {
 	admission->in_flight--;
 	admission->bulk_in_flight -= waiter->bulk;
+	admission->alone_in_flight -= waiter->alone;
 	switch (outcome) {
 	case ADMISSION_SUCCEEDED:
 		update_on_success(admission, latency_us);
--- a/guard/admission_queue.c
+++ b/guard/admission_queue.c
@@ -8,6 +8,7 @@
 	g_queue_unlink(&admission->queue, &waiter->link);
 	waiter->queued = false;
 	admission->bulk_queued -= waiter->bulk;
+	admission->passable -= waiter->bulk || waiter->alone;
 }
 
 /*
@@ -70,6 +71,7 @@
 	g_queue_insert_before_link(&admission->queue, before, &waiter->link);
 	waiter->queued = true;
 	admission->bulk_queued += waiter->bulk;
+	admission->passable += waiter->bulk || waiter->alone;
 	return ahead;
 }
 
@@ -103,8 +105,36 @@
 }
 
 /*
- * Return the first request that may start, skipping those that wait for the
- * limit of large responses; NULL if there is none.
+ * Tell whether a request waits for the limit of large responses, or for another
+ * that has to run alone.
+ */
+bool
+admission_must_wait(
+    const struct admission *admission, const struct admission_waiter *waiter)
+{
+	return (waiter->bulk && admission_is_bulk_full(admission)) ||
+	    (waiter->alone && admission->alone_in_flight > 0);
+}
+
+/*
+ * Return how many requests that have to run alone go before a queued one,
+ * including one that runs.
+ */
+uint32_t
+admission_alone_ahead(
+    const struct admission *admission, const struct admission_waiter *waiter)
+{
+	uint32_t ahead = admission->alone_in_flight;
+
+	for (GList *link = admission->queue.head;
+	     link != NULL && link->data != waiter; link = link->next)
+		ahead += ((struct admission_waiter *)link->data)->alone;
+	return ahead;
+}
+
+/*
+ * Return the first request that may start, skipping those that must wait; NULL
+ * if there is none.
  */
 struct admission_waiter *
 admission_next_startable(struct admission *admission)
@@ -113,7 +143,7 @@
 	     link = link->next) {
 		struct admission_waiter *waiter = link->data;
 
-		if (!waiter->bulk || !admission_is_bulk_full(admission))
+		if (!admission_must_wait(admission, waiter))
 			return waiter;
 	}
 	return NULL;
--- a/guard/admission_rate.c
+++ b/guard/admission_rate.c
@@ -50,6 +50,7 @@
 	pacer_record_start(&admission->pacer, now_ms);
 	admission->in_flight++;
 	admission->bulk_in_flight += waiter->bulk;
+	admission->alone_in_flight += waiter->alone;
 }
 
 /*
@@ -88,7 +89,7 @@
 	    admission_limit(admission);
 	double by_rate =
 	    (double)pacer_wait_ms(&admission->pacer, ahead, now_ms);
-	double by_link = 0;
+	double by_link = 0, by_turn = 0;
 
 	if (admission_is_cold(admission, now_ms) && admission->cold_per_s > 0)
 		by_rate = MAX(by_rate,
@@ -96,7 +97,10 @@
 	if (waiter->bulk && admission->bulk_limit > 0)
 		by_link = (double)admission_bulk_ahead(admission, waiter) *
 		    admission->bulk_transfer_ms;
-	return (int64_t)MAX(MAX(by_limit, by_rate), by_link);
+	if (waiter->alone)
+		by_turn = (double)admission_alone_ahead(admission, waiter) *
+		    admission->latency_us / 1000;
+	return (int64_t)MAX(MAX(by_limit, by_rate), MAX(by_link, by_turn));
 }
 
 /* Refuse the queued requests that will not start in time. */
--- a/include/guard/admission.h
+++ b/include/guard/admission.h
@@ -53,6 +53,7 @@
 	bool late;               /* can't meet its latency objective */
 	int64_t latest_start_ms; /* refused when it can't start by then */
 	bool bulk;               /* large response */
+	bool alone;              /* not beside another such request */
 	/*
 	 * Called after the request has left the queue: with ADMISSION_OK it
 	 * may start now, else it is refused.
--- a/include/guard/admission_private.h
+++ b/include/guard/admission_private.h
@@ -27,7 +27,9 @@
 	uint32_t bulk_transfer_ms;
 	uint32_t bulk_in_flight;
 	uint32_t bulk_queued;
-	GQueue queue; /* struct admission_waiter *, most urgent first */
+	uint32_t alone_in_flight;
+	uint32_t passable; /* queued, bulk or alone: others may start before */
+	GQueue queue;      /* struct admission_waiter *, most urgent first */
 	int64_t cold_until_ms;
 	double cold_per_s;
 	struct pacer pacer; /* by the limit that the upstream has named */
@@ -49,10 +51,14 @@
 int64_t admission_expected_wait_ms(const struct admission *admission,
     const struct admission_waiter *waiter, uint32_t ahead, int64_t now_ms);
 bool admission_is_bulk_full(const struct admission *admission);
+bool admission_must_wait(
+    const struct admission *admission, const struct admission_waiter *waiter);
 uint32_t admission_enqueue(
     struct admission *admission, struct admission_waiter *waiter);
 uint32_t admission_bulk_ahead(
     const struct admission *admission, const struct admission_waiter *waiter);
+uint32_t admission_alone_ahead(
+    const struct admission *admission, const struct admission_waiter *waiter);
 struct admission_waiter *admission_next_startable(struct admission *admission);
 void admission_dequeue(struct admission *admission,
     struct admission_waiter *waiter, enum admission_reason reason);
--- a/include/route/balance.h
+++ b/include/route/balance.h
@@ -3,6 +3,7 @@
 
 #include "common/rng.h"
 #include "fleet/catalog.h"
+#include "quarantine/request_key.h"
 
 /*
  * Load balancing by expected response time, computed from the guards' load
@@ -20,6 +21,11 @@
 	uint32_t objective_ms;
 	uint32_t run_ms; /* usual run time of such a request */
 	bool bulk;       /* the response is large */
+	/*
+	 * For a request that may crash its upstream: all runs of one key meet
+	 * at one upstream, where they run one after the other. NULL: none.
+	 */
+	const struct request_key *meet_by;
 	int64_t now_ms;
 	const struct upstream *tried[BALANCE_TRIED_MAX];
 	size_t tried_count;
--- a/include/trefoilhill-proxy/attempt.h
+++ b/include/trefoilhill-proxy/attempt.h
@@ -54,6 +54,7 @@
 	bool may_run;             /* the upstream may have received it */
 	int64_t queue_timeout_ms; /* for the queue of the gate */
 	struct admission_waiter waiter;
+	bool blocked;  /* in quarantine since it was admitted */
 	bool admitted; /* counts against the gate's limit */
 	struct run run;
 	struct http_pool *pool;
--- a/include/trefoilhill-proxy/crash_watch.h
+++ b/include/trefoilhill-proxy/crash_watch.h
@@ -13,6 +13,8 @@
 
 struct crash_watch *crash_watch_new(struct proxy *proxy);
 void crash_watch_free(struct crash_watch *watch);
+/* The connection of an attempt was lost, with a part of its response. */
+void crash_watch_add(struct crash_watch *watch, const struct attempt *attempt);
 /*
  * Take an attempt whose connection to the upstream was lost before any
  * response; it fails later.
--- a/include/trefoilhill-proxy/exchange.h
+++ b/include/trefoilhill-proxy/exchange.h
@@ -13,6 +13,9 @@
 	EXCHANGE_ID_MAX = 128,
 };
 
+/* Reason of requests that are not run because they crash upstreams. */
+#define EXCHANGE_REASON_QUARANTINED "quarantined"
+
 /* A request and its response. */
 struct exchange {
 	uv_timer_t timer;      /* deadline; must be the first member */
@@ -30,6 +33,7 @@
 	uint64_t body_dropped;  /* bytes sent and no longer buffered */
 	bool body_complete;
 	bool has_key;
+	bool suspect; /* one of its attempts met a crash */
 	bool has_length;
 	uint64_t length;
 	bool is_head_method;
@@ -100,6 +104,15 @@
 int64_t exchange_remaining_ms(const struct exchange *exchange);
 void exchange_log(struct exchange *exchange, enum log_class class,
     const char *event, const struct attempt *attempt, const char *reason);
+void exchange_set_key(struct exchange *exchange);
+bool exchange_is_suspect(const struct exchange *exchange);
+/* Append what is known of the request, for a peer; nothing if it is not. */
+void exchange_format_suspect(const struct exchange *exchange, GString *out);
+bool exchange_is_blocked(const struct exchange *exchange);
+bool exchange_may_run(struct exchange *exchange);
+/* The upstream on this host has run the request to its end. */
+void exchange_record_success(struct exchange *exchange);
+void exchange_respond_quarantined(struct exchange *exchange);
 void exchange_relay_head(struct exchange *exchange, struct attempt *attempt);
 void exchange_relay_body(struct exchange *exchange, struct str bytes);
 void exchange_relay_buffered(struct exchange *exchange);
--- a/include/trefoilhill-proxy/gate.h
+++ b/include/trefoilhill-proxy/gate.h
@@ -4,6 +4,7 @@
 #include "guard/admission.h"
 #include "guard/run_list.h"
 #include "http/pool.h"
+#include "quarantine/recent_runs.h"
 #include "trefoilhill-proxy/proxy.h"
 
 /*
@@ -17,6 +18,7 @@
 void gate_free(struct gate *gate);
 struct admission *gate_admission(struct gate *gate);
 struct http_pool *gate_pool(struct gate *gate);
+struct recent_runs *gate_recent_runs(struct gate *gate);
 struct crash_watch *gate_crash_watch(struct gate *gate);
 /* The requests in progress at the upstream. */
 struct run_list *gate_runs(struct gate *gate);
--- a/include/trefoilhill-proxy/gate_private.h
+++ b/include/trefoilhill-proxy/gate_private.h
@@ -11,6 +11,7 @@
 	struct proxy *proxy;
 	struct admission *admission;
 	struct run_list runs;
+	struct recent_runs recent_runs;
 	struct crash_watch *crash_watch;
 	struct http_pool *pool;
 	struct sockaddr_in address;
--- a/include/trefoilhill-proxy/heartbeat.h
+++ b/include/trefoilhill-proxy/heartbeat.h
@@ -15,6 +15,8 @@
 void heartbeat_start(struct heartbeat *heartbeat);
 /* Send heartbeats to some peers of the zone now, as the replica changed. */
 void heartbeat_announce(struct heartbeat *heartbeat);
+/* Send heartbeats to some peers of the zone and to some of any zone now. */
+void heartbeat_announce_to_all_zones(struct heartbeat *heartbeat);
 /* Is this the request target of heartbeats? */
 bool heartbeat_is_target(struct str target);
 /*
--- a/include/trefoilhill-proxy/heartbeat_message.h
+++ b/include/trefoilhill-proxy/heartbeat_message.h
@@ -6,6 +6,7 @@
 
 enum {
 	HEARTBEAT_LOST_MAX = 64,
+	HEARTBEAT_SUSPECTS_MAX = 96,
 };
 
 /* A host that did not respond to some node. */
@@ -27,7 +28,11 @@
 	struct load_report load;      /* of that upstream */
 	struct lost_host lost[HEARTBEAT_LOST_MAX];
 	size_t lost_count;
-	GPtrArray *items; /* struct replica_item; NULL: none included */
+	/* Requests that may crash upstreams, as the text of struct suspect. */
+	char *suspects[HEARTBEAT_SUSPECTS_MAX];
+	size_t suspect_count;
+	uint64_t quarantine_hash; /* of the requests in quarantine there */
+	GPtrArray *items;         /* struct replica_item; NULL: none included */
 	bool is_snapshot; /* items are the complete state, not changes */
 	/* Items are the changes of the era after this revision. */
 	uint64_t base_revision;
--- a/include/trefoilhill-proxy/hop.h
+++ b/include/trefoilhill-proxy/hop.h
@@ -36,6 +36,12 @@
 	/* Limit that the instance has named, as in struct load_report. */
 	uint32_t rate_limit_per_ks;
 	struct request_key key; /* 0: from a node of an earlier version */
+	/*
+	 * An upstream crashed while it ran the request, or one like it, and
+	 * what the sender knows of that, in the text form of struct suspect.
+	 */
+	bool suspect;
+	struct str suspect_text; /* empty: nothing */
 };
 
 enum hop_outcome {
@@ -51,6 +57,7 @@
 	bool has_load;
 	struct load_report load;
 	int64_t run_ms; /* the upstream's time until its response head */
+	struct str suspect_text;     /* as in struct hop_request */
 	struct str leaving_instance; /* an upstream that leaves; or empty */
 	uint64_t leaving_started_ms; /* when it started */
 };
@@ -64,6 +71,8 @@
     GString *text, const struct load_report *load, int64_t run_ms);
 /* Tell that the upstream of this id and start leaves. */
 void hop_write_leaving(GString *text, struct str instance, uint64_t started_ms);
+/* Append the text form of what is known of a request that may crash. */
+void hop_write_suspect(GString *text, struct str suspect);
 void hop_write_outcome(GString *text, enum hop_outcome outcome,
     const char *reason, bool upstream_rejected);
 void hop_read_response(
--- a/include/trefoilhill-proxy/proxy.h
+++ b/include/trefoilhill-proxy/proxy.h
@@ -16,6 +16,8 @@
 struct gate;
 struct heartbeat;
 struct ops_listener;
+struct quarantine;
+struct quarantine_news;
 struct shaper;
 
 /* The components of the proxy process; all run on one event loop. */
@@ -33,6 +35,8 @@
 	struct shaper *shaper;
 	struct fleet_retry_budget *retry_budget;
 	struct run_times *run_times;
+	struct quarantine *quarantine;
+	struct quarantine_news *quarantine_news;
 	struct ops_listener *ops_listener;
 	struct http_listener *caller_listener;
 	struct http_listener *mesh_listener;
--- a/route/balance.c
+++ b/route/balance.c
@@ -1,3 +1,6 @@
+#include <string.h>
+#include <xxhash.h>
+
 #include "route/balance.h"
 
 enum {
@@ -191,6 +194,34 @@
 	ranking->best_expected_ms = expected;
 }
 
+/*
+ * Return the upstream at which the runs of a key meet, by rendezvous hashing
+ * over those that are likely to run it at once; NULL if there is none.
+ */
+static struct upstream *
+find_meeting_point(
+    const struct balance_request *request, const struct upstream_group *group)
+{
+	struct upstream *found = NULL;
+	uint64_t highest = 0;
+
+	for (guint i = 0; i < group->upstreams->len; i++) {
+		struct upstream *upstream = group->upstreams->pdata[i];
+		uint64_t hash = XXH3_64bits_withSeed(upstream->entry.id,
+		    strlen(upstream->entry.id), request->meet_by->low);
+
+		if (!is_usable(request, upstream) ||
+		    upstream_class(upstream, request->now_ms) ==
+			BALANCE_UNREACHABLE ||
+		    is_cold_or_unreported(upstream, request->now_ms) ||
+		    (found != NULL && hash <= highest))
+			continue;
+		found = upstream;
+		highest = hash;
+	}
+	return found;
+}
+
 /*
  * Choose the upstream for one attempt. The local zone is preferred while its
  * expected time is well within the objective. Upstreams of a later class are
@@ -209,6 +240,12 @@
 
 	if (group == NULL)
 		return choice;
+	if (request->meet_by != NULL) {
+		choice.upstream = find_meeting_point(request, group);
+		choice.candidates = group->upstreams->len;
+		if (choice.upstream != NULL)
+			return choice;
+	}
 	local_zone.mean_us = mean_latency_us(group, request->now_ms);
 	for (size_t i = 0; i < BALANCE_CLASS_COUNT; i++)
 		classes[i].mean_us = local_zone.mean_us;
--- a/tests/guard/test_admission.c
+++ b/tests/guard/test_admission.c
@@ -334,6 +334,46 @@
 	admission_free(f.admission);
 }
 
+/*
+ * Requests that may crash the upstream run one at a time, so that a crash tells
+ * which of them it was; others run beside them.
+ */
+static void
+test_suspects_run_one_at_a_time(void)
+{
+	struct admission_waiter ended = { .alone = true };
+	struct offered_request *suspects[3], *other;
+	struct fixture f;
+	enum admission_reason reason;
+
+	fixture_init(&f);
+	for (size_t i = 0; i < G_N_ELEMENTS(suspects); i++) {
+		suspects[i] = &f.requests[f.offered_count++];
+		suspects[i]->waiter.alone = true;
+		suspects[i]->waiter.latest_start_ms = FOREVER_MS;
+		suspects[i]->waiter.handle_dequeue = handle_dequeue;
+		CU_ASSERT_EQUAL(admission_offer(f.admission,
+				    &suspects[i]->waiter, 0, &reason),
+		    i == 0 ? ADMISSION_RUN : ADMISSION_QUEUED);
+	}
+	CU_ASSERT_EQUAL(offer(&f, 1, FOREVER_MS, 0, &other), ADMISSION_RUN);
+	finish(&f, ADMISSION_SUCCEEDED, 1000, 10);
+	CU_ASSERT_FALSE(suspects[1]->notified);
+	admission_finish(
+	    f.admission, &ended, ADMISSION_CONNECTION_LOST, 1000, 20);
+	CU_ASSERT_TRUE(suspects[1]->notified);
+	CU_ASSERT_FALSE(suspects[2]->notified);
+	/* One that would wait for too many others is refused. */
+	suspects[0] = &f.requests[f.offered_count++];
+	suspects[0]->waiter.alone = true;
+	suspects[0]->waiter.latest_start_ms = 80;
+	CU_ASSERT_EQUAL(
+	    admission_offer(f.admission, &suspects[0]->waiter, 20, &reason),
+	    ADMISSION_REFUSED);
+	CU_ASSERT_EQUAL(reason, ADMISSION_TOO_LATE);
+	admission_free(f.admission);
+}
+
 static const struct test_case cases[] = {
 	{ "limit and order", test_limit_and_order },
 	{ "the earliest latest start goes first",
@@ -350,6 +390,7 @@
 	{ "sheds leave half of the slots", test_sheds_leave_half_of_the_slots },
 	{ "large responses leave slots to short requests", test_bulk_limit },
 	{ "large responses start in order", test_bulk_starts_in_order },
+	{ "suspects run one at a time", test_suspects_run_one_at_a_time },
 	{ "closing refuses all requests", test_closing_refuses_all_requests },
 	{ "a hanging upstream is reported", test_hanging_upstream_is_reported },
 	{ NULL, NULL },
--- a/tests/proxy/test_fuzz.c
+++ b/tests/proxy/test_fuzz.c
@@ -5,6 +5,7 @@
 #include "harness.h"
 #include "platform/codec.h"
 #include "platform/headers.h"
+#include "quarantine/suspect.h"
 #include "trefoilhill-proxy/heartbeat_message.h"
 #include "trefoilhill-proxy/hop.h"
 
@@ -153,6 +154,10 @@
 		    .rate_wait_ms = 130 },
 		.lost = { { { 7 }, 120 } },
 		.lost_count = 1,
+		.suspects = { g_strdup("00000000000000010000000000000002 1 -1 "
+				       "-1 0 0 7 20") },
+		.suspect_count = 1,
+		.quarantine_hash = 3,
 		.items = g_ptr_array_new_with_free_func(replica_item_free),
 		.base_revision = 90,
 	};
@@ -227,10 +232,28 @@
 	}
 }
 
+static void
+parse_suspect(struct str bytes)
+{
+	struct suspect suspect;
+
+	if (suspect_parse(bytes, 1000, &suspect))
+		CU_ASSERT_TRUE(suspect.crash_count <= SUSPECT_CRASHES_MAX);
+}
+
+static void
+test_suspects(void)
+{
+	static const char text[] = "00000000000000010000000000000002 1 -1 -1 "
+				   "0 1 7 20 8 40 9 60 a 1 b 3 c 4 d 5 e 6";
+
+	fuzz(text, strlen(text), parse_suspect);
+}
+
 static void
 test_header_fields(void)
 {
-	static const char hop[] = "1500 300 1 1 0 0 0 1 12 14800";
+	static const char hop[] = "1500 300 1 1 0 0 0 1 12 14800 ab cd 1";
 	static const char leaving[] = "1700000000000 i-1";
 	static const char load[] = "12 3 0 90000 0 0 5 1 87 1 14800 130";
 
@@ -258,7 +281,10 @@
 		.caller = str_from("desk"),
 		.remaining_ms = 1500,
 		.body_length = 12,
-		.rate_limit_per_ks = 14800 };
+		.rate_limit_per_ks = 14800,
+		.key = { UINT64_MAX, 5 },
+		.suspect = true,
+		.suspect_text = str_from("text") };
 	struct http_head *head = http_head_new();
 	struct hop_response response;
 	GString *text = g_string_new(NULL);
@@ -282,6 +308,10 @@
 	CU_ASSERT_EQUAL(response.leaving_started_ms, 1700000000000);
 	CU_ASSERT_TRUE_FATAL(hop_read_request(head, &request));
 	CU_ASSERT_EQUAL(request.rate_limit_per_ks, 14800);
+	CU_ASSERT_EQUAL(request.key.high, UINT64_MAX);
+	CU_ASSERT_EQUAL(request.key.low, 5);
+	CU_ASSERT_TRUE(request.suspect);
+	CU_ASSERT_TRUE(str_equal(request.suspect_text, str_from("text")));
 	http_head_clear(head);
 	http_head_add(head, str_from("X-Trefoilhill-Load"),
 	    str_from("12 3 0 90000 0 0 5 1 87"));
@@ -298,6 +328,7 @@
 	{ "items of the store", test_items },
 	{ "heartbeats", test_heartbeats },
 	{ "header fields", test_header_fields },
+	{ "suspects of crashes", test_suspects },
 	{ "fields between nodes", test_hop_fields },
 	{ NULL, NULL },
 };
--- a/tests/route/test_balance.c
+++ b/tests/route/test_balance.c
@@ -308,6 +308,44 @@
 	fleet_retry_budget_free(budget);
 }
 
+/*
+ * All nodes choose the same upstream for a request that may crash it, and the
+ * same next one when that is gone; different requests are spread.
+ */
+static void
+test_suspects_meet(void)
+{
+	static const char *const ids[] = { "i-1", "i-2", "i-3", "i-4" };
+	struct request_key key = { .low = 1 };
+	uint32_t chosen[G_N_ELEMENTS(ids)] = { 0 };
+	struct upstream *first;
+	struct fixture f;
+
+	fixture_init(&f);
+	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++) {
+		char ip[16];
+
+		g_snprintf(ip, sizeof(ip), "10.0.0.%zu", i + 1);
+		set_report(add_upstream(&f, ids[i], i % 2 == 0 ? "a" : "b", ip),
+		    5, 100);
+	}
+	f.request.meet_by = &key;
+	for (; key.low <= PICKS; key.low++) {
+		f.request.zone = "a";
+		first = balance_pick(&f.request, f.rng).upstream;
+		f.request.zone = "b";
+		CU_ASSERT_PTR_EQUAL(
+		    balance_pick(&f.request, f.rng).upstream, first);
+		chosen[first->entry.id[2] - '1']++;
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++)
+		CU_ASSERT_TRUE(chosen[i] > PICKS / 8);
+	fleet_peer_mark_failed(first->peer, NOW_MS);
+	CU_ASSERT_PTR_NOT_EQUAL(
+	    balance_pick(&f.request, f.rng).upstream, first);
+	fixture_clear(&f);
+}
+
 static const struct test_case cases[] = {
 	{ "local zone until it is slow", test_local_zone_until_it_is_slow },
 	{ "a limited upstream is spared", test_limited_upstream_is_spared },
@@ -319,6 +357,7 @@
 	    test_own_requests_count_between_reports },
 	{ "a joined upstream gets requests",
 	    test_joined_upstream_gets_requests },
+	{ "suspects of crashes meet at one upstream", test_suspects_meet },
 	{ "retries stay within the share", test_retries_stay_within_the_share },
 	{ "any span of a window keeps the limit",
 	    test_any_span_of_a_window_keeps_the_limit },
--- a/trefoilhill-proxy/attempt.c
+++ b/trefoilhill-proxy/attempt.c
@@ -97,7 +97,7 @@
 static enum admission_outcome
 failure_outcome(const struct attempt *attempt, enum attempt_failure failure)
 {
-	if (attempt->awaits_confirmation)
+	if (attempt->awaits_confirmation || attempt->blocked)
 		return ADMISSION_CANCELLED;
 	if (attempt->sent_ms == 0)
 		return ADMISSION_CONNECTION_REFUSED;
@@ -178,6 +178,12 @@
 	    ? UINT32_MAX
 	    : NON_IDEMPOTENT_IDLE_MAX_MS;
 
+	if (attempt->local && !exchange_may_run(attempt->exchange)) {
+		attempt->blocked = true;
+		attempt_fail(attempt, ATTEMPT_FAILURE_NOT_RUN,
+		    EXCHANGE_REASON_QUARANTINED);
+		return;
+	}
 	attempt->stream = http_pool_acquire(
 	    attempt->pool, &attempt_stream_ops, attempt, idle_max_ms);
 	attempt->reused = attempt->stream != NULL;
@@ -196,11 +202,32 @@
 	attempt_write_request(attempt);
 }
 
+/*
+ * Find out whether the upstream on this host has crashed, as the connection was
+ * lost. Returns true if the attempt fails only when that is known.
+ */
+static bool
+watch_for_crash(struct attempt *attempt)
+{
+	struct crash_watch *watch = gate_crash_watch(attempt->proxy->gate);
+
+	if (!attempt->local || upstream_is_leaving(attempt->upstream))
+		return false;
+	if (attempt->response_started) {
+		crash_watch_add(watch, attempt);
+		return false;
+	}
+	stream_abort(attempt);
+	crash_watch_hold(watch, attempt);
+	return true;
+}
+
 static void
 handle_end(struct http_stream *stream, enum http_end_reason end)
 {
 	struct attempt *attempt = stream->owner;
 	const char *reason = "connection_lost";
+	bool malformed = end == HTTP_END_MALFORMED || end == HTTP_END_TOO_LARGE;
 
 	if (attempt->ended)
 		return;
@@ -217,16 +244,12 @@
 		    attempt, ATTEMPT_FAILURE_NOT_RUN, "lost_unconfirmed");
 		return;
 	}
+	if (!malformed && watch_for_crash(attempt))
+		return;
 	if (attempt->response_started)
 		reason = "answer_cut";
-	else if (end == HTTP_END_MALFORMED || end == HTTP_END_TOO_LARGE)
+	else if (malformed)
 		reason = "answer_malformed";
-	else if (attempt->local && !upstream_is_leaving(attempt->upstream)) {
-		stream_abort(attempt);
-		crash_watch_hold(
-		    gate_crash_watch(attempt->proxy->gate), attempt);
-		return;
-	}
 	attempt_fail(attempt, ATTEMPT_FAILURE_UNKNOWN, reason);
 }
 
@@ -281,6 +304,7 @@
 	}
 	attempt->pool = gate_pool(gate);
 	attempt->waiter.bulk = attempt->exchange->bulk;
+	attempt->waiter.alone = exchange_is_suspect(attempt->exchange);
 	attempt->waiter.late = attempt->exchange->late;
 	attempt->waiter.priority = attempt->exchange->priority;
 	attempt->waiter.latest_start_ms = now_ms + attempt->queue_timeout_ms;
--- a/trefoilhill-proxy/attempt_request.c
+++ b/trefoilhill-proxy/attempt_request.c
@@ -63,6 +63,7 @@
 		.instance = instance,
 		.caller = origin_service(exchange),
 	};
+	GString *suspect = g_string_new(NULL);
 	struct hop_request hop = {
 		.instance = instance,
 		.caller = origin_service(exchange),
@@ -77,12 +78,16 @@
 		.body_length = exchange->body->len,
 		.rate_limit_per_ks = attempt->upstream->load.rate_limit_per_ks,
 		.key = exchange->key,
+		.suspect = exchange_is_suspect(exchange),
 	};
 
+	exchange_format_suspect(exchange, suspect);
+	hop.suspect_text = str_make(suspect->str, suspect->len);
 	if (attempt->local)
 		platform_write_forward_headers(text, &headers);
 	else
 		hop_write_request(text, &hop);
+	g_string_free(suspect, TRUE);
 }
 
 /*
--- a/trefoilhill-proxy/attempt_response.c
+++ b/trefoilhill-proxy/attempt_response.c
@@ -5,6 +5,7 @@
 #include "trefoilhill-proxy/exchange.h"
 #include "trefoilhill-proxy/gate.h"
 #include "trefoilhill-proxy/peer_health.h"
+#include "trefoilhill-proxy/quarantine_news.h"
 
 enum {
 	/*
@@ -125,6 +126,9 @@
 	if (response.leaving_instance.len > 0)
 		catalog_mark_leaving(attempt->proxy->catalog,
 		    response.leaving_instance, response.leaving_started_ms);
+	if (response.suspect_text.len > 0)
+		quarantine_news_read(
+		    attempt->proxy->quarantine_news, response.suspect_text);
 	if (response.outcome != HOP_RESPONSE) {
 		attempt->upstream_rejected = response.upstream_rejected;
 		g_snprintf(
@@ -217,6 +221,8 @@
 	if (attempt->local && attempt->exchange->bulk)
 		gate_record_bulk(attempt->proxy->gate, attempt->response_bytes,
 		    attempt->run_ms);
+	if (attempt->local && attempt->status < 500)
+		exchange_record_success(attempt->exchange);
 	attempt->ops->handle_end(attempt);
 	attempt_release(attempt, response_outcome(attempt));
 }
--- a/trefoilhill-proxy/crash_watch.c
+++ b/trefoilhill-proxy/crash_watch.c
@@ -1,6 +1,11 @@
+#include <string.h>
+#include <xxhash.h>
+
+#include "quarantine/quarantine.h"
 #include "trefoilhill-proxy/crash_watch.h"
 #include "trefoilhill-proxy/exchange.h"
 #include "trefoilhill-proxy/gate.h"
+#include "trefoilhill-proxy/quarantine_news.h"
 
 enum {
 	/* For the other connections of a crashed upstream to end as well. */
@@ -13,10 +18,12 @@
 struct crash_watch {
 	uv_timer_t *timer;
 	struct proxy *proxy;
-	GQueue held;     /* struct attempt, by their member held_link */
-	int64_t lost_ms; /* when the first of them lost its answer */
-	uint32_t rounds; /* of waiting for other connections */
-	struct http_stream *dial; /* NULL: none in progress */
+	GQueue held;               /* struct attempt, by their held_link */
+	GArray *runs;              /* struct crash_run, all that were lost */
+	struct upstream *upstream; /* that they ran at, a reference; or NULL */
+	int64_t lost_ms;           /* when the first of them was lost */
+	uint32_t rounds;           /* of waiting for other connections */
+	struct http_stream *dial;  /* NULL: none in progress */
 };
 
 /*
@@ -28,6 +35,7 @@
 	struct crash_watch *watch = g_new0(struct crash_watch, 1);
 
 	watch->proxy = proxy;
+	watch->runs = g_array_new(FALSE, FALSE, sizeof(struct crash_run));
 	watch->timer = g_new0(uv_timer_t, 1);
 	uv_timer_init(proxy->loop, watch->timer);
 	watch->timer->data = watch;
@@ -58,43 +66,56 @@
 		return;
 	close_dial(watch);
 	uv_close((uv_handle_t *)watch->timer, handle_timer_closed);
+	upstream_unref(watch->upstream);
+	g_array_free(watch->runs, TRUE);
 	g_free(watch);
 }
 
+/* The id of a crash: of one start of an upstream, which ends but once. */
+static uint64_t
+crash_id(const struct upstream *upstream)
+{
+	return XXH3_64bits_withSeed(upstream->entry.id,
+	    strlen(upstream->entry.id), upstream->entry.started_ms);
+}
+
 static void
-log_suspect(const struct crash_watch *watch, const struct attempt *attempt)
+log_crash(const struct crash_watch *watch)
 {
-	char key[REQUEST_KEY_TEXT_MAX];
-	struct json_line *line =
-	    json_log_begin(watch->proxy->log, LOG_CLASS_STATE, "ran_at_crash");
+	struct json_line *line = json_log_begin(
+	    watch->proxy->log, LOG_CLASS_STATE, "upstream_crashed");
 
-	request_key_format(attempt->exchange->key, key);
-	json_line_cstr(line, "upstream", attempt->upstream->entry.id);
-	json_line_text(line, "request", attempt->exchange->id);
-	json_line_cstr(line, "key", key);
-	json_line_int(line, "ran_ms", watch->lost_ms - attempt->sent_ms);
+	json_line_cstr(line, "upstream", watch->upstream->entry.id);
+	json_line_int(line, "in_progress", watch->runs->len);
 	json_log_end(line);
+	for (guint i = 0; i < watch->runs->len; i++) {
+		const struct crash_run *run =
+		    &g_array_index(watch->runs, struct crash_run, i);
+		char key[REQUEST_KEY_TEXT_MAX];
+
+		request_key_format(run->key, key);
+		line = json_log_begin(
+		    watch->proxy->log, LOG_CLASS_STATE, "ran_at_crash");
+		json_line_cstr(line, "upstream", watch->upstream->entry.id);
+		json_line_cstr(line, "key", key);
+		json_line_bool(line, "has_run_well", run->has_run_well);
+		json_log_end(line);
+	}
 }
 
 static void
 record_crash(struct crash_watch *watch)
 {
-	const struct attempt *first = g_queue_peek_head(&watch->held);
-	struct json_line *line;
-
-	if (first == NULL)
-		return;
 	proxy_count(&watch->proxy->stats, STAT_UPSTREAM_CRASHES);
-	line = json_log_begin(
-	    watch->proxy->log, LOG_CLASS_STATE, "upstream_crashed");
-	json_line_cstr(line, "upstream", first->upstream->entry.id);
-	json_line_int(line, "in_progress", g_queue_get_length(&watch->held));
-	json_log_end(line);
-	for (GList *link = watch->held.head; link != NULL; link = link->next)
-		log_suspect(watch, link->data);
+	log_crash(watch);
+	quarantine_add_crash(watch->proxy->quarantine,
+	    crash_id(watch->upstream),
+	    (const struct crash_run *)watch->runs->data, watch->runs->len,
+	    watch->lost_ms);
+	quarantine_news_spread(watch->proxy->quarantine_news);
 }
 
-/* Let the held attempts fail. */
+/* It is known whether the upstream has crashed: let the held attempts fail. */
 static void
 settle(struct crash_watch *watch, bool crashed)
 {
@@ -102,6 +123,9 @@
 	close_dial(watch);
 	if (crashed)
 		record_crash(watch);
+	g_array_set_size(watch->runs, 0);
+	upstream_unref(watch->upstream);
+	watch->upstream = NULL;
 	while (!g_queue_is_empty(&watch->held)) {
 		struct attempt *attempt = g_queue_peek_head(&watch->held);
 
@@ -186,16 +210,35 @@
 }
 
 /*
- * Hold an attempt until it is known whether the upstream has crashed.
+ * Note an attempt whose connection was lost. One that was sent later than the
+ * first loss has found a dead connection in the pool, and didn't run.
  */
 void
-crash_watch_hold(struct crash_watch *watch, struct attempt *attempt)
+crash_watch_add(struct crash_watch *watch, const struct attempt *attempt)
 {
-	if (g_queue_is_empty(&watch->held)) {
-		watch->lost_ms = proxy_now_ms(watch->proxy);
+	int64_t now_ms = proxy_now_ms(watch->proxy);
+	struct crash_run run = { .key = attempt->exchange->key };
+
+	if (watch->upstream == NULL) {
+		watch->upstream = upstream_ref(attempt->upstream);
+		watch->lost_ms = now_ms;
 		watch->rounds = 0;
 		uv_timer_start(watch->timer, handle_timer, SETTLE_MS, 0);
 	}
+	if (attempt->sent_ms > watch->lost_ms || !attempt->exchange->has_key)
+		return;
+	run.has_run_well = recent_runs_contain(
+	    gate_recent_runs(watch->proxy->gate), run.key, now_ms);
+	g_array_append_val(watch->runs, run);
+}
+
+/*
+ * Hold an attempt until it is known whether the upstream has crashed.
+ */
+void
+crash_watch_hold(struct crash_watch *watch, struct attempt *attempt)
+{
+	crash_watch_add(watch, attempt);
 	attempt->held = true;
 	attempt->held_link.data = attempt;
 	g_queue_push_tail_link(&watch->held, &attempt->held_link);
@@ -211,8 +254,4 @@
 		return;
 	attempt->held = false;
 	g_queue_unlink(&watch->held, &attempt->held_link);
-	if (g_queue_is_empty(&watch->held)) {
-		uv_timer_stop(watch->timer);
-		close_dial(watch);
-	}
 }
--- a/trefoilhill-proxy/exchange_begin.c
+++ b/trefoilhill-proxy/exchange_begin.c
@@ -1,6 +1,7 @@
 #include "trefoilhill-proxy/exchange.h"
 #include "trefoilhill-proxy/gate.h"
 #include "trefoilhill-proxy/heartbeat.h"
+#include "trefoilhill-proxy/quarantine_news.h"
 
 enum {
 	DEADLINE_DEFAULT_MS = 10000, /* if the request names none */
@@ -160,6 +161,9 @@
 	exchange->called_by_repeat = exchange->hop.repeat;
 	exchange->key = exchange->hop.key;
 	exchange->has_key = exchange->key.high != 0 || exchange->key.low != 0;
+	if (exchange->hop.suspect_text.len > 0)
+		quarantine_news_read(exchange->proxy->quarantine_news,
+		    exchange->hop.suspect_text);
 	set_deadline(exchange, exchange->hop.remaining_ms);
 	if (!exchange->hop.confirm)
 		return;
--- a/trefoilhill-proxy/exchange_dispatch.c
+++ b/trefoilhill-proxy/exchange_dispatch.c
@@ -112,6 +112,8 @@
 		.run_ms = expected_run_ms(exchange),
 		.bulk = exchange->route->bulk,
 		.now_ms = proxy_now_ms(exchange->proxy),
+		.meet_by =
+		    exchange_is_suspect(exchange) ? &exchange->key : NULL,
 		.tried_count = exchange->tried_count,
 	};
 	struct upstream *local = gate_upstream(exchange->proxy->gate);
@@ -170,6 +172,10 @@
 		exchange_respond(exchange, 503, "other_instance", false);
 		return;
 	}
+	if (exchange_is_blocked(exchange)) {
+		exchange_respond_quarantined(exchange);
+		return;
+	}
 	gate_adopt_rate_limit(
 	    exchange->proxy->gate, exchange->hop.rate_limit_per_ks);
 	start_attempt(
@@ -181,6 +187,10 @@
 {
 	struct balance_choice choice;
 
+	if (exchange_is_blocked(exchange)) {
+		exchange_respond_quarantined(exchange);
+		return;
+	}
 	if (exchange_remaining_ms(exchange) < REMAINING_MIN_MS ||
 	    exchange->attempt_count >= EXCHANGE_ATTEMPTS_MAX ||
 	    !pick_upstream(exchange, &choice) ||
@@ -194,22 +204,6 @@
 	    retry, hedge);
 }
 
-/* Compute the request's key from what its caller has sent so far. */
-static void
-set_key(struct exchange *exchange)
-{
-	const struct http_head *head = exchange->head;
-	struct request_identity identity = {
-		.host = http_head_find(head, str_from("host")),
-		.target = http_head_span(head, head->target),
-		.caller = exchange->proxy->settings->upstream.service,
-		.body = str_make(exchange->body->data, exchange->body->len),
-	};
-
-	exchange->key = request_key_of(&identity);
-	exchange->has_key = true;
-}
-
 /*
  * Start the first attempt.
  */
@@ -217,7 +211,7 @@
 exchange_dispatch(struct exchange *exchange)
 {
 	if (exchange->origin == CALLER_LOCAL)
-		set_key(exchange);
+		exchange_set_key(exchange);
 	if (exchange->origin == CALLER_PEER)
 		dispatch_peer_request(exchange);
 	else
@@ -253,7 +247,8 @@
 
 	if (exchange->ended || exchange->responding != NULL ||
 	    exchange->hedged || exchange_active_attempts(exchange) != 1 ||
-	    !is_retry_allowed(exchange) || !take_retry_token(exchange))
+	    exchange_is_suspect(exchange) || !is_retry_allowed(exchange) ||
+	    !take_retry_token(exchange))
 		return;
 	exchange->hedged = true;
 	proxy_count(&exchange->proxy->stats, STAT_HEDGES);
@@ -313,6 +308,8 @@
 		return;
 	exchange->attempts[index] = NULL;
 	g_strlcpy(exchange->reason, reason, sizeof(exchange->reason));
+	if (g_strcmp0(reason, ATTEMPT_REASON_CRASHED) == 0)
+		exchange->suspect = true;
 	exchange_log(exchange,
 	    failure == ATTEMPT_FAILURE_NOT_RUN ? LOG_CLASS_DECISION
 					       : LOG_CLASS_FAILURE,
@@ -333,6 +330,10 @@
 	}
 	if (exchange_active_attempts(exchange) > 0)
 		return;
+	if (g_strcmp0(exchange->reason, EXCHANGE_REASON_QUARANTINED) == 0) {
+		exchange_respond_quarantined(exchange);
+		return;
+	}
 	exchange->rejected_with_room =
 	    attempt->upstream_rejected && attempt->upstream->load.queued == 0;
 	/* A retry after the upstream's own rejection uses the budget. */
--- a/trefoilhill-proxy/gate.c
+++ b/trefoilhill-proxy/gate.c
@@ -105,6 +105,15 @@
 	return &gate->runs;
 }
 
+/*
+ * Return which requests have lately run well at the upstream.
+ */
+struct recent_runs *
+gate_recent_runs(struct gate *gate)
+{
+	return &gate->recent_runs;
+}
+
 /*
  * Return the watch for crashes of the upstream.
  */
--- a/trefoilhill-proxy/heartbeat.c
+++ b/trefoilhill-proxy/heartbeat.c
@@ -5,12 +5,14 @@
 #include "trefoilhill-proxy/heartbeat_message.h"
 #include "trefoilhill-proxy/lost_hosts.h"
 #include "trefoilhill-proxy/peer_health.h"
+#include "trefoilhill-proxy/quarantine_news.h"
 
 enum {
 	HEARTBEAT_TIMEOUT_MS = 700, /* a slower peer counts as lost */
 	PUSH_TIMEOUT_MS = 2000,
 	RESPONSE_MAX_BYTES = 16 * 1024 * 1024,
 	ANNOUNCE_PEERS = 3,              /* notified when the replica changes */
+	ANNOUNCE_PEERS_ANYWHERE = 2,     /* for what concerns all zones */
 	PEER_DRAWS_MAX = 8,              /* draws until a peer is eligible */
 	UPDATE_INTERVAL_MIN_MS = 300,    /* between updates from peers */
 	EXPECTED_ITEMS_TIMEOUT_MS = 400, /* for items announced by a peer */
@@ -130,6 +132,7 @@
 		message.upstream_leaving = upstream->notice.leaving;
 	}
 	lost_hosts_collect(proxy, &message);
+	quarantine_news_collect(proxy->quarantine_news, &message);
 	return message;
 }
 
@@ -184,6 +187,7 @@
 	    store_position_compare(state.position, own) > 0)
 		heartbeat->last_update_ms = proxy_now_ms(heartbeat->proxy);
 	follower_apply_peer_state(follower, &state);
+	quarantine_news_apply(heartbeat->proxy->quarantine_news, message);
 	update_peers(heartbeat, message);
 }
 
@@ -227,6 +231,9 @@
 	apply_message(heartbeat, &message);
 	response = make_message(heartbeat);
 	add_missing_items(heartbeat, &response, message.position);
+	if (message.quarantine_hash != response.quarantine_hash)
+		quarantine_news_collect_all(
+		    heartbeat->proxy->quarantine_news, &response);
 	suppress_duplicate_push(heartbeat, &response, message.position);
 	bytes = heartbeat_message_encode(&response);
 	heartbeat_message_clear(&response);
@@ -377,6 +384,17 @@
 		send_heartbeat(heartbeat, true);
 }
 
+/*
+ * Send heartbeats to some peers of the zone and to some of any zone.
+ */
+void
+heartbeat_announce_to_all_zones(struct heartbeat *heartbeat)
+{
+	heartbeat_announce(heartbeat);
+	for (size_t i = 0; i < ANNOUNCE_PEERS_ANYWHERE; i++)
+		send_heartbeat(heartbeat, false);
+}
+
 static void
 handle_timer(uv_timer_t *timer)
 {
--- a/trefoilhill-proxy/heartbeat_message.c
+++ b/trefoilhill-proxy/heartbeat_message.c
@@ -10,10 +10,11 @@
 
 /*
  * era, revision, age, removal grace, stopping; upstream, its start, whether it
- * leaves, and its load; lost hosts and ages; has items, is snapshot, base
- * revision; items of key, revision, encoding, value.
+ * leaves, and its load; lost hosts and ages; suspected requests, hash of those
+ * in quarantine; has items, is snapshot, base revision; items of key, revision,
+ * encoding, value.
  */
-#define MESSAGE_TYPE "(ttxxbstb(uuuuuuubbuu)a(uu)bbta(styay))"
+#define MESSAGE_TYPE "(ttxxbstb(uuuuuuubbuu)a(uu)astbbta(styay))"
 
 /* Encoding of an item's value on the wire. */
 enum item_encoding {
@@ -126,6 +127,17 @@
 	message->lost_count = count;
 }
 
+/* Decode the suspected requests, as many as a message may hold. */
+static void
+suspects_decode(GVariant *list, struct heartbeat_message *message)
+{
+	size_t count = MIN(g_variant_n_children(list), HEARTBEAT_SUSPECTS_MAX);
+
+	for (size_t i = 0; i < count; i++)
+		g_variant_get_child(list, i, "s", &message->suspects[i]);
+	message->suspect_count = count;
+}
+
 /*
  * Return an encoded message, to be released with g_bytes_unref.
  */
@@ -134,7 +146,7 @@
 {
 	const struct load_report *load = &message->load;
 	GVariant *variant = g_variant_new(
-	    "(ttxxbstb(uuuuuuubbuu)@a(uu)bbt@a(styay))",
+	    "(ttxxbstb(uuuuuuubbuu)@a(uu)@astbbt@a(styay))",
 	    (guint64)message->position.era, (guint64)message->position.revision,
 	    (gint64)message->age_ms, (gint64)message->removal_grace_ms,
 	    message->stopping,
@@ -144,8 +156,11 @@
 	    load->failures_per_mille, load->bulk_waiting,
 	    load->bulk_transfer_ms, load->accepting, load->rate_limit_known,
 	    load->rate_limit_per_ks, load->rate_wait_ms, lost_encode(message),
-	    message->items != NULL, message->is_snapshot,
-	    (guint64)message->base_revision, items_encode(message->items));
+	    g_variant_new_strv((const char *const *)message->suspects,
+		(gssize)message->suspect_count),
+	    (guint64)message->quarantine_hash, message->items != NULL,
+	    message->is_snapshot, (guint64)message->base_revision,
+	    items_encode(message->items));
 	GBytes *bytes;
 
 	g_variant_ref_sink(variant);
@@ -223,9 +238,10 @@
 	struct load_report *load = &message->load;
 	gboolean upstream_leaving, stopping, accepting, rate_limit_known,
 	    has_items, is_snapshot;
-	guint64 era, revision, base_revision, upstream_started_ms;
+	guint64 era, revision, base_revision, upstream_started_ms,
+	    quarantine_hash;
 	gint64 age_ms, removal_grace_ms;
-	GVariant *items = NULL, *lost = NULL;
+	GVariant *items = NULL, *lost = NULL, *suspects = NULL;
 	bool valid;
 
 	*message = (struct heartbeat_message){ 0 };
@@ -233,14 +249,14 @@
 	valid = bytes.len > 0 && g_variant_is_normal_form(variant);
 	if (!valid)
 		goto done;
-	g_variant_get(variant, "(ttxxbstb(uuuuuuubbuu)@a(uu)bbt@a(styay))",
+	g_variant_get(variant, "(ttxxbstb(uuuuuuubbuu)@a(uu)@astbbt@a(styay))",
 	    &era, &revision, &age_ms, &removal_grace_ms, &stopping,
 	    &message->upstream, &upstream_started_ms, &upstream_leaving,
 	    &load->limit, &load->in_flight, &load->queued, &load->latency_us,
 	    &load->failures_per_mille, &load->bulk_waiting,
 	    &load->bulk_transfer_ms, &accepting, &rate_limit_known,
-	    &load->rate_limit_per_ks, &load->rate_wait_ms, &lost, &has_items,
-	    &is_snapshot, &base_revision, &items);
+	    &load->rate_limit_per_ks, &load->rate_wait_ms, &lost, &suspects,
+	    &quarantine_hash, &has_items, &is_snapshot, &base_revision, &items);
 	message->position.era = era;
 	message->position.revision = revision;
 	message->age_ms = age_ms;
@@ -254,6 +270,9 @@
 	load->rate_limit_known = rate_limit_known;
 	lost_decode(lost, message);
 	g_variant_unref(lost);
+	suspects_decode(suspects, message);
+	g_variant_unref(suspects);
+	message->quarantine_hash = quarantine_hash;
 	if (has_items)
 		message->items = items_decode(items);
 	if (has_items && message->items == NULL) {
@@ -276,6 +295,9 @@
 heartbeat_message_clear(struct heartbeat_message *message)
 {
 	g_clear_pointer(&message->upstream, g_free);
+	for (size_t i = 0; i < message->suspect_count; i++)
+		g_clear_pointer(&message->suspects[i], g_free);
+	message->suspect_count = 0;
 	if (message->items != NULL)
 		g_ptr_array_unref(message->items);
 	message->items = NULL;
--- a/trefoilhill-proxy/hop.c
+++ b/trefoilhill-proxy/hop.c
@@ -15,6 +15,7 @@
 static const struct str not_run_field = NAME("X-Trefoilhill-Not-Run");
 static const struct str failed_field = NAME("X-Trefoilhill-Failed");
 static const struct str leaving_field = NAME("X-Trefoilhill-Leaving");
+static const struct str suspect_field = NAME("X-Trefoilhill-Suspect");
 static const struct str rejected_field = NAME("X-Trefoilhill-Reached");
 
 enum {
@@ -43,17 +44,20 @@
 	int len = g_snprintf(value, sizeof(value),
 	    "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %u %d %d %d %d %d "
 	    "%" G_GINT64_FORMAT " %u %" G_GINT64_MODIFIER
-	    "x %" G_GINT64_MODIFIER "x",
+	    "x %" G_GINT64_MODIFIER "x %d",
 	    (gint64)request->remaining_ms, (gint64)request->queue_timeout_ms,
 	    request->priority, request->idempotent ? 1 : 0,
 	    request->bulk ? 1 : 0, request->late ? 1 : 0,
 	    request->repeat ? 1 : 0, request->confirm ? 1 : 0,
 	    (gint64)request->body_length, request->rate_limit_per_ks,
-	    (guint64)request->key.high, (guint64)request->key.low);
+	    (guint64)request->key.high, (guint64)request->key.low,
+	    request->suspect ? 1 : 0);
 
 	http_field_append(text, request_field, str_make(value, (size_t)len));
 	http_field_append(text, instance_field, request->instance);
 	http_field_append(text, caller_field, request->caller);
+	if (request->suspect_text.len > 0)
+		hop_write_suspect(text, request->suspect_text);
 }
 
 /* Copy a value as a string; returns false if it is empty or too long. */
@@ -81,16 +85,17 @@
 	int idempotent, bulk, late, repeat = 0, confirm = 0;
 	uint32_t rate_limit_per_ks = 0;
 	guint64 key_high = 0, key_low = 0;
+	int suspect = 0;
 
-	/* Nodes of earlier versions don't send the last six numbers. */
+	/* Nodes of earlier versions don't send the last seven numbers. */
 	if (!value_copy(head, request_field, value, sizeof(value)) ||
 	    sscanf(value,
 		"%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %u %d %d %d %d %d "
 		"%" G_GINT64_FORMAT " %u %" G_GINT64_MODIFIER
-		"x %" G_GINT64_MODIFIER "x",
+		"x %" G_GINT64_MODIFIER "x %d",
 		&remaining_ms, &queue_timeout_ms, &request->priority,
 		&idempotent, &bulk, &late, &repeat, &confirm, &body_length,
-		&rate_limit_per_ks, &key_high, &key_low) < 6)
+		&rate_limit_per_ks, &key_high, &key_low, &suspect) < 6)
 		return false;
 	if (remaining_ms > HOP_TIME_MAX_MS || remaining_ms < -HOP_TIME_MAX_MS ||
 	    queue_timeout_ms > HOP_TIME_MAX_MS || queue_timeout_ms < 0)
@@ -99,6 +104,8 @@
 	request->body_length = MAX(body_length, 0);
 	request->rate_limit_per_ks = rate_limit_per_ks;
 	request->key = (struct request_key){ key_high, key_low };
+	request->suspect = suspect != 0;
+	request->suspect_text = http_head_find(head, suspect_field);
 	request->repeat = repeat != 0;
 	request->late = late != 0;
 	request->bulk = bulk != 0;
@@ -161,6 +168,15 @@
 	    str_make(space + 1, value.len - (size_t)(space + 1 - value.ptr));
 }
 
+/*
+ * Append what is known of a request that may crash upstreams.
+ */
+void
+hop_write_suspect(GString *text, struct str suspect)
+{
+	http_field_append(text, suspect_field, suspect);
+}
+
 /*
  * Append why there is no response from an upstream; nothing for HOP_RESPONSE.
  */
@@ -199,6 +215,7 @@
 			response->outcome = HOP_FAILED;
 	}
 	read_leaving(head, response);
+	response->suspect_text = http_head_find(head, suspect_field);
 	response->upstream_rejected =
 	    http_head_find(head, rejected_field).ptr != NULL;
 	/* Nodes of earlier versions don't send the last three numbers. */
--- a/trefoilhill-proxy/proxy.c
+++ b/trefoilhill-proxy/proxy.c
@@ -7,6 +7,7 @@
 #include "trefoilhill-proxy/heartbeat.h"
 #include "trefoilhill-proxy/ops_listener.h"
 #include "trefoilhill-proxy/proxy.h"
+#include "trefoilhill-proxy/quarantine_news.h"
 #include "trefoilhill-proxy/shaper.h"
 
 enum {
@@ -103,6 +104,22 @@
 	json_log_end(line);
 }
 
+static void
+handle_verdict(void *arg, const struct suspect *suspect)
+{
+	struct proxy *proxy = arg;
+	struct json_line *line = json_log_begin(proxy->log, LOG_CLASS_STATE,
+	    suspect->quarantined ? "request_quarantined" : "quarantine_lifted");
+	char key[REQUEST_KEY_TEXT_MAX];
+
+	request_key_format(suspect->key, key);
+	json_line_cstr(line, "key", key);
+	json_line_int(line, "crashes", suspect->crash_count);
+	json_line_int(line, "trials", suspect->trials);
+	json_log_end(line);
+	quarantine_news_spread(proxy->quarantine_news);
+}
+
 static void
 log_lifecycle(struct proxy *proxy, const char *event)
 {
@@ -150,6 +167,7 @@
 	struct proxy *proxy = timer->data;
 
 	catalog_expire(proxy->catalog, proxy_now_ms(proxy));
+	quarantine_expire(proxy->quarantine, proxy_now_ms(proxy));
 	gate_refresh(proxy->gate);
 	if (proxy->stopping)
 		advance_shutdown(proxy);
@@ -199,6 +217,10 @@
 		.handle_event = handle_catalog_event,
 		.arg = proxy,
 	};
+	struct quarantine_ops quarantine = {
+		.handle_verdict = handle_verdict,
+		.arg = proxy,
+	};
 	struct json_log_settings log = {
 		.fd = STDOUT_FILENO,
 		.node = settings->node.host,
@@ -212,6 +234,8 @@
 	proxy->retry_budget = fleet_retry_budget_new(&retry_budget);
 	proxy->shaper = shaper_new(proxy->loop, settings->node.link_kbps);
 	proxy->run_times = run_times_new();
+	proxy->quarantine = quarantine_new(quarantine);
+	proxy->quarantine_news = quarantine_news_new(proxy);
 	proxy->callers = g_hash_table_new(g_direct_hash, g_direct_equal);
 	proxy->heartbeat = heartbeat_new(proxy);
 }
@@ -348,6 +372,8 @@
 		    notice.rate_limit_per_ks);
 	g_string_append_printf(
 	    out, "trefoilhill_gate_leaving %d\n", notice.leaving);
+	g_string_append_printf(out, "trefoilhill_quarantine_requests %zu\n",
+	    quarantine_blocked_count(proxy->quarantine));
 	g_string_append_printf(out,
 	    "trefoilhill_config_revision %" G_GUINT64_FORMAT "\n"
 	    "trefoilhill_replica_era %" G_GUINT64_FORMAT "\n"
--- a/trefoilhill-proxy/stats.c
+++ b/trefoilhill-proxy/stats.c
@@ -39,6 +39,8 @@
 	    "Connections opened to the upstream" },
 	[STAT_UPSTREAM_CRASHES] = { "trefoilhill_upstream_crashes_total",
 	    "Crashes of the upstream while requests were in progress" },
+	[STAT_QUARANTINED] = { "trefoilhill_quarantined_total",
+	    "Callers' requests not run because they crash upstreams" },
 	[STAT_RESPONSES_DISCARDED] = { "trefoilhill_answers_discarded_total",
 	    "Upstream answers that belonged to no request in progress" },
 	[STAT_STORE_READS] = { "trefoilhill_store_reads_total",
