quarantine: don't judge a request by one peer's word of it alone

Cause: with a request travels what is known of it, and nothing of the others that were in progress at its crashes. The node that read it found two crashes and no rival, and spread that.

Change: a crash counts towards quarantine only when the node knows what else was in progress, from its own gate or a heartbeat, or when the sender holds the request in quarantine. Until then the request is a suspect. What one heartbeat brings is merged before it is judged.

--- a/include/quarantine/blame.h
+++ b/include/quarantine/blame.h
@@ -10,7 +10,10 @@
  * on nothing but the crashes, so that nodes that know the same agree.
  */
 
-/* Crashes of a suspect that no quarantined request explains. */
+/* Has it been in a crash that no quarantined request explains? */
+bool blame_is_possible(
+    const struct suspect *suspect, const GPtrArray *suspects);
+/* The number of such crashes of which it is known what else was in them. */
 uint32_t blame_count(const struct suspect *suspect, const GPtrArray *suspects);
 /* Set which of the suspects are quarantined. */
 void blame_evaluate(GPtrArray *suspects);
--- a/include/quarantine/quarantine.h
+++ b/include/quarantine/quarantine.h
@@ -49,9 +49,12 @@
 /* A run has ended well. */
 void quarantine_add_success(
     struct quarantine *quarantine, struct request_key key, int64_t now_ms);
-/* Add another node's knowledge; returns whether it had news. */
+/*
+ * Add another node's knowledge of some requests, with whole if it is all that
+ * the node knows of their crashes. Returns whether it had news.
+ */
 bool quarantine_merge(struct quarantine *quarantine,
-    const struct suspect *suspect, int64_t now_ms);
+    const struct suspect *suspects, size_t count, bool whole, int64_t now_ms);
 /* Forget what is old. */
 void quarantine_expire(struct quarantine *quarantine, int64_t now_ms);
 /* Differs between nodes that don't hold the same requests in quarantine. */
--- a/include/quarantine/suspect.h
+++ b/include/quarantine/suspect.h
@@ -14,6 +14,8 @@
 struct crash {
 	uint64_t id; /* the same on all nodes */
 	int64_t at_ms;
+	/* It is known here what else was in progress at it. */
+	bool whole;
 };
 
 /*
@@ -38,7 +40,8 @@
 };
 
 bool suspect_has_crash(const struct suspect *suspect, uint64_t id);
-/* Returns false if the crash is known, or before a run that ended well. */
+/* Returns false if so much of the crash is known, or it was before a run that
+ * ended well. */
 bool suspect_add_crash(struct suspect *suspect, struct crash crash);
 /* A run has ended well. Returns false if there were no crashes. */
 bool suspect_clear(struct suspect *suspect, int64_t at_ms);
--- a/quarantine/blame.c
+++ b/quarantine/blame.c
@@ -26,7 +26,21 @@
 }
 
 /*
- * Return how many crashes remain for which a suspect may be the cause.
+ * Tell whether a suspect may be the cause of a crash.
+ */
+bool
+blame_is_possible(const struct suspect *suspect, const GPtrArray *suspects)
+{
+	for (uint32_t i = 0; i < suspect->crash_count; i++) {
+		if (!is_explained(suspect->crashes[i].id, suspect, suspects))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Return how many crashes remain for which a suspect may be the cause. One of
+ * which only this suspect is known doesn't count: there may be others.
  */
 uint32_t
 blame_count(const struct suspect *suspect, const GPtrArray *suspects)
@@ -34,7 +48,7 @@
 	uint32_t count = 0;
 
 	for (uint32_t i = 0; i < suspect->crash_count; i++)
-		count +=
+		count += suspect->crashes[i].whole &&
 		    !is_explained(suspect->crashes[i].id, suspect, suspects);
 	return count;
 }
--- a/quarantine/quarantine.c
+++ b/quarantine/quarantine.c
@@ -177,8 +177,8 @@
 	if (suspect->quarantined)
 		return is_trial_due(suspect, now_ms) ? QUARANTINE_TRIAL
 						     : QUARANTINE_BLOCKED;
-	return blame_count(suspect, quarantine->all) > 0 ? QUARANTINE_SUSPECT
-							 : QUARANTINE_FREE;
+	return blame_is_possible(suspect, quarantine->all) ? QUARANTINE_SUSPECT
+							   : QUARANTINE_FREE;
 }
 
 /*
@@ -223,7 +223,11 @@
 quarantine_add_crash(struct quarantine *quarantine, uint64_t crash_id,
     const struct crash_run *runs, size_t count, int64_t now_ms)
 {
-	struct crash crash = { .id = crash_id, .at_ms = now_ms };
+	struct crash crash = {
+		.id = crash_id,
+		.at_ms = now_ms,
+		.whole = true,
+	};
 	uint32_t most = most_blamed(quarantine, runs, count);
 	uint32_t needed = most >= CRASHES_LIKELY ? most : 0;
 
@@ -260,12 +264,10 @@
 	evaluate(quarantine, now_ms);
 }
 
-/*
- * Merge another node's knowledge. What is over its age is not taken up again.
- */
-bool
-quarantine_merge(
-    struct quarantine *quarantine, const struct suspect *other, int64_t now_ms)
+/* Returns whether there was news. Nothing is taken up that is over its age. */
+static bool
+merge_suspect(struct quarantine *quarantine, struct suspect *other, bool whole,
+    int64_t now_ms)
 {
 	struct suspect *suspect = lookup(quarantine, other->key);
 	uint32_t crashes;
@@ -277,12 +279,32 @@
 		return false;
 	if (suspect == NULL)
 		suspect = lookup_or_add(quarantine, other->key);
+	/* For its verdict the other node used what else it knows. */
+	for (uint32_t i = 0; i < other->crash_count; i++)
+		other->crashes[i].whole = whole || other->quarantined;
 	crashes = suspect->crash_count;
 	news = suspect_merge(suspect, other);
-	if (!news && suspect->crash_count == crashes)
-		return false;
-	suspect->changed_ms = now_ms;
-	evaluate(quarantine, now_ms);
+	if (news || suspect->crash_count != crashes)
+		suspect->changed_ms = now_ms;
+	return news;
+}
+
+/*
+ * Merge another node's knowledge.
+ */
+bool
+quarantine_merge(struct quarantine *quarantine, const struct suspect *suspects,
+    size_t count, bool whole, int64_t now_ms)
+{
+	bool news = false;
+
+	for (size_t i = 0; i < count; i++) {
+		struct suspect other = suspects[i];
+
+		news = merge_suspect(quarantine, &other, whole, now_ms) || news;
+	}
+	if (count > 0)
+		evaluate(quarantine, now_ms);
 	return news;
 }
 
--- a/quarantine/suspect.c
+++ b/quarantine/suspect.c
@@ -22,14 +22,32 @@
 	return false;
 }
 
+/* Note that more is known of a crash; returns whether that is so. */
+static bool
+complete_crash(struct suspect *suspect, struct crash crash)
+{
+	for (uint32_t i = 0; i < suspect->crash_count; i++) {
+		struct crash *known = &suspect->crashes[i];
+
+		if (known->id != crash.id)
+			continue;
+		if (known->whole || !crash.whole)
+			return false;
+		known->whole = true;
+		return true;
+	}
+	return false;
+}
+
 /*
  * Add a crash.
  */
 bool
 suspect_add_crash(struct suspect *suspect, struct crash crash)
 {
+	if (suspect_has_crash(suspect, crash.id))
+		return complete_crash(suspect, crash);
 	if (suspect->crash_count == SUSPECT_CRASHES_MAX ||
-	    suspect_has_crash(suspect, crash.id) ||
 	    (suspect->cleared_ms != 0 && crash.at_ms <= suspect->cleared_ms))
 		return false;
 	suspect->crashes[suspect->crash_count++] = crash;
@@ -104,7 +122,8 @@
 /*
  * Append the text form: the key; the ages of when it came last, of the last run
  * that ended well and of the last trial, -1 for none; the number of trials;
- * whether it had run well; the id and age of each crash.
+ * whether it had run well and whether it is in quarantine; the id and age of
+ * each crash.
  */
 void
 suspect_format(const struct suspect *suspect, int64_t now_ms, GString *out)
@@ -116,8 +135,8 @@
 	append_age(out, now_ms, suspect->seen_ms);
 	append_age(out, now_ms, suspect->cleared_ms);
 	append_age(out, now_ms, suspect->trial_ms);
-	g_string_append_printf(
-	    out, " %u %d", suspect->trials, suspect->has_run_well ? 1 : 0);
+	g_string_append_printf(out, " %u %d %d", suspect->trials,
+	    suspect->has_run_well ? 1 : 0, suspect->quarantined ? 1 : 0);
 	for (uint32_t i = 0; i < suspect->crash_count; i++) {
 		g_string_append_printf(out, " %" G_GINT64_MODIFIER "x",
 		    (guint64)suspect->crashes[i].id);
@@ -167,7 +186,7 @@
 	char copy[TEXT_MAX];
 	guint64 high, low;
 	gint64 seen_ms, cleared_ms, trial_ms;
-	int used = 0, has_run_well;
+	int used = 0, has_run_well, quarantined;
 
 	*suspect = (struct suspect){ 0 };
 	if (text.len == 0 || text.len >= sizeof(copy) ||
@@ -178,13 +197,14 @@
 	if (sscanf(copy,
 		"%16" G_GINT64_MODIFIER "x%16" G_GINT64_MODIFIER
 		"x %" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %" G_GINT64_FORMAT
-		" %u %d%n",
+		" %u %d %d%n",
 		&high, &low, &seen_ms, &cleared_ms, &trial_ms, &suspect->trials,
-		&has_run_well, &used) < 7 ||
+		&has_run_well, &quarantined, &used) < 8 ||
 	    used == 0)
 		return false;
 	suspect->key = (struct request_key){ .high = high, .low = low };
 	suspect->has_run_well = has_run_well != 0;
+	suspect->quarantined = quarantined != 0;
 	return read_age(seen_ms, now_ms, &suspect->seen_ms) &&
 	    read_age(cleared_ms, now_ms, &suspect->cleared_ms) &&
 	    read_age(trial_ms, now_ms, &suspect->trial_ms) &&
--- a/tests/quarantine/test_quarantine.c
+++ b/tests/quarantine/test_quarantine.c
@@ -229,7 +229,8 @@
 
 /* Pass all that a node knows of a request to another, as text. */
 static bool
-tell(struct fixture *from, struct fixture *to, uint64_t number, int64_t now_ms)
+tell(struct fixture *from, struct fixture *to, uint64_t number, bool whole,
+    int64_t now_ms)
 {
 	const struct suspect *suspect =
 	    quarantine_find(from->quarantine, key_of(number));
@@ -240,7 +241,7 @@
 	suspect_format(suspect, now_ms, text);
 	CU_ASSERT_TRUE(
 	    suspect_parse(str_make(text->str, text->len), now_ms, &copy));
-	news = quarantine_merge(to->quarantine, &copy, now_ms);
+	news = quarantine_merge(to->quarantine, &copy, 1, whole, now_ms);
 	g_string_free(text, TRUE);
 	return news;
 }
@@ -256,22 +257,45 @@
 	crash(&a, 1, (uint64_t[]){ 9, 10, 0 }, START_MS);
 	crash(&b, 2, (uint64_t[]){ 9, 12, 0 }, START_MS + RUN_MS);
 	CU_ASSERT_EQUAL(check(&b, 9, START_MS + RUN_MS), QUARANTINE_SUSPECT);
-	CU_ASSERT_TRUE(tell(&a, &b, 9, START_MS + RUN_MS));
+	CU_ASSERT_TRUE(tell(&a, &b, 9, true, START_MS + RUN_MS));
 	CU_ASSERT_EQUAL(check(&b, 9, START_MS + RUN_MS), QUARANTINE_BLOCKED);
-	CU_ASSERT_FALSE(tell(&a, &b, 9, START_MS + RUN_MS));
+	CU_ASSERT_FALSE(tell(&a, &b, 9, true, START_MS + RUN_MS));
 	CU_ASSERT_NOT_EQUAL(
 	    quarantine_hash(a.quarantine), quarantine_hash(b.quarantine));
-	CU_ASSERT_TRUE(tell(&b, &a, 9, START_MS + RUN_MS));
+	CU_ASSERT_TRUE(tell(&b, &a, 9, true, START_MS + RUN_MS));
 	CU_ASSERT_EQUAL(
 	    quarantine_hash(a.quarantine), quarantine_hash(b.quarantine));
 	/* A run that ended well frees it on both; old news don't undo that. */
 	quarantine_add_success(a.quarantine, key_of(9), START_MS + SECOND_MS);
-	tell(&a, &b, 9, START_MS + SECOND_MS);
+	tell(&a, &b, 9, true, START_MS + SECOND_MS);
 	CU_ASSERT_EQUAL(check(&b, 9, START_MS + SECOND_MS), QUARANTINE_FREE);
 	quarantine_free(a.quarantine);
 	quarantine_free(b.quarantine);
 }
 
+/*
+ * A peer's word of one request doesn't say what else was in progress at the
+ * crashes. It makes a suspect, but quarantines only what the peer does.
+ */
+static void
+test_word_of_one_request(void)
+{
+	struct fixture gate, entry;
+
+	fixture_init(&gate);
+	fixture_init(&entry);
+	crash(&gate, 1, (uint64_t[]){ 9, 10, 0 }, START_MS);
+	crash(&gate, 2, (uint64_t[]){ 9, 10, 0 }, START_MS + RUN_MS);
+	CU_ASSERT_TRUE(tell(&gate, &entry, 10, false, START_MS + RUN_MS));
+	CU_ASSERT_EQUAL(
+	    check(&entry, 10, START_MS + RUN_MS), QUARANTINE_SUSPECT);
+	quarantine_add_success(gate.quarantine, key_of(10), START_MS + 200);
+	CU_ASSERT_TRUE(tell(&gate, &entry, 9, false, START_MS + 200));
+	CU_ASSERT_EQUAL(check(&entry, 9, START_MS + 200), QUARANTINE_BLOCKED);
+	quarantine_free(gate.quarantine);
+	quarantine_free(entry.quarantine);
+}
+
 /*
  * Many requests come to upstreams that crash one after the other: one crashes
  * them, and comes again at once; the others lose their answers and are sent
@@ -325,6 +349,7 @@
 	{ "trials are few", test_trials_are_few },
 	{ "age and size are bounded", test_age_and_size },
 	{ "nodes add up", test_nodes_add_up },
+	{ "a peer's word of one request", test_word_of_one_request },
 	{ "a storm of crashes", test_storm },
 	{ "crashes without a cause", test_crashes_without_a_cause },
 	{ NULL, NULL },
--- a/tests/quarantine/test_suspect.c
+++ b/tests/quarantine/test_suspect.c
@@ -16,12 +16,14 @@
 		.trials = 1,
 		.trial_ms = NOW_MS - 400,
 		.has_run_well = true,
+		.quarantined = true,
 	};
 	GString *text = g_string_new(NULL);
 	struct suspect copy;
 
-	suspect_add_crash(&suspect, (struct crash){ 0xfeed, NOW_MS - 1000 });
-	suspect_add_crash(&suspect, (struct crash){ 2, NOW_MS - 300 });
+	suspect_add_crash(
+	    &suspect, (struct crash){ 0xfeed, NOW_MS - 1000, true });
+	suspect_add_crash(&suspect, (struct crash){ 2, NOW_MS - 300, true });
 	suspect_format(&suspect, NOW_MS, text);
 	/* The other node's clock shows another time. */
 	CU_ASSERT_TRUE(
@@ -35,6 +37,7 @@
 	CU_ASSERT_EQUAL(copy.trials, 1);
 	CU_ASSERT_EQUAL(copy.trial_ms, -100);
 	CU_ASSERT_TRUE(copy.has_run_well);
+	CU_ASSERT_TRUE(copy.quarantined);
 	g_string_free(text, TRUE);
 }
 
@@ -43,18 +46,18 @@
 {
 	/* Crashes. */
 	static const char too_many[] =
-	    "00000000000000010000000000000002 0 -1 -1 0 0 "
+	    "00000000000000010000000000000002 0 -1 -1 0 0 0 "
 	    "1 0 2 0 3 0 4 0 5 0 6 0 7 0 8 0 9 0";
 	static const char *const texts[] = {
 		"",
 		"00000000000000010000000000000002",
-		"00000000000000010000000000000002 1 -1 -1 0",
-		"00000000000000010000000000000002 -2 -1 -1 0 0",
-		"00000000000000010000000000000002 1 -1 -1 0 0 7",
-		"00000000000000010000000000000002 1 -1 -1 0 0 7 -1",
-		"00000000000000010000000000000002 1 -1 -1 0 0 7 99999999999",
+		"00000000000000010000000000000002 1 -1 -1 0 0",
+		"00000000000000010000000000000002 -2 -1 -1 0 0 0",
+		"00000000000000010000000000000002 1 -1 -1 0 0 0 7",
+		"00000000000000010000000000000002 1 -1 -1 0 0 0 7 -1",
+		"00000000000000010000000000000002 1 -1 -1 0 0 0 7 99999999999",
 		too_many,
-		"key 1 -1 -1 0 0",
+		"key 1 -1 -1 0 0 0",
 	};
 	struct suspect suspect;
 
@@ -69,11 +72,14 @@
 {
 	struct suspect suspect = { 0 };
 
-	CU_ASSERT_TRUE(suspect_add_crash(&suspect, (struct crash){ 1, 100 }));
+	CU_ASSERT_TRUE(
+	    suspect_add_crash(&suspect, (struct crash){ 1, 100, true }));
 	CU_ASSERT_TRUE(suspect_clear(&suspect, 200));
 	CU_ASSERT_EQUAL(suspect.crash_count, 0);
-	CU_ASSERT_FALSE(suspect_add_crash(&suspect, (struct crash){ 2, 150 }));
-	CU_ASSERT_TRUE(suspect_add_crash(&suspect, (struct crash){ 3, 250 }));
+	CU_ASSERT_FALSE(
+	    suspect_add_crash(&suspect, (struct crash){ 2, 150, true }));
+	CU_ASSERT_TRUE(
+	    suspect_add_crash(&suspect, (struct crash){ 3, 250, true }));
 	CU_ASSERT_FALSE(suspect_clear(&suspect, 200));
 }
 
--- a/trefoilhill-proxy/quarantine_news.c
+++ b/trefoilhill-proxy/quarantine_news.c
@@ -64,22 +64,29 @@
 		uv_timer_start(news->timer, handle_timer, SPREAD_DELAY_MS, 0);
 }
 
-/* Returns whether it was news. */
+/* Parse a text from a peer; returns false, with a log line, if malformed. */
 static bool
-merge_text(struct quarantine_news *news, struct str text)
+parse_text(
+    struct quarantine_news *news, struct str text, struct suspect *suspect)
 {
-	int64_t now_ms = proxy_now_ms(news->proxy);
-	struct suspect suspect;
-
-	if (!suspect_parse(text, now_ms, &suspect)) {
-		struct json_line *line = json_log_begin(
-		    news->proxy->log, LOG_CLASS_FAILURE, "suspect_malformed");
+	struct json_line *line;
+
+	if (suspect_parse(text, proxy_now_ms(news->proxy), suspect))
+		return true;
+	line = json_log_begin(
+	    news->proxy->log, LOG_CLASS_FAILURE, "suspect_malformed");
+	json_line_text(line, "text", text);
+	json_log_end(line);
+	return false;
+}
 
-		json_line_text(line, "text", text);
-		json_log_end(line);
-		return false;
-	}
-	return quarantine_merge(news->proxy->quarantine, &suspect, now_ms);
+static void
+merge(struct quarantine_news *news, const struct suspect *suspects,
+    size_t count, bool whole)
+{
+	if (quarantine_merge(news->proxy->quarantine, suspects, count, whole,
+		proxy_now_ms(news->proxy)))
+		quarantine_news_spread(news);
 }
 
 /*
@@ -88,8 +95,10 @@
 void
 quarantine_news_read(struct quarantine_news *news, struct str text)
 {
-	if (merge_text(news, text))
-		quarantine_news_spread(news);
+	struct suspect suspect;
+
+	if (parse_text(news, text, &suspect))
+		merge(news, &suspect, 1, false);
 }
 
 static void
@@ -141,11 +150,13 @@
 quarantine_news_apply(
     struct quarantine_news *news, const struct heartbeat_message *message)
 {
-	bool changed = false;
+	struct suspect *suspects =
+	    g_new(struct suspect, message->suspect_count);
+	size_t count = 0;
 
 	for (size_t i = 0; i < message->suspect_count; i++)
-		changed =
-		    merge_text(news, str_from(message->suspects[i])) || changed;
-	if (changed)
-		quarantine_news_spread(news);
+		count += parse_text(
+		    news, str_from(message->suspects[i]), &suspects[count]);
+	merge(news, suspects, count, true);
+	g_free(suspects);
 }
