quarantine: spare requests that met crashes among others

Cause: two crashes were enough, whatever else crashed meanwhile.

Change: when upstreams of the service crashed within 10 s that neither the suspect nor one in quarantine was in, it takes three. The table remembers the last 64 crashes, also when all that was in them has been cleared.

--- a/include/quarantine/quarantine.h
+++ b/include/quarantine/quarantine.h
@@ -44,8 +44,9 @@
 bool quarantine_begin_trial(
     struct quarantine *quarantine, struct request_key key, int64_t now_ms);
 /* An upstream has crashed while it ran these requests. */
-void quarantine_add_crash(struct quarantine *quarantine, uint64_t crash_id,
-    const struct crash_run *runs, size_t count, int64_t now_ms);
+void quarantine_add_crash(struct quarantine *quarantine,
+    const struct crash *crash, const struct crash_run *runs, size_t count,
+    int64_t now_ms);
 /* A run has ended well. */
 void quarantine_add_success(
     struct quarantine *quarantine, struct request_key key, int64_t now_ms);
--- a/include/quarantine/suspect.h
+++ b/include/quarantine/suspect.h
@@ -12,7 +12,8 @@
 
 /* A crash of an upstream. */
 struct crash {
-	uint64_t id; /* the same on all nodes */
+	uint64_t id;      /* the same on all nodes */
+	uint32_t service; /* hash of the upstream's service */
 	int64_t at_ms;
 	/* It is known here what else was in progress at it. */
 	bool whole;
--- a/quarantine/blame.c
+++ b/quarantine/blame.c
@@ -3,6 +3,9 @@
 enum {
 	/* A request in progress at one crash is one of many. */
 	CRASHES_MIN = 2,
+	/* Among other crashes of the service, two may be a coincidence. */
+	CRASHES_AMONG_OTHERS = 3,
+	OTHERS_WINDOW_MS = 10 * 1000,
 	/*
 	 * Suspects run one at a time at an upstream and so don't share several
 	 * crashes; one with so many is not spared for another that does.
@@ -12,11 +15,11 @@
 
 /* Does a quarantined request other than the suspect explain a crash? */
 static bool
-is_explained(
-    uint64_t crash, const struct suspect *suspect, const GPtrArray *suspects)
+is_explained(uint64_t crash, const struct suspect *suspect,
+    const struct blame_facts *facts)
 {
-	for (guint i = 0; i < suspects->len; i++) {
-		const struct suspect *other = suspects->pdata[i];
+	for (guint i = 0; i < facts->suspects->len; i++) {
+		const struct suspect *other = facts->suspects->pdata[i];
 
 		if (other != suspect && other->quarantined &&
 		    suspect_has_crash(other, crash))
@@ -29,10 +32,11 @@
  * Tell whether a suspect may be the cause of a crash.
  */
 bool
-blame_is_possible(const struct suspect *suspect, const GPtrArray *suspects)
+blame_is_possible(
+    const struct suspect *suspect, const struct blame_facts *facts)
 {
 	for (uint32_t i = 0; i < suspect->crash_count; i++) {
-		if (!is_explained(suspect->crashes[i].id, suspect, suspects))
+		if (!is_explained(suspect->crashes[i].id, suspect, facts))
 			return true;
 	}
 	return false;
@@ -43,13 +47,13 @@
  * which only this suspect is known doesn't count: there may be others.
  */
 uint32_t
-blame_count(const struct suspect *suspect, const GPtrArray *suspects)
+blame_count(const struct suspect *suspect, const struct blame_facts *facts)
 {
 	uint32_t count = 0;
 
 	for (uint32_t i = 0; i < suspect->crash_count; i++)
 		count += suspect->crashes[i].whole &&
-		    !is_explained(suspect->crashes[i].id, suspect, suspects);
+		    !is_explained(suspect->crashes[i].id, suspect, facts);
 	return count;
 }
 
@@ -65,16 +69,38 @@
 
 /* Was another request in one of the suspect's crashes, and in as many? */
 static bool
-has_rival(
-    const struct suspect *suspect, uint32_t count, const GPtrArray *suspects)
+has_rival(const struct suspect *suspect, uint32_t count,
+    const struct blame_facts *facts)
 {
-	for (guint i = 0; i < suspects->len; i++) {
-		const struct suspect *other = suspects->pdata[i];
+	for (guint i = 0; i < facts->suspects->len; i++) {
+		const struct suspect *other = facts->suspects->pdata[i];
 
 		if (other != suspect && !other->quarantined &&
 		    other->crash_count >= count &&
 		    share_crash(suspect, other) &&
-		    blame_count(other, suspects) >= count)
+		    blame_count(other, facts) >= count)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Have upstreams of the same service crashed about when the suspect was in a
+ * crash, without it, and with no quarantined request in progress?
+ */
+static bool
+is_among_others(const struct suspect *suspect, const struct blame_facts *facts)
+{
+	int64_t last_ms = suspect_last_crash_ms(suspect);
+
+	for (guint i = 0; i < facts->crashes->len; i++) {
+		const struct crash *crash =
+		    &g_array_index(facts->crashes, struct crash, i);
+
+		if (crash->service == suspect->crashes[0].service &&
+		    ABS(crash->at_ms - last_ms) <= OTHERS_WINDOW_MS &&
+		    !suspect_has_crash(suspect, crash->id) &&
+		    !is_explained(crash->id, suspect, facts))
 			return true;
 	}
 	return false;
@@ -82,29 +108,31 @@
 
 /* How many crashes it takes to quarantine a suspect. */
 static uint32_t
-crashes_needed(const struct suspect *suspect)
+crashes_needed(const struct suspect *suspect, const struct blame_facts *facts)
 {
-	return suspect->has_run_well ? CRASHES_SURE : CRASHES_MIN;
+	if (suspect->has_run_well)
+		return CRASHES_SURE;
+	return is_among_others(suspect, facts) ? CRASHES_AMONG_OTHERS
+					       : CRASHES_MIN;
 }
 
 /* Return the next suspect to quarantine; NULL if there is none. */
 static struct suspect *
-find_culprit(const GPtrArray *suspects)
+find_culprit(const struct blame_facts *facts)
 {
 	struct suspect *found = NULL;
 	uint32_t most = 0;
 
-	for (guint i = 0; i < suspects->len; i++) {
-		struct suspect *suspect = suspects->pdata[i];
+	for (guint i = 0; i < facts->suspects->len; i++) {
+		struct suspect *suspect = facts->suspects->pdata[i];
 		uint32_t count;
 
-		if (suspect->quarantined ||
-		    suspect->crash_count < crashes_needed(suspect))
+		if (suspect->quarantined || suspect->crash_count < CRASHES_MIN)
 			continue;
-		count = blame_count(suspect, suspects);
-		if (count < crashes_needed(suspect) || count <= most)
+		count = blame_count(suspect, facts);
+		if (count <= most || count < crashes_needed(suspect, facts))
 			continue;
-		if (count < CRASHES_SURE && has_rival(suspect, count, suspects))
+		if (count < CRASHES_SURE && has_rival(suspect, count, facts))
 			continue;
 		found = suspect;
 		most = count;
@@ -118,12 +146,13 @@
  * told apart; both stay free until a further crash or a run that ends well.
  */
 void
-blame_evaluate(GPtrArray *suspects)
+blame_evaluate(const struct blame_facts *facts)
 {
 	struct suspect *culprit;
 
-	for (guint i = 0; i < suspects->len; i++)
-		((struct suspect *)suspects->pdata[i])->quarantined = false;
-	while ((culprit = find_culprit(suspects)) != NULL)
+	for (guint i = 0; i < facts->suspects->len; i++)
+		((struct suspect *)facts->suspects->pdata[i])->quarantined =
+		    false;
+	while ((culprit = find_culprit(facts)) != NULL)
 		culprit->quarantined = true;
 }
--- a/quarantine/quarantine.c
+++ b/quarantine/quarantine.c
@@ -5,6 +5,7 @@
 
 enum {
 	SUSPECTS_MAX = 512,
+	CRASHES_MAX = 64,
 	SECOND_MS = 1000,
 	/* Forgotten when it hasn't come for so long. */
 	SUSPECT_AGE_MS = 3600 * SECOND_MS,
@@ -27,6 +28,7 @@
 	struct quarantine_ops ops;
 	GHashTable *by_key; /* its own key to struct suspect */
 	GPtrArray *all;     /* owns them */
+	GArray *crashes;    /* struct crash, the latest, oldest first */
 };
 
 static guint
@@ -53,6 +55,7 @@
 	quarantine->ops = ops;
 	quarantine->by_key = g_hash_table_new(key_hash, key_equal);
 	quarantine->all = g_ptr_array_new_with_free_func(g_free);
+	quarantine->crashes = g_array_new(FALSE, FALSE, sizeof(struct crash));
 	return quarantine;
 }
 
@@ -66,6 +69,7 @@
 		return;
 	g_hash_table_destroy(quarantine->by_key);
 	g_ptr_array_unref(quarantine->all);
+	g_array_free(quarantine->crashes, TRUE);
 	g_free(quarantine);
 }
 
@@ -134,11 +138,36 @@
 	return suspect;
 }
 
+static struct blame_facts
+facts_of(const struct quarantine *quarantine)
+{
+	return (struct blame_facts){
+		.suspects = quarantine->all,
+		.crashes = quarantine->crashes,
+	};
+}
+
+/* Remember a crash, also when all that was in it has been cleared. */
+static void
+note_crash(struct quarantine *quarantine, const struct crash *crash)
+{
+	for (guint i = 0; i < quarantine->crashes->len; i++) {
+		if (g_array_index(quarantine->crashes, struct crash, i).id ==
+		    crash->id)
+			return;
+	}
+	if (quarantine->crashes->len == CRASHES_MAX)
+		g_array_remove_index(quarantine->crashes, 0);
+	g_array_append_val(quarantine->crashes, *crash);
+}
+
 /* Decide anew who is in quarantine, and report the changes. */
 static void
 evaluate(struct quarantine *quarantine, int64_t now_ms)
 {
-	blame_evaluate(quarantine->all);
+	struct blame_facts facts = facts_of(quarantine);
+
+	blame_evaluate(&facts);
 	for (guint i = 0; i < quarantine->all->len; i++) {
 		struct suspect *suspect = quarantine->all->pdata[i];
 
@@ -170,6 +199,7 @@
     struct quarantine *quarantine, struct request_key key, int64_t now_ms)
 {
 	struct suspect *suspect = lookup(quarantine, key);
+	struct blame_facts facts = facts_of(quarantine);
 
 	if (suspect == NULL)
 		return QUARANTINE_FREE;
@@ -177,8 +207,8 @@
 	if (suspect->quarantined)
 		return is_trial_due(suspect, now_ms) ? QUARANTINE_TRIAL
 						     : QUARANTINE_BLOCKED;
-	return blame_is_possible(suspect, quarantine->all) ? QUARANTINE_SUSPECT
-							   : QUARANTINE_FREE;
+	return blame_is_possible(suspect, &facts) ? QUARANTINE_SUSPECT
+						  : QUARANTINE_FREE;
 }
 
 /*
@@ -204,13 +234,14 @@
 most_blamed(const struct quarantine *quarantine, const struct crash_run *runs,
     size_t count)
 {
+	struct blame_facts facts = facts_of(quarantine);
 	uint32_t most = 0;
 
 	for (size_t i = 0; i < count; i++) {
 		const struct suspect *suspect = lookup(quarantine, runs[i].key);
 
 		if (suspect != NULL)
-			most = MAX(most, blame_count(suspect, quarantine->all));
+			most = MAX(most, blame_count(suspect, &facts));
 	}
 	return most;
 }
@@ -220,27 +251,23 @@
  * others, which lost their answers with it.
  */
 void
-quarantine_add_crash(struct quarantine *quarantine, uint64_t crash_id,
+quarantine_add_crash(struct quarantine *quarantine, const struct crash *crash,
     const struct crash_run *runs, size_t count, int64_t now_ms)
 {
-	struct crash crash = {
-		.id = crash_id,
-		.at_ms = now_ms,
-		.whole = true,
-	};
+	struct blame_facts facts = facts_of(quarantine);
 	uint32_t most = most_blamed(quarantine, runs, count);
 	uint32_t needed = most >= CRASHES_LIKELY ? most : 0;
 
+	note_crash(quarantine, crash);
 	for (size_t i = 0; i < count; i++) {
 		struct suspect *suspect = lookup(quarantine, runs[i].key);
 
 		if (needed > 0 &&
-		    (suspect == NULL ||
-			blame_count(suspect, quarantine->all) < needed))
+		    (suspect == NULL || blame_count(suspect, &facts) < needed))
 			continue;
 		suspect = lookup_or_add(quarantine, runs[i].key);
 		suspect->seen_ms = now_ms;
-		if (!suspect_add_crash(suspect, crash))
+		if (!suspect_add_crash(suspect, *crash))
 			continue;
 		suspect->has_run_well |= runs[i].has_run_well;
 		suspect->changed_ms = now_ms;
@@ -280,8 +307,10 @@
 	if (suspect == NULL)
 		suspect = lookup_or_add(quarantine, other->key);
 	/* For its verdict the other node used what else it knows. */
-	for (uint32_t i = 0; i < other->crash_count; i++)
+	for (uint32_t i = 0; i < other->crash_count; i++) {
 		other->crashes[i].whole = whole || other->quarantined;
+		note_crash(quarantine, &other->crashes[i]);
+	}
 	crashes = suspect->crash_count;
 	news = suspect_merge(suspect, other);
 	if (news || suspect->crash_count != crashes)
--- a/quarantine/suspect.c
+++ b/quarantine/suspect.c
@@ -122,8 +122,8 @@
 /*
  * Append the text form: the key; the ages of when it came last, of the last run
  * that ended well and of the last trial, -1 for none; the number of trials;
- * whether it had run well and whether it is in quarantine; the id and age of
- * each crash.
+ * whether it had run well and whether it is in quarantine; the id,
+ * service and age of each crash.
  */
 void
 suspect_format(const struct suspect *suspect, int64_t now_ms, GString *out)
@@ -138,8 +138,9 @@
 	g_string_append_printf(out, " %u %d %d", suspect->trials,
 	    suspect->has_run_well ? 1 : 0, suspect->quarantined ? 1 : 0);
 	for (uint32_t i = 0; i < suspect->crash_count; i++) {
-		g_string_append_printf(out, " %" G_GINT64_MODIFIER "x",
-		    (guint64)suspect->crashes[i].id);
+		g_string_append_printf(out, " %" G_GINT64_MODIFIER "x %x",
+		    (guint64)suspect->crashes[i].id,
+		    suspect->crashes[i].service);
 		append_age(out, now_ms, suspect->crashes[i].at_ms);
 	}
 }
@@ -161,12 +162,14 @@
 parse_crashes(const char *text, int64_t now_ms, struct suspect *suspect)
 {
 	guint64 id;
+	unsigned service;
 	gint64 age_ms;
 	int used;
 
-	while (sscanf(text, " %" G_GINT64_MODIFIER "x %" G_GINT64_FORMAT "%n",
-		   &id, &age_ms, &used) == 2) {
-		struct crash crash = { .id = id };
+	while (
+	    sscanf(text, " %" G_GINT64_MODIFIER "x %x %" G_GINT64_FORMAT "%n",
+		&id, &service, &age_ms, &used) == 3) {
+		struct crash crash = { .id = id, .service = service };
 
 		if (suspect->crash_count == SUSPECT_CRASHES_MAX || age_ms < 0 ||
 		    !read_age(age_ms, now_ms, &crash.at_ms))
--- a/tests/quarantine/test_quarantine.c
+++ b/tests/quarantine/test_quarantine.c
@@ -9,6 +9,8 @@
 	MINUTE_MS = 60 * SECOND_MS,
 	HOUR_MS = 60 * MINUTE_MS,
 	FIVE_HOURS_MS = 5 * HOUR_MS,
+	SERVICE = 3,
+	LATER_MS = 20 * SECOND_MS,
 	START_MS = 5000,
 	RUN_MS = 80, /* until the upstream crashes */
 	NODES = 4,
@@ -44,6 +46,15 @@
 	return (struct request_key){ .high = number, .low = number * 7919 };
 }
 
+static void
+add_crash(struct fixture *f, uint64_t id, const struct crash_run *runs,
+    size_t count, int64_t now_ms)
+{
+	struct crash crash = { id, SERVICE, now_ms, true };
+
+	quarantine_add_crash(f->quarantine, &crash, runs, count, now_ms);
+}
+
 /* A crash with the given requests in progress, up to a 0. */
 static void
 crash(struct fixture *f, uint64_t id, const uint64_t *numbers, int64_t now_ms)
@@ -54,7 +65,7 @@
 	for (; numbers[count] != 0; count++)
 		runs[count] =
 		    (struct crash_run){ .key = key_of(numbers[count]) };
-	quarantine_add_crash(f->quarantine, id, runs, count, now_ms);
+	add_crash(f, id, runs, count, now_ms);
 }
 
 static enum quarantine_verdict
@@ -152,13 +163,12 @@
 	fixture_init(&f);
 	for (uint64_t id = 1; id <= 3; id++) {
 		runs[1].key = key_of(10 + id);
-		quarantine_add_crash(
-		    f.quarantine, id, runs, 2, START_MS + (int64_t)id * RUN_MS);
+		add_crash(&f, id, runs, 2, START_MS + (int64_t)id * RUN_MS);
 		CU_ASSERT_EQUAL(
 		    check(&f, 9, START_MS + SECOND_MS), QUARANTINE_SUSPECT);
 	}
 	runs[0].has_run_well = false;
-	quarantine_add_crash(f.quarantine, 4, runs, 1, START_MS + 400);
+	add_crash(&f, 4, runs, 1, START_MS + 400);
 	CU_ASSERT_EQUAL(check(&f, 9, START_MS + SECOND_MS), QUARANTINE_BLOCKED);
 	quarantine_free(f.quarantine);
 }
@@ -215,7 +225,7 @@
 	crash(&f, 2, (uint64_t[]){ 9, 0 }, START_MS + RUN_MS);
 	for (uint64_t number = 100; number < 2000; number++)
 		crash(&f, number, (uint64_t[]){ number, 0 },
-		    START_MS + (int64_t)number);
+		    LATER_MS + (int64_t)number);
 	CU_ASSERT_EQUAL(
 	    check(&f, 9, START_MS + MINUTE_MS - 1), QUARANTINE_BLOCKED);
 	CU_ASSERT_PTR_NULL(quarantine_find(f.quarantine, key_of(100)));
@@ -339,6 +349,25 @@
 	quarantine_free(f.quarantine);
 }
 
+/* One that loses its answer twice while upstreams crash without it, too. */
+static void
+test_crash_among_others(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	crash(&f, 1, (uint64_t[]){ 1, 2, 0 }, START_MS);
+	crash(&f, 2, (uint64_t[]){ 3, 4, 0 }, START_MS + 20);
+	quarantine_add_success(f.quarantine, key_of(3), START_MS + 60);
+	quarantine_add_success(f.quarantine, key_of(4), START_MS + 60);
+	crash(&f, 3, (uint64_t[]){ 1, 5, 0 }, START_MS + 100);
+	CU_ASSERT_EQUAL(check(&f, 1, START_MS + 100), QUARANTINE_SUSPECT);
+	/* A third time is enough. */
+	crash(&f, 4, (uint64_t[]){ 1, 6, 0 }, START_MS + 200);
+	CU_ASSERT_EQUAL(check(&f, 1, START_MS + 200), QUARANTINE_BLOCKED);
+	quarantine_free(f.quarantine);
+}
+
 static const struct test_case cases[] = {
 	{ "the second crash tells the culprit", test_second_crash_tells },
 	{ "a crash counts once", test_crash_counts_once },
@@ -352,6 +381,7 @@
 	{ "a peer's word of one request", test_word_of_one_request },
 	{ "a storm of crashes", test_storm },
 	{ "crashes without a cause", test_crashes_without_a_cause },
+	{ "a crash among others", test_crash_among_others },
 	{ NULL, NULL },
 };
 
--- a/tests/quarantine/test_suspect.c
+++ b/tests/quarantine/test_suspect.c
@@ -22,8 +22,8 @@
 	struct suspect copy;
 
 	suspect_add_crash(
-	    &suspect, (struct crash){ 0xfeed, NOW_MS - 1000, true });
-	suspect_add_crash(&suspect, (struct crash){ 2, NOW_MS - 300, true });
+	    &suspect, (struct crash){ 0xfeed, 5, NOW_MS - 1000, true });
+	suspect_add_crash(&suspect, (struct crash){ 2, 5, NOW_MS - 300, true });
 	suspect_format(&suspect, NOW_MS, text);
 	/* The other node's clock shows another time. */
 	CU_ASSERT_TRUE(
@@ -31,6 +31,7 @@
 	CU_ASSERT_TRUE(request_key_equal(copy.key, suspect.key));
 	CU_ASSERT_EQUAL(copy.crash_count, 2);
 	CU_ASSERT_EQUAL(copy.crashes[0].id, 0xfeed);
+	CU_ASSERT_EQUAL(copy.crashes[0].service, 5);
 	CU_ASSERT_EQUAL(copy.crashes[0].at_ms, -700);
 	CU_ASSERT_EQUAL(copy.seen_ms, 295);
 	CU_ASSERT_EQUAL(copy.cleared_ms, 0);
@@ -47,15 +48,15 @@
 	/* Crashes. */
 	static const char too_many[] =
 	    "00000000000000010000000000000002 0 -1 -1 0 0 0 "
-	    "1 0 2 0 3 0 4 0 5 0 6 0 7 0 8 0 9 0";
+	    "1 1 0 2 1 0 3 1 0 4 1 0 5 1 0 6 1 0 7 1 0 8 1 0 9 1 0";
 	static const char *const texts[] = {
 		"",
 		"00000000000000010000000000000002",
 		"00000000000000010000000000000002 1 -1 -1 0 0",
 		"00000000000000010000000000000002 -2 -1 -1 0 0 0",
-		"00000000000000010000000000000002 1 -1 -1 0 0 0 7",
-		"00000000000000010000000000000002 1 -1 -1 0 0 0 7 -1",
-		"00000000000000010000000000000002 1 -1 -1 0 0 0 7 99999999999",
+		"00000000000000010000000000000002 1 -1 -1 0 0 0 7 1",
+		"00000000000000010000000000000002 1 -1 -1 0 0 0 7 1 -1",
+		"00000000000000010000000000000002 1 -1 -1 0 0 0 7 1 99999999999",
 		too_many,
 		"key 1 -1 -1 0 0 0",
 	};
@@ -73,13 +74,13 @@
 	struct suspect suspect = { 0 };
 
 	CU_ASSERT_TRUE(
-	    suspect_add_crash(&suspect, (struct crash){ 1, 100, true }));
+	    suspect_add_crash(&suspect, (struct crash){ 1, 5, 100, true }));
 	CU_ASSERT_TRUE(suspect_clear(&suspect, 200));
 	CU_ASSERT_EQUAL(suspect.crash_count, 0);
 	CU_ASSERT_FALSE(
-	    suspect_add_crash(&suspect, (struct crash){ 2, 150, true }));
+	    suspect_add_crash(&suspect, (struct crash){ 2, 5, 150, true }));
 	CU_ASSERT_TRUE(
-	    suspect_add_crash(&suspect, (struct crash){ 3, 250, true }));
+	    suspect_add_crash(&suspect, (struct crash){ 3, 5, 250, true }));
 	CU_ASSERT_FALSE(suspect_clear(&suspect, 200));
 }
 
--- a/trefoilhill-proxy/crash_watch.c
+++ b/trefoilhill-proxy/crash_watch.c
@@ -71,12 +71,20 @@
 	g_free(watch);
 }
 
-/* The id of a crash: of one start of an upstream, which ends but once. */
-static uint64_t
-crash_id(const struct upstream *upstream)
+static struct crash
+make_crash(const struct crash_watch *watch)
 {
-	return XXH3_64bits_withSeed(upstream->entry.id,
-	    strlen(upstream->entry.id), upstream->entry.started_ms);
+	const struct upstream_entry *entry = &watch->upstream->entry;
+
+	return (struct crash){
+		/* One start of an upstream ends but once. */
+		.id = XXH3_64bits_withSeed(
+		    entry->id, strlen(entry->id), entry->started_ms),
+		.service = (uint32_t)XXH3_64bits(
+		    entry->service, strlen(entry->service)),
+		.at_ms = watch->lost_ms,
+		.whole = true,
+	};
 }
 
 static void
@@ -106,12 +114,13 @@
 static void
 record_crash(struct crash_watch *watch)
 {
+	struct crash crash = make_crash(watch);
+
 	proxy_count(&watch->proxy->stats, STAT_UPSTREAM_CRASHES);
 	log_crash(watch);
-	quarantine_add_crash(watch->proxy->quarantine,
-	    crash_id(watch->upstream),
+	quarantine_add_crash(watch->proxy->quarantine, &crash,
 	    (const struct crash_run *)watch->runs->data, watch->runs->len,
-	    watch->lost_ms);
+	    proxy_now_ms(watch->proxy));
 	quarantine_news_spread(watch->proxy->quarantine_news);
 }
 
