--- a/quarantine/blame.c
+++ b/quarantine/blame.c
@@ -5,7 +5,9 @@
 	CRASHES_MIN = 2,
 	/* Among other crashes of the service, two may be a coincidence. */
 	CRASHES_AMONG_OTHERS = 3,
-	OTHERS_WINDOW_MS = 10 * 1000,
+	OTHERS_BEFORE_MS = 10 * 1000,
+	/* A crash that comes later is another matter. */
+	OTHERS_AFTER_MS = 1000,
 	/*
 	 * Suspects run one at a time at an upstream and so don't share several
 	 * crashes; one with so many is not spared for another that does.
@@ -98,7 +100,8 @@
 		    &g_array_index(facts->crashes, struct crash, i);
 
 		if (crash->service == suspect->crashes[0].service &&
-		    ABS(crash->at_ms - last_ms) <= OTHERS_WINDOW_MS &&
+		    crash->at_ms >= last_ms - OTHERS_BEFORE_MS &&
+		    crash->at_ms <= last_ms + OTHERS_AFTER_MS &&
 		    !suspect_has_crash(suspect, crash->id) &&
 		    !is_explained(crash->id, suspect, facts))
 			return true;
--- a/tests/quarantine/test_quarantine.c
+++ b/tests/quarantine/test_quarantine.c
@@ -366,6 +366,14 @@
 	crash(&f, 4, (uint64_t[]){ 1, 6, 0 }, START_MS + 200);
 	CU_ASSERT_EQUAL(check(&f, 1, START_MS + 200), QUARANTINE_BLOCKED);
 	quarantine_free(f.quarantine);
+	/* What crashes much later doesn't free a request. */
+	fixture_init(&f);
+	crash(&f, 1, (uint64_t[]){ 1, 2, 0 }, START_MS);
+	crash(&f, 2, (uint64_t[]){ 1, 3, 0 }, START_MS + 100);
+	crash(&f, 3, (uint64_t[]){ 4, 5, 0 }, START_MS + 3 * SECOND_MS);
+	CU_ASSERT_EQUAL(
+	    check(&f, 1, START_MS + 3 * SECOND_MS), QUARANTINE_BLOCKED);
+	quarantine_free(f.quarantine);
 }
 
 static const struct test_case cases[] = {
