proxy: collect suspects for a heartbeat once

Cause: when a peer seems to know less, the list of suspects was written over the one that the message held; a shorter one would have leaked the rest.

Change: the list is cleared first. A test's variable is initialized for the address sanitizer's build.

--- a/include/trefoilhill-proxy/heartbeat_message.h
+++ b/include/trefoilhill-proxy/heartbeat_message.h
@@ -43,5 +43,6 @@
 bool heartbeat_message_decode(
     struct str bytes, struct heartbeat_message *message);
 void heartbeat_message_clear(struct heartbeat_message *message);
+void heartbeat_message_clear_suspects(struct heartbeat_message *message);
 
 #endif
--- a/tests/route/test_balance.c
+++ b/tests/route/test_balance.c
@@ -318,7 +318,7 @@
 	static const char *const ids[] = { "i-1", "i-2", "i-3", "i-4" };
 	struct request_key key = { .low = 1 };
 	uint32_t chosen[G_N_ELEMENTS(ids)] = { 0 };
-	struct upstream *first;
+	struct upstream *first = NULL;
 	struct fixture f;
 
 	fixture_init(&f);
--- a/trefoilhill-proxy/heartbeat_message.c
+++ b/trefoilhill-proxy/heartbeat_message.c
@@ -289,15 +289,24 @@
 }
 
 /*
- * Free the content of a message.
+ * Free the suspected requests in a message.
  */
 void
-heartbeat_message_clear(struct heartbeat_message *message)
+heartbeat_message_clear_suspects(struct heartbeat_message *message)
 {
-	g_clear_pointer(&message->upstream, g_free);
 	for (size_t i = 0; i < message->suspect_count; i++)
 		g_clear_pointer(&message->suspects[i], g_free);
 	message->suspect_count = 0;
+}
+
+/*
+ * Free the content of a message.
+ */
+void
+heartbeat_message_clear(struct heartbeat_message *message)
+{
+	g_clear_pointer(&message->upstream, g_free);
+	heartbeat_message_clear_suspects(message);
 	if (message->items != NULL)
 		g_ptr_array_unref(message->items);
 	message->items = NULL;
--- a/trefoilhill-proxy/quarantine_news.c
+++ b/trefoilhill-proxy/quarantine_news.c
@@ -110,16 +110,15 @@
 
 	quarantine_list(news->proxy->quarantine, now_ms - RECENT_MS,
 	    all_blocked, HEARTBEAT_SUSPECTS_MAX, suspects);
-	message->quarantine_hash = quarantine_hash(news->proxy->quarantine);
-	message->suspect_count = 0;
+	heartbeat_message_clear_suspects(message);
 	for (guint i = 0; i < suspects->len; i++) {
 		GString *text = g_string_new(NULL);
 
 		suspect_format(suspects->pdata[i], now_ms, text);
-		g_free(message->suspects[i]);
 		message->suspects[i] = g_string_free(text, FALSE);
-		message->suspect_count++;
 	}
+	message->suspect_count = suspects->len;
+	message->quarantine_hash = quarantine_hash(news->proxy->quarantine);
 	g_ptr_array_unref(suspects);
 }
 
