--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -103,6 +103,9 @@
             return
         if response.status in NOT_EXECUTED_STATUSES and kind == "post":
             self.refused.add(request)
+        if response.body == b"quarantined":
+            self.wrong.append(f"{request}: taken for one that crashes "
+                              "upstreams")
         if response.status // 100 != 2:
             if response.status not in NOT_EXECUTED_STATUSES + (502, 504):
                 self.wrong.append(f"{request}: status {response.status}")
--- a/tests/soak/mesh.py
+++ b/tests/soak/mesh.py
@@ -59,6 +59,7 @@
         self.lock = asyncio.Lock()  # held by faults that restart the process
         self.upstream_lock = asyncio.Lock()
         self.upstream = None
+        self.handle_crash = None  # called with an upstream that has crashed
         self.generation = 0
         self.sequence = 0  # of the upstream's status reports
         self.state = "ready"  # that it reported last
@@ -70,9 +71,14 @@
             self.mesh.record, f"i-{self.number}-{self.generation}",
             self.service, self.zone, f"127.1.{self.number}.1", APP_PORT,
             self.mesh.rng)
+        self.upstream.handle_crash = self.handle_upstream_crash
         self.mesh.upstreams.append(self.upstream)
         return self.upstream
 
+    def handle_upstream_crash(self, upstream):
+        if self.handle_crash is not None:
+            self.handle_crash(upstream)
+
     async def start_node(self):
         if self.process is not None and self.process.returncode is None:
             return
