quarantine: tell crashes by their ids, also those that are cleared

Cause: a run that ended well cleared the crashes before it by their times. A crash that another node told of again came with its age, and so later by the way there; it was news, was passed on, cleared by the next run and told again. With links that are slow under load it didn't end, for a request that many send.

Change: a crash is cleared by its id, and stays so. News are spread at most each 40 ms.

Result: unit test cleared: on the code before, a crash told again after the clearing counted anew.

--- a/include/quarantine/suspect.h
+++ b/include/quarantine/suspect.h
@@ -7,7 +7,7 @@
 #include "quarantine/request_key.h"
 
 enum {
-	SUSPECT_CRASHES_MAX = 8, /* further ones add nothing */
+	SUSPECT_CRASHES_MAX = 12, /* further ones add nothing */
 };
 
 /* A crash of an upstream. */
@@ -17,6 +17,8 @@
 	int64_t at_ms;
 	/* It is known here what else was in progress at it. */
 	bool whole;
+	/* The request has run well since then: it wasn't the cause. */
+	bool cleared;
 };
 
 /*
@@ -27,10 +29,9 @@
  */
 struct suspect {
 	struct request_key key;
-	struct crash crashes[SUSPECT_CRASHES_MAX]; /* since it was cleared */
+	struct crash crashes[SUSPECT_CRASHES_MAX]; /* cleared ones, too */
 	uint32_t crash_count;
-	int64_t cleared_ms; /* end of a run without a crash; 0: none */
-	int64_t seen_ms;    /* when it came last */
+	int64_t seen_ms; /* when it came last */
 	/* Runs allowed in spite of the quarantine, and the last one's start. */
 	uint32_t trials;
 	int64_t trial_ms;
@@ -40,12 +41,14 @@
 	int64_t changed_ms; /* when this node learned the last news */
 };
 
+/* Is it, or may it be, the cause of this crash? */
 bool suspect_has_crash(const struct suspect *suspect, uint64_t id);
-/* Returns false if so much of the crash is known, or it was before a run that
- * ended well. */
+/* The number of crashes that it may be the cause of. */
+uint32_t suspect_open_count(const struct suspect *suspect);
+/* Returns false if as much was known. */
 bool suspect_add_crash(struct suspect *suspect, struct crash crash);
-/* A run has ended well. Returns false if there were no crashes. */
-bool suspect_clear(struct suspect *suspect, int64_t at_ms);
+/* A run has ended well. Returns false if there was nothing to clear. */
+bool suspect_clear(struct suspect *suspect);
 int64_t suspect_last_crash_ms(const struct suspect *suspect);
 /* Add another node's knowledge; returns whether it knew more crashes or trials.
  */
--- a/quarantine/blame.c
+++ b/quarantine/blame.c
@@ -38,7 +38,8 @@
     const struct suspect *suspect, const struct blame_facts *facts)
 {
 	for (uint32_t i = 0; i < suspect->crash_count; i++) {
-		if (!is_explained(suspect->crashes[i].id, suspect, facts))
+		if (!suspect->crashes[i].cleared &&
+		    !is_explained(suspect->crashes[i].id, suspect, facts))
 			return true;
 	}
 	return false;
@@ -55,6 +56,7 @@
 
 	for (uint32_t i = 0; i < suspect->crash_count; i++)
 		count += suspect->crashes[i].whole &&
+		    !suspect->crashes[i].cleared &&
 		    !is_explained(suspect->crashes[i].id, suspect, facts);
 	return count;
 }
@@ -63,7 +65,8 @@
 share_crash(const struct suspect *a, const struct suspect *b)
 {
 	for (uint32_t i = 0; i < a->crash_count; i++) {
-		if (suspect_has_crash(b, a->crashes[i].id))
+		if (!a->crashes[i].cleared &&
+		    suspect_has_crash(b, a->crashes[i].id))
 			return true;
 	}
 	return false;
--- a/quarantine/quarantine.c
+++ b/quarantine/quarantine.c
@@ -103,8 +103,8 @@
 {
 	if (a->quarantined != b->quarantined)
 		return b->quarantined;
-	if (a->crash_count != b->crash_count)
-		return a->crash_count < b->crash_count;
+	if (suspect_open_count(a) != suspect_open_count(b))
+		return suspect_open_count(a) < suspect_open_count(b);
 	return a->seen_ms < b->seen_ms;
 }
 
@@ -187,7 +187,7 @@
 	int64_t delay_ms = (int64_t)TRIAL_AFTER_MS << (2 * suspect->trials);
 
 	return suspect->trials < TRIALS_MAX &&
-	    suspect->crash_count <= TRIAL_CRASHES_MAX &&
+	    suspect_open_count(suspect) <= TRIAL_CRASHES_MAX &&
 	    now_ms - last_ms >= delay_ms;
 }
 
@@ -284,8 +284,7 @@
 {
 	struct suspect *suspect = lookup(quarantine, key);
 
-	if (suspect == NULL || suspect->crash_count == 0 ||
-	    !suspect_clear(suspect, now_ms))
+	if (suspect == NULL || !suspect_clear(suspect))
 		return;
 	suspect->changed_ms = now_ms;
 	evaluate(quarantine, now_ms);
@@ -297,11 +296,11 @@
     int64_t now_ms)
 {
 	struct suspect *suspect = lookup(quarantine, other->key);
-	uint32_t crashes;
+	uint32_t open;
 	bool news;
 
 	if (suspect == NULL &&
-	    (other->crash_count == 0 ||
+	    (suspect_open_count(other) == 0 ||
 		now_ms - other->seen_ms > SUSPECT_AGE_MS))
 		return false;
 	if (suspect == NULL)
@@ -311,9 +310,9 @@
 		other->crashes[i].whole = whole || other->quarantined;
 		note_crash(quarantine, &other->crashes[i]);
 	}
-	crashes = suspect->crash_count;
+	open = suspect_open_count(suspect);
 	news = suspect_merge(suspect, other);
-	if (news || suspect->crash_count != crashes)
+	if (news || suspect_open_count(suspect) != open)
 		suspect->changed_ms = now_ms;
 	return news;
 }
@@ -350,8 +349,8 @@
 		int64_t age_ms = now_ms - suspect->seen_ms;
 
 		if (age_ms <= SUSPECT_AGE_MS &&
-		    (suspect->crash_count > 0 ||
-			now_ms - suspect->cleared_ms <= CLEARED_AGE_MS))
+		    (suspect_open_count(suspect) > 0 ||
+			now_ms - suspect->changed_ms <= CLEARED_AGE_MS))
 			continue;
 		remove_at(quarantine, i - 1);
 		removed = true;
@@ -386,8 +385,9 @@
 
 	if (left->quarantined != right->quarantined)
 		return left->quarantined ? -1 : 1;
-	if (left->crash_count != right->crash_count)
-		return left->crash_count > right->crash_count ? -1 : 1;
+	if (suspect_open_count(left) != suspect_open_count(right))
+		return suspect_open_count(left) > suspect_open_count(right) ? -1
+									    : 1;
 	return left->changed_ms > right->changed_ms ? -1 : 1;
 }
 
--- a/quarantine/suspect.c
+++ b/quarantine/suspect.c
@@ -4,88 +4,109 @@
 #include "quarantine/suspect.h"
 
 enum {
-	TEXT_MAX = 512,
+	TEXT_MAX = 1024,
 	/* Older knowledge is not passed on; larger ages are malformed. */
 	AGE_MAX_MS = 24 * 3600 * 1000,
 };
 
 /*
- * Tell whether a crash is one of those that the request was in.
+ * Tell whether a crash is one that the request may be the cause of.
  */
 bool
 suspect_has_crash(const struct suspect *suspect, uint64_t id)
 {
 	for (uint32_t i = 0; i < suspect->crash_count; i++) {
 		if (suspect->crashes[i].id == id)
-			return true;
+			return !suspect->crashes[i].cleared;
 	}
 	return false;
 }
 
-/* Note that more is known of a crash; returns whether that is so. */
+/*
+ * Return the number of crashes that the request may be the cause of.
+ */
+uint32_t
+suspect_open_count(const struct suspect *suspect)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < suspect->crash_count; i++)
+		count += !suspect->crashes[i].cleared;
+	return count;
+}
+
+/* Note what more is known of a crash; returns whether it is more. */
 static bool
-complete_crash(struct suspect *suspect, struct crash crash)
+update_crash(struct crash *known, const struct crash *crash)
 {
-	for (uint32_t i = 0; i < suspect->crash_count; i++) {
-		struct crash *known = &suspect->crashes[i];
+	bool news = crash->whole && !known->whole && !known->cleared;
+
+	known->cleared |= crash->cleared;
+	known->whole |= crash->whole;
+	return news;
+}
 
-		if (known->id != crash.id)
+/* Make room for another crash if one is cleared. */
+static void
+drop_cleared(struct suspect *suspect)
+{
+	for (uint32_t i = 0; i < suspect->crash_count; i++) {
+		if (!suspect->crashes[i].cleared)
 			continue;
-		if (known->whole || !crash.whole)
-			return false;
-		known->whole = true;
-		return true;
+		memmove(&suspect->crashes[i], &suspect->crashes[i + 1],
+		    (suspect->crash_count - i - 1) * sizeof(struct crash));
+		suspect->crash_count--;
+		return;
 	}
-	return false;
 }
 
 /*
- * Add a crash.
+ * Add a crash, or what more is known of it. Crashes are told by their ids, as
+ * their times shift a little from node to node.
  */
 bool
 suspect_add_crash(struct suspect *suspect, struct crash crash)
 {
-	if (suspect_has_crash(suspect, crash.id))
-		return complete_crash(suspect, crash);
-	if (suspect->crash_count == SUSPECT_CRASHES_MAX ||
-	    (suspect->cleared_ms != 0 && crash.at_ms <= suspect->cleared_ms))
+	for (uint32_t i = 0; i < suspect->crash_count; i++) {
+		if (suspect->crashes[i].id == crash.id)
+			return update_crash(&suspect->crashes[i], &crash);
+	}
+	if (suspect->crash_count == SUSPECT_CRASHES_MAX)
+		drop_cleared(suspect);
+	if (suspect->crash_count == SUSPECT_CRASHES_MAX)
 		return false;
 	suspect->crashes[suspect->crash_count++] = crash;
 	suspect->seen_ms = MAX(suspect->seen_ms, crash.at_ms);
-	return true;
+	return !crash.cleared;
 }
 
 /*
  * Record that a run has ended well: the crashes until then had another cause.
  */
 bool
-suspect_clear(struct suspect *suspect, int64_t at_ms)
+suspect_clear(struct suspect *suspect)
 {
-	uint32_t kept = 0, count = suspect->crash_count;
+	bool cleared = suspect_open_count(suspect) > 0;
 
-	suspect->cleared_ms = MAX(suspect->cleared_ms, at_ms);
-	for (uint32_t i = 0; i < count; i++) {
-		if (suspect->crashes[i].at_ms > suspect->cleared_ms)
-			suspect->crashes[kept++] = suspect->crashes[i];
-	}
-	suspect->crash_count = kept;
-	if (kept == 0) {
-		suspect->trials = 0;
-		suspect->has_run_well = false;
-	}
-	return kept < count;
+	for (uint32_t i = 0; i < suspect->crash_count; i++)
+		suspect->crashes[i].cleared = true;
+	suspect->trials = 0;
+	suspect->has_run_well = false;
+	return cleared;
 }
 
 /*
- * Return the time of the last crash; 0 without any.
+ * Return the time of the last crash that it may be the cause of; 0 without any.
  */
 int64_t
 suspect_last_crash_ms(const struct suspect *suspect)
 {
 	int64_t last_ms = 0;
 
-	for (uint32_t i = 0; i < suspect->crash_count; i++)
-		last_ms = MAX(last_ms, suspect->crashes[i].at_ms);
+	for (uint32_t i = 0; i < suspect->crash_count; i++) {
+		if (!suspect->crashes[i].cleared)
+			last_ms = MAX(last_ms, suspect->crashes[i].at_ms);
+	}
 	return last_ms;
 }
 
@@ -97,14 +118,13 @@
 {
 	bool news = false;
 
-	if (other->cleared_ms != 0)
-		suspect_clear(suspect, other->cleared_ms);
 	for (uint32_t i = 0; i < other->crash_count; i++)
 		news = suspect_add_crash(suspect, other->crashes[i]) || news;
 	suspect->seen_ms = MAX(suspect->seen_ms, other->seen_ms);
-	if (suspect->crash_count > 0)
-		suspect->has_run_well |= other->has_run_well;
-	if (suspect->crash_count > 0 && other->trials > suspect->trials) {
+	if (suspect_open_count(suspect) == 0)
+		return news;
+	suspect->has_run_well |= other->has_run_well;
+	if (other->trials > suspect->trials) {
 		suspect->trials = other->trials;
 		suspect->trial_ms = MAX(suspect->trial_ms, other->trial_ms);
 		news = true;
@@ -120,10 +140,10 @@
 }
 
 /*
- * Append the text form: the key; the ages of when it came last, of the last run
- * that ended well and of the last trial, -1 for none; the number of trials;
- * whether it had run well and whether it is in quarantine; the id,
- * service and age of each crash.
+ * Append the text form: the key; the ages of when it came last and of the last
+ * trial, -1 for none; the number of trials; whether it had run well and whether
+ * it is in quarantine; the id, service, age of each crash and whether it is
+ * cleared.
  */
 void
 suspect_format(const struct suspect *suspect, int64_t now_ms, GString *out)
@@ -133,7 +153,6 @@
 	request_key_format(suspect->key, key);
 	g_string_append(out, key);
 	append_age(out, now_ms, suspect->seen_ms);
-	append_age(out, now_ms, suspect->cleared_ms);
 	append_age(out, now_ms, suspect->trial_ms);
 	g_string_append_printf(out, " %u %d %d", suspect->trials,
 	    suspect->has_run_well ? 1 : 0, suspect->quarantined ? 1 : 0);
@@ -142,6 +161,7 @@
 		    (guint64)suspect->crashes[i].id,
 		    suspect->crashes[i].service);
 		append_age(out, now_ms, suspect->crashes[i].at_ms);
+		g_string_append(out, suspect->crashes[i].cleared ? " 1" : " 0");
 	}
 }
 
@@ -164,12 +184,16 @@
 	guint64 id;
 	unsigned service;
 	gint64 age_ms;
-	int used;
+	int used, cleared;
 
-	while (
-	    sscanf(text, " %" G_GINT64_MODIFIER "x %x %" G_GINT64_FORMAT "%n",
-		&id, &service, &age_ms, &used) == 3) {
-		struct crash crash = { .id = id, .service = service };
+	while (sscanf(text,
+		   " %" G_GINT64_MODIFIER "x %x %" G_GINT64_FORMAT " %d%n", &id,
+		   &service, &age_ms, &cleared, &used) == 4) {
+		struct crash crash = {
+			.id = id,
+			.service = service,
+			.cleared = cleared != 0,
+		};
 
 		if (suspect->crash_count == SUSPECT_CRASHES_MAX || age_ms < 0 ||
 		    !read_age(age_ms, now_ms, &crash.at_ms))
@@ -188,7 +212,7 @@
 {
 	char copy[TEXT_MAX];
 	guint64 high, low;
-	gint64 seen_ms, cleared_ms, trial_ms;
+	gint64 seen_ms, trial_ms;
 	int used = 0, has_run_well, quarantined;
 
 	*suspect = (struct suspect){ 0 };
@@ -199,17 +223,15 @@
 	copy[text.len] = '\0';
 	if (sscanf(copy,
 		"%16" G_GINT64_MODIFIER "x%16" G_GINT64_MODIFIER
-		"x %" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %" G_GINT64_FORMAT
-		" %u %d %d%n",
-		&high, &low, &seen_ms, &cleared_ms, &trial_ms, &suspect->trials,
-		&has_run_well, &quarantined, &used) < 8 ||
+		"x %" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %u %d %d%n",
+		&high, &low, &seen_ms, &trial_ms, &suspect->trials,
+		&has_run_well, &quarantined, &used) < 7 ||
 	    used == 0)
 		return false;
 	suspect->key = (struct request_key){ .high = high, .low = low };
 	suspect->has_run_well = has_run_well != 0;
 	suspect->quarantined = quarantined != 0;
 	return read_age(seen_ms, now_ms, &suspect->seen_ms) &&
-	    read_age(cleared_ms, now_ms, &suspect->cleared_ms) &&
 	    read_age(trial_ms, now_ms, &suspect->trial_ms) &&
 	    parse_crashes(copy + used, now_ms, suspect);
 }
--- a/tests/proxy/test_fuzz.c
+++ b/tests/proxy/test_fuzz.c
@@ -155,7 +155,7 @@
 		.lost = { { { 7 }, 120 } },
 		.lost_count = 1,
 		.suspects = { g_strdup("00000000000000010000000000000002 1 -1 "
-				       "-1 0 0 0 7 1 20") },
+				       "0 0 0 7 1 20 0") },
 		.suspect_count = 1,
 		.quarantine_hash = 3,
 		.items = g_ptr_array_new_with_free_func(replica_item_free),
@@ -244,9 +244,8 @@
 static void
 test_suspects(void)
 {
-	static const char text[] =
-	    "00000000000000010000000000000002 1 -1 -1 "
-	    "0 1 0 7 1 20 8 1 40 9 1 60 a 1 1 b 1 3 c 1 4";
+	static const char text[] = "00000000000000010000000000000002 1 -1 "
+				   "0 1 0 7 1 20 0 8 1 40 1 9 1 60 0 a 1 1 1";
 
 	fuzz(text, strlen(text), parse_suspect);
 }
--- a/tests/quarantine/test_suspect.c
+++ b/tests/quarantine/test_suspect.c
@@ -34,7 +34,7 @@
 	CU_ASSERT_EQUAL(copy.crashes[0].service, 5);
 	CU_ASSERT_EQUAL(copy.crashes[0].at_ms, -700);
 	CU_ASSERT_EQUAL(copy.seen_ms, 295);
-	CU_ASSERT_EQUAL(copy.cleared_ms, 0);
+	CU_ASSERT_FALSE(copy.crashes[0].cleared);
 	CU_ASSERT_EQUAL(copy.trials, 1);
 	CU_ASSERT_EQUAL(copy.trial_ms, -100);
 	CU_ASSERT_TRUE(copy.has_run_well);
@@ -47,18 +47,19 @@
 {
 	/* Crashes. */
 	static const char too_many[] =
-	    "00000000000000010000000000000002 0 -1 -1 0 0 0 "
-	    "1 1 0 2 1 0 3 1 0 4 1 0 5 1 0 6 1 0 7 1 0 8 1 0 9 1 0";
+	    "00000000000000010000000000000002 0 -1 0 0 0 "
+	    "1 1 0 0 2 1 0 0 3 1 0 0 4 1 0 0 5 1 0 0 6 1 0 0 7 1 0 0 "
+	    "8 1 0 0 9 1 0 0 a 1 0 0 b 1 0 0 c 1 0 0 d 1 0 0";
 	static const char *const texts[] = {
 		"",
 		"00000000000000010000000000000002",
-		"00000000000000010000000000000002 1 -1 -1 0 0",
-		"00000000000000010000000000000002 -2 -1 -1 0 0 0",
-		"00000000000000010000000000000002 1 -1 -1 0 0 0 7 1",
-		"00000000000000010000000000000002 1 -1 -1 0 0 0 7 1 -1",
-		"00000000000000010000000000000002 1 -1 -1 0 0 0 7 1 99999999999",
+		"00000000000000010000000000000002 1 -1 0 0",
+		"00000000000000010000000000000002 -2 -1 0 0 0",
+		"00000000000000010000000000000002 1 -1 0 0 0 7 1 0",
+		"00000000000000010000000000000002 1 -1 0 0 0 7 1 -1 0",
+		"00000000000000010000000000000002 1 -1 0 0 0 7 1 99999999999 0",
 		too_many,
-		"key 1 -1 -1 0 0 0",
+		"key 1 -1 0 0 0",
 	};
 	struct suspect suspect;
 
@@ -67,7 +68,10 @@
 		    suspect_parse(str_from(texts[i]), NOW_MS, &suspect));
 }
 
-/* Crashes before a run that ended well don't count, whenever they are told. */
+/*
+ * A crash that was cleared stays so when another node tells of it again, with a
+ * time that has shifted on the way.
+ */
 static void
 test_cleared(void)
 {
@@ -75,19 +79,39 @@
 
 	CU_ASSERT_TRUE(
 	    suspect_add_crash(&suspect, (struct crash){ 1, 5, 100, true }));
-	CU_ASSERT_TRUE(suspect_clear(&suspect, 200));
-	CU_ASSERT_EQUAL(suspect.crash_count, 0);
+	CU_ASSERT_TRUE(suspect_clear(&suspect));
+	CU_ASSERT_EQUAL(suspect_open_count(&suspect), 0);
 	CU_ASSERT_FALSE(
-	    suspect_add_crash(&suspect, (struct crash){ 2, 5, 150, true }));
+	    suspect_add_crash(&suspect, (struct crash){ 1, 5, 900, true }));
+	CU_ASSERT_EQUAL(suspect_open_count(&suspect), 0);
 	CU_ASSERT_TRUE(
-	    suspect_add_crash(&suspect, (struct crash){ 3, 5, 250, true }));
-	CU_ASSERT_FALSE(suspect_clear(&suspect, 200));
+	    suspect_add_crash(&suspect, (struct crash){ 3, 5, 90, true }));
+	CU_ASSERT_EQUAL(suspect_open_count(&suspect), 1);
+	CU_ASSERT_EQUAL(suspect_last_crash_ms(&suspect), 90);
+}
+
+/* Many crashes: those that were cleared make room. */
+static void
+test_room(void)
+{
+	struct suspect suspect = { 0 };
+
+	for (uint64_t id = 1; id <= SUSPECT_CRASHES_MAX + 3; id++) {
+		CU_ASSERT_TRUE(suspect_add_crash(
+		    &suspect, (struct crash){ id, 5, 100, true }));
+		if (id <= 3)
+			suspect_clear(&suspect);
+	}
+	CU_ASSERT_EQUAL(suspect_open_count(&suspect), SUSPECT_CRASHES_MAX);
+	CU_ASSERT_FALSE(
+	    suspect_add_crash(&suspect, (struct crash){ 99, 5, 100, true }));
 }
 
 static const struct test_case cases[] = {
 	{ "text form", test_text },
 	{ "malformed text", test_malformed },
 	{ "cleared", test_cleared },
+	{ "room for crashes", test_room },
 	{ NULL, NULL },
 };
 
--- a/trefoilhill-proxy/proxy.c
+++ b/trefoilhill-proxy/proxy.c
@@ -114,7 +114,7 @@
 
 	request_key_format(suspect->key, key);
 	json_line_cstr(line, "key", key);
-	json_line_int(line, "crashes", suspect->crash_count);
+	json_line_int(line, "crashes", suspect_open_count(suspect));
 	json_line_int(line, "trials", suspect->trials);
 	json_log_end(line);
 	quarantine_news_spread(proxy->quarantine_news);
--- a/trefoilhill-proxy/quarantine_news.c
+++ b/trefoilhill-proxy/quarantine_news.c
@@ -4,6 +4,8 @@
 enum {
 	/* For the news of one crash to go out together. */
 	SPREAD_DELAY_MS = 2,
+	/* Between two spreads, however much there is to tell. */
+	SPREAD_INTERVAL_MS = 40,
 	/* News are in all messages for so long. */
 	RECENT_MS = 1500,
 };
@@ -11,6 +13,7 @@
 struct quarantine_news {
 	uv_timer_t *timer;
 	struct proxy *proxy;
+	int64_t spread_ms; /* when it was done last */
 };
 
 /*
@@ -51,6 +54,7 @@
 {
 	struct quarantine_news *news = timer->data;
 
+	news->spread_ms = proxy_now_ms(news->proxy);
 	heartbeat_announce_to_all_zones(news->proxy->heartbeat);
 }
 
@@ -60,8 +64,12 @@
 void
 quarantine_news_spread(struct quarantine_news *news)
 {
+	int64_t wait_ms =
+	    news->spread_ms + SPREAD_INTERVAL_MS - proxy_now_ms(news->proxy);
+
 	if (!uv_is_active((uv_handle_t *)news->timer))
-		uv_timer_start(news->timer, handle_timer, SPREAD_DELAY_MS, 0);
+		uv_timer_start(news->timer, handle_timer,
+		    (uint64_t)MAX(wait_ms, SPREAD_DELAY_MS), 0);
 }
 
 /* Parse a text from a peer; returns false, with a log line, if malformed. */
