review: show a cold backend overrun after its node's restart

A node counts the starts at a cold backend in memory only. Killed and back within a second, it allows a whole second's worth again, so that the backend gets more than coldPerS x coldBurstFactor + coldSlack.

--- a/review/standins.py
+++ b/review/standins.py
@@ -199,6 +199,8 @@
         self.answer_bytes = 5000
         self.running = 0
         self.waiting = 0
+        self.accepted = set()  # ids of requests that run or wait here
+        self.cut = set()  # of those, the ones that a crash has ended
         self.shed_share = 0.0  # of requests rejected without a reason
         self.cold_until = 0.0
         self.crash_rate = 0  # requests a second that it crashes at, if cold
@@ -242,8 +244,9 @@
     def crash(self):
         """End without a word. The store drops the entry after three
         heartbeat intervals of silence."""
+        self.cut = set(self.accepted)
         self.record.write("backend crashed", backend=self.id,
-                          running=self.running)
+                          running=self.running, cut=sorted(self.cut))
         if self.beat is not None:
             self.beat.cancel()
         if self.server is not None:
@@ -294,7 +297,11 @@
                               body_bytes=len(body))
             return await self.reply(writer, 503, request, b"",
                                     "X-Not-Executed: 1\r\n")
-        return await self.run(reader, writer, message, request, body)
+        self.accepted.add(request)
+        try:
+            return await self.run(reader, writer, message, request, body)
+        finally:
+            self.accepted.discard(request)
 
     async def run(self, reader, writer, message, request, body):
         deadline = now() + int(message.get("x-deadline", "10000")) / 1000
