--- a/review/2/case.py
+++ b/review/2/case.py
@@ -66,7 +66,8 @@
         clients.append(asyncio.create_task(use(client, method, path)))
     await asyncio.sleep(1)
     for pair, service in ((deployment.machines[:2], "orders"),
-                          (deployment.machines[3:5], "catalogue")):
+                          (deployment.machines[3:5], "catalogue"),
+                          (deployment.machines[:2], "catalogue")):
         if trouble:
             await asyncio.gather(*(hand_over(deployment, machine, service)
                                    for machine in pair))
