--- a/review/standins.py
+++ b/review/standins.py
@@ -29,8 +29,7 @@
 SEGMENT_BYTES = 16 * 1024  # of a body, that a client sends at once
 HEALTH_PATH = "/health"
 HOST = "jepu9.example"
-PROMISES = (408, 421, 429, 503)
-ZONES = ("lagos-ikeja", "lagos-lekki", "lagos-yaba")
+IDLE_CLOSE_S = 10  # of a backend's connections
 BOUNDS = {
     "seedLagS": 3, "reuseAfterS": 2, "stableWindowMs": 3000, "ackMs": 4000,
     "catchUpS": 4, "drainMs": 2000, "graceS": 6, "lossSlackMs": 200,
@@ -265,7 +264,7 @@
             while await self.serve_one(reader, writer):
                 pass
         except (asyncio.IncompleteReadError, asyncio.CancelledError,
-                ConnectionError):
+                asyncio.TimeoutError, ConnectionError):
             pass
         finally:
             self.tasks.discard(task)
@@ -273,7 +272,7 @@
 
     async def serve_one(self, reader, writer):
         message = Message(await asyncio.wait_for(
-            reader.readuntil(b"\r\n\r\n"), 30))
+            reader.readuntil(b"\r\n\r\n"), IDLE_CLOSE_S))
         body = await read_body(reader, message)
         target = message.first[1]
         request = message.get("x-attempt-id")
@@ -346,8 +345,8 @@
             f"X-Response-Signature: {self.id}.{request}\r\n"
         echo = f"X-Attempt-Id: {request}\r\n" if request else ""
         writer.write((f"HTTP/1.1 {status} x\r\nContent-Length: {len(body)}"
-                      f"\r\n{echo}{sign}{fields}Keep-Alive: timeout=10\r\n"
-                      f"\r\n").encode() + body)
+                      f"\r\n{echo}{sign}{fields}Keep-Alive: timeout="
+                      f"{IDLE_CLOSE_S}\r\n\r\n").encode() + body)
         await writer.drain()
         return True
 
@@ -366,7 +365,6 @@
         self.backend = None
         self.ends = []  # exit statuses of processes that ended by themselves
         self.expected_end = False
-        self.restarts = True
         self.task = None
         self.started = 0.0
 
@@ -411,8 +409,8 @@
             by_itself=not self.expected_end)
         if not self.expected_end:
             self.ends.append(status)
-        if self.restarts and not self.deployment.stopping:
-            await asyncio.sleep(RESTART_DELAY_S)
+        await asyncio.sleep(0 if self.deployment.stopping else RESTART_DELAY_S)
+        if not self.deployment.stopping:
             await self.start()
 
     def signal(self, number):
@@ -525,12 +523,12 @@
         """End all processes that this deployment started."""
         self.stopping = True
         for machine in self.machines:
-            if machine.process is not None and \
-                    machine.process.returncode is None:
-                machine.expected_end = True
-                machine.process.kill()
-            if machine.task is not None:
-                await machine.task
+            # A node that was just being started again has another task.
+            while machine.task is not None and not machine.task.done():
+                if machine.process.returncode is None:
+                    machine.expected_end = True
+                    machine.process.kill()
+                await asyncio.wait([machine.task], timeout=1)
         for client in self.clients:
             client.close()
         for task in asyncio.all_tasks() - {asyncio.current_task()}:
@@ -653,11 +651,14 @@
 
 def main(play, machines, routes):
     """Play a case: a coroutine of (deployment, trouble) that returns whether
-    the rule held. Return the exit status."""
+    the rule held. Return the exit status, 2 if the case could not run."""
     folder = pathlib.Path(sys.argv[0]).resolve().parent
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run(record, directory):
+        # The processes are ended also when the case itself is.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel)
         deployment = Deployment(record, directory, machines, routes)
         try:
             async with asyncio.timeout(110):
@@ -665,14 +666,12 @@
                 return await play(deployment, trouble)
         finally:
             await deployment.stop()
-            if os.environ.get("KEEP_LOGS"):
-                os.system(f"cp {directory}/*.log {os.environ['KEEP_LOGS']}")
 
     record = Record(folder / "record.txt")
     try:
         with tempfile.TemporaryDirectory() as directory:
             held = asyncio.run(run(record, directory))
-    except Exception as error:  # the case could not run
+    except (Exception, asyncio.CancelledError) as error:
         record.write("could not run", error=repr(error))
         print(f"could not run: {error!r}")
         return 2
