exchange: start no attempt without a part of the body

Cause: the part of a long body that all attempts have sent is dropped. Whether the request can still be sent again was asked for retries of what may have run, not after a refusal. The next attempt began at byte 0, and its offset in the buffer wrapped around.

Change: exchange_start_next, which every further attempt passes, asks exchange_is_resendable, as do the retry token and the confirmation. The caller is told that the request has not run.

Conclusion: the check stands where all further attempts meet.

--- a/include/trefoilhill-proxy/exchange.h
+++ b/include/trefoilhill-proxy/exchange.h
@@ -109,13 +109,19 @@
 void exchange_dispatch(struct exchange *exchange);
 /*
  * Start an attempt: a retry if an earlier one has reached an upstream, a hedge
- * if one is still in progress. Responds if there is no upstream for it.
+ * if one is still in progress. Responds if there is no upstream for it, or if
+ * the request can't be sent again.
  */
 void exchange_start_next(struct exchange *exchange, bool retry, bool hedge);
 void exchange_respond_no_upstream(struct exchange *exchange);
 bool exchange_is_place_refusal(const char *reason);
 bool exchange_take_retry_token(struct exchange *exchange);
 bool exchange_is_retry_allowed(const struct exchange *exchange);
+/*
+ * Can another attempt send the whole request? Not once a part of its body is no
+ * longer buffered.
+ */
+bool exchange_is_resendable(const struct exchange *exchange);
 /* Ask the sender to confirm the request; false if that isn't needed. */
 bool exchange_request_confirmation(struct exchange *exchange);
 void exchange_respond(struct exchange *exchange, unsigned status,
--- a/trefoilhill-proxy/attempt_confirm.c
+++ b/trefoilhill-proxy/attempt_confirm.c
@@ -27,7 +27,7 @@
 attempt_may_await_confirmation(const struct exchange *exchange)
 {
 	return !exchange->idempotent && exchange->body_complete &&
-	    exchange->body_dropped == 0 &&
+	    exchange_is_resendable(exchange) &&
 	    exchange->body->len <= CONFIRM_BODY_MAX_BYTES;
 }
 
--- a/trefoilhill-proxy/exchange.c
+++ b/trefoilhill-proxy/exchange.c
@@ -226,6 +226,16 @@
 	exchange_abort_response(exchange, exchange->responding, "deadline");
 }
 
+/*
+ * Tell whether the request can be sent as a whole: nothing of its body has been
+ * dropped.
+ */
+bool
+exchange_is_resendable(const struct exchange *exchange)
+{
+	return exchange->body_dropped == 0;
+}
+
 /*
  * Send more of the request body on all attempts, and drop what all of them have
  * sent if the body is too large to buffer.
--- a/trefoilhill-proxy/exchange_dispatch.c
+++ b/trefoilhill-proxy/exchange_dispatch.c
@@ -260,6 +260,10 @@
 
 	if (exchange->caller_left)
 		return;
+	if (!exchange_is_resendable(exchange)) {
+		exchange_respond_no_upstream(exchange);
+		return;
+	}
 	if (exchange_is_blocked(exchange)) {
 		exchange_respond_quarantined(exchange);
 		return;
@@ -306,14 +310,16 @@
 }
 
 /*
- * Take a retry out of the budget; returns false if it is used up, or if the
- * service is short of capacity.
+ * Take a retry out of the budget; returns false if it is used up, if the
+ * service is short of capacity, or if the request can't be sent again.
  */
 bool
 exchange_take_retry_token(struct exchange *exchange)
 {
 	struct proxy *proxy = exchange->proxy;
 
+	if (!exchange_is_resendable(exchange))
+		return false;
 	if (!service_room_allows_retry(
 		proxy->service_room, exchange->service, proxy->rng)) {
 		proxy_count(&proxy->stats, STAT_RETRIES_NO_ROOM);
@@ -333,7 +339,7 @@
 bool
 exchange_is_retry_allowed(const struct exchange *exchange)
 {
-	return exchange->idempotent && exchange->body_dropped == 0 &&
+	return exchange->idempotent && exchange_is_resendable(exchange) &&
 	    exchange->runs + exchange_active_attempts(exchange) <
 	    exchange->route->attempts_max &&
 	    exchange_remaining_ms(exchange) > REMAINING_MIN_MS;
