gate: send nothing to an instance that isn't registered

Cause: a node that had just started took an unregistered instance into service if its settings named the registered service. The settings may be older than the change, and an instance doesn't report its service. Requests then named the new id as the expected one, so that the upstream couldn't refuse them.

Change: what the health path tells is used for the registered instance only; another one is treated like an answer of status 421. The state of the adopted instance goes.

power_lost asked that a request for the former id runs at an unregistered instance of the same service, which can't be told from another service's. It now asks that such requests are refused, and served once it is registered, over 3,000 requests for each of four changes.

Conclusion: only a registration tells whose requests an instance may run.

--- a/include/trefoilhill-proxy/gate_private.h
+++ b/include/trefoilhill-proxy/gate_private.h
@@ -18,9 +18,6 @@
 	struct sockaddr_in address;
 	struct instance_probe *probe;
 	struct upstream *upstream; /* a reference; NULL: none registered */
-	/* Instance found in place of the registered one; NULL: none. */
-	struct upstream *probed;
-	char *probed_for_id; /* id of the registered one it replaces */
 	char *upstream_id;
 	char *service;
 	char *replaced_id; /* previous instance of the same service */
@@ -39,6 +36,5 @@
     struct gate *gate, const struct upstream *upstream);
 void gate_probe_start(struct gate *gate);
 void gate_handle_instance(void *arg, const struct instance_info *info);
-struct upstream *gate_current_upstream(struct gate *gate);
 
 #endif
--- a/include/trefoilhill-proxy/instance_probe.h
+++ b/include/trefoilhill-proxy/instance_probe.h
@@ -15,7 +15,6 @@
 	struct str id;   /* valid during the callback */
 	int64_t cold_ms; /* remaining time as a cold instance; 0: not cold */
 	struct upstream_notice notice;
-	bool healthy;
 };
 
 struct instance_probe_ops {
--- a/trefoilhill-proxy/gate.c
+++ b/trefoilhill-proxy/gate.c
@@ -78,8 +78,6 @@
 	instance_probe_free(gate->probe);
 	crash_watch_free(gate->crash_watch);
 	upstream_unref(gate->upstream);
-	upstream_unref(gate->probed);
-	g_free(gate->probed_for_id);
 	admission_free(gate->admission);
 	http_pool_free(gate->pool);
 	g_free(gate->upstream_id);
@@ -224,7 +222,8 @@
 void
 gate_refresh(struct gate *gate)
 {
-	struct upstream *upstream = gate_current_upstream(gate);
+	struct upstream *upstream =
+	    catalog_upstream_at(gate->proxy->catalog, &gate->address);
 	int64_t now_ms = proxy_now_ms(gate->proxy);
 
 	if (upstream != gate->upstream ||
--- a/trefoilhill-proxy/gate_instance.c
+++ b/trefoilhill-proxy/gate_instance.c
@@ -1,6 +1,6 @@
 #include "trefoilhill-proxy/gate_private.h"
 
-/* Which instance is at the upstream's address, if not the registered one. */
+/* Which instance is at the upstream's address. */
 
 enum {
 	/* A change in the platform's store is usually known by then. */
@@ -23,9 +23,9 @@
 }
 
 /*
- * Ask the upstream for its instance id, as its registration may be older than
- * its last start. Done only once after the start of this process: the settings
- * are new then and name the current service, which the upstream doesn't report.
+ * Ask the upstream for its instance id, and for how long it stays cold: its
+ * registration may be older than either. Done only once after the start of this
+ * process.
  */
 void
 gate_probe_start(struct gate *gate)
@@ -35,15 +35,14 @@
 	    ? NULL
 	    : mesh_config_service(config, gate->upstream->entry.service);
 
-	if (service != NULL &&
-	    str_equal(gate->proxy->settings->upstream.service,
-		str_from(service->name)))
+	if (service != NULL)
 		instance_probe_start(gate->probe, service->health_path);
 }
 
 /*
- * Handle the instance id of the upstream. An unregistered instance replaces the
- * registered one until its own registration arrives.
+ * Handle the instance id of the upstream. An unregistered instance gets no
+ * requests: its address may serve another service by now, which it doesn't
+ * report, and the settings may still name the former one.
  */
 void
 gate_handle_instance(void *arg, const struct instance_info *info)
@@ -51,59 +50,17 @@
 	struct gate *gate = arg;
 	struct upstream *registered =
 	    catalog_upstream_at(gate->proxy->catalog, &gate->address);
-	struct upstream_entry entry;
 
 	if (registered == NULL)
 		return;
-	if (str_equal(str_from(registered->entry.id), info->id)) {
-		/* Its registration may date from before it became cold. */
-		registered->cold_until_ms = MAX(registered->cold_until_ms,
-		    proxy_now_ms(gate->proxy) + info->cold_ms);
-		gate_record_notice(gate, registered, &info->notice);
-		gate_refresh(gate);
+	if (!str_equal(str_from(registered->entry.id), info->id)) {
+		gate_record_mismatch(gate);
 		return;
 	}
-	if (!info->healthy || upstream_is_leaving(registered) ||
-	    !str_equal(gate->proxy->settings->upstream.service,
-		str_from(registered->entry.service)))
-		return;
-	entry = registered->entry;
-	entry.id = str_dup_cstr(info->id);
-	entry.service = g_strdup(registered->entry.service);
-	entry.zone = g_strdup(registered->entry.zone);
-	entry.started_ms = registered->entry.started_ms + 1;
-	entry.cold_ms = (uint32_t)MIN(info->cold_ms, G_MAXINT32);
-	upstream_unref(gate->probed);
-	gate->probed = upstream_new(&entry, registered->peer);
-	gate->probed->cold_until_ms =
-	    proxy_now_ms(gate->proxy) + gate->probed->entry.cold_ms;
-	g_free(gate->probed_for_id);
-	gate->probed_for_id = g_strdup(registered->entry.id);
+	registered->cold_until_ms = MAX(registered->cold_until_ms,
+	    proxy_now_ms(gate->proxy) + info->cold_ms);
+	gate_record_notice(gate, registered, &info->notice);
 	gate_refresh(gate);
-	gate_record_notice(gate, gate->probed, &info->notice);
-}
-
-/*
- * Return the upstream registered here, or the instance that the probe found in
- * its place; NULL if none is registered.
- */
-struct upstream *
-gate_current_upstream(struct gate *gate)
-{
-	struct upstream *registered =
-	    catalog_upstream_at(gate->proxy->catalog, &gate->address);
-
-	if (gate->probed == NULL)
-		return registered;
-	if (registered != NULL &&
-	    g_strcmp0(registered->entry.id, gate->probed_for_id) == 0)
-		return gate->probed;
-	if (registered != NULL &&
-	    g_strcmp0(registered->entry.id, gate->probed->entry.id) == 0)
-		registered->notice = gate->probed->notice;
-	upstream_unref(gate->probed);
-	gate->probed = NULL;
-	return registered;
 }
 
 /*
--- a/trefoilhill-proxy/instance_probe.c
+++ b/trefoilhill-proxy/instance_probe.c
@@ -7,7 +7,6 @@
 	RETRY_DELAY_MS = 200, /* after a refused connection, during startup */
 	ATTEMPTS_MAX = 8,
 	RESPONSE_MAX_BYTES = 16 * 1024,
-	STATUS_OK = 200,
 };
 
 struct instance_probe {
@@ -105,7 +104,6 @@
 	info.id = headers.instance;
 	info.cold_ms = MAX(headers.cold_ms, 0);
 	info.notice = headers.notice;
-	info.healthy = result->status == STATUS_OK;
 	probe->ops.handle_instance(probe->ops.arg, &info);
 }
 
