--- a/include/fleet/source.h
+++ b/include/fleet/source.h
@@ -22,8 +22,9 @@
 
 struct source_result {
 	enum source_status status;
-	bool is_snapshot; /* items are a full snapshot, not changes */
-	GPtrArray *items; /* struct replica_item; borrowed */
+	bool is_snapshot;       /* items are a full snapshot, not changes */
+	GPtrArray *items;       /* struct replica_item; borrowed */
+	uint32_t skipped_count; /* items that could not be decoded */
 	struct store_position position; /* items are complete up to here */
 	const char *detail;             /* for logs */
 };
--- a/trefoilhill-proxy/follower.c
+++ b/trefoilhill-proxy/follower.c
@@ -181,6 +181,9 @@
 	bool is_newer;
 
 	record_read_success(follower);
+	if (result->skipped_count > 0)
+		follower_log(follower, "items_skipped", "not decodable",
+		    follower_age_ms(follower));
 	if (result->is_snapshot)
 		follower->snapshot_needed = false;
 	apply_items(
