--- a/tests/platform/test_codec.c
+++ b/tests/platform/test_codec.c
@@ -163,6 +163,28 @@
 	catalog_change_clear(&change);
 }
 
+/* A key with a line break would add header fields to requests. */
+static void
+test_id_fits_in_a_header_field(void)
+{
+	static const char *const keys[] = {
+		"servers/",
+		"servers/a b",
+		"servers/a\r\nX-Expected-Instance: b",
+		"servers/a\n",
+		"servers/\x7f",
+		"servers/\303\251",
+	};
+	struct catalog_change change;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+		CU_ASSERT_EQUAL(
+		    decode(keys[i], valid_upstream, &change), CATALOG_INVALID);
+		CU_ASSERT_PTR_NULL(change.entry.id);
+		catalog_change_clear(&change);
+	}
+}
+
 static void
 test_invalid_upstreams_are_rejected(void)
 {
@@ -178,6 +200,8 @@
 		{ "1700000000000", "\"now\"" },
 		{ "250.5", "-1" },
 		{ "\"zone\":\"a\",", "" },
+		{ "\"version\":\"v1\",", "" },
+		{ "\"version\":\"v1\"", "\"version\":1" },
 		{ "}}", "}" },
 	};
 	struct catalog_change change;
@@ -345,6 +369,7 @@
 	{ "upstream", test_upstream },
 	{ "invalid upstreams are rejected",
 	    test_invalid_upstreams_are_rejected },
+	{ "an id fits in a header field", test_id_fits_in_a_header_field },
 	{ "other keys", test_other_keys },
 	{ "headers", test_headers },
 	{ "headers of keys and workspaces", test_workspace_headers },
