catalog: let only upstreams of configured services take an address

Cause: an upstream was removed when a later start registered at its address, whatever service that entry named.

Change: an upstream takes its address once its service is configured. Since a node that starts knows the registrations before the configuration, upstreams whose service appears later take their addresses then. Of two at an address the gate uses the configured one. The test of a restart in the catalog now has a configuration, without which nothing tells an upstream from an odd entry.

Conclusion: who is at an address follows from entries that can be used only.

--- a/fleet/catalog.c
+++ b/fleet/catalog.c
@@ -133,6 +133,7 @@
 	change->config = NULL;
 	catalog->config_position = origin->position;
 	catalog->config_ms = origin->now_ms;
+	catalog_configure_upstreams(catalog, revision);
 	catalog_emit_event(catalog, CATALOG_EVENT_CONFIG,
 	    catalog->config->label, "", revision);
 }
--- a/fleet/catalog_upstreams.c
+++ b/fleet/catalog_upstreams.c
@@ -129,18 +129,34 @@
 }
 
 /*
- * Remove upstreams that started earlier at the same address. Only one process
- * can hold the socket, so they have ended even if their registrations have not
- * expired yet.
+ * Is the service of an upstream configured? An entry of any other service may
+ * come from another writer, and names no upstream to use.
+ */
+static bool
+is_configured(const struct catalog *catalog, const struct upstream *upstream)
+{
+	return catalog->config != NULL &&
+	    mesh_config_service(catalog->config, upstream->entry.service) !=
+	    NULL;
+}
+
+/*
+ * Remove upstreams that started earlier at the same address, once the service
+ * of the later one is configured. Only one process can hold the socket, so they
+ * have ended even if their registrations have not expired yet.
  */
 static void
 remove_superseded(
-    struct catalog *catalog, const struct upstream *upstream, uint64_t revision)
+    struct catalog *catalog, struct upstream *upstream, uint64_t revision)
 {
-	GPtrArray *removed = g_ptr_array_new();
+	GPtrArray *removed;
 	GHashTableIter iter;
 	void *value;
 
+	upstream->configured = is_configured(catalog, upstream);
+	if (!upstream->configured)
+		return;
+	removed = g_ptr_array_new();
 	g_hash_table_iter_init(&iter, catalog->upstreams);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct upstream *other = value;
@@ -318,6 +334,44 @@
 	catalog_expire_upstreams(catalog, now_ms);
 }
 
+/*
+ * Let the upstreams take their addresses whose service is configured only now.
+ */
+void
+catalog_configure_upstreams(struct catalog *catalog, uint64_t revision)
+{
+	GPtrArray *configured =
+	    g_ptr_array_new_with_free_func(catalog_release_upstream);
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, catalog->upstreams);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct upstream *upstream = value;
+
+		if (!upstream->configured && is_configured(catalog, upstream))
+			g_ptr_array_add(configured, upstream_ref(upstream));
+	}
+	for (guint i = 0; i < configured->len; i++) {
+		struct upstream *upstream = configured->pdata[i];
+
+		if (upstream->listed)
+			remove_superseded(catalog, upstream, revision);
+	}
+	if (configured->len > 0)
+		catalog->upstreams_version++;
+	g_ptr_array_unref(configured);
+}
+
+/* Of two upstreams listed at one address, is the first the one there? */
+static bool
+is_later(const struct upstream *upstream, const struct upstream *other)
+{
+	if (upstream->configured != other->configured)
+		return upstream->configured;
+	return upstream->entry.started_ms > other->entry.started_ms;
+}
+
 static struct upstream *
 find_upstream_at(
     const struct catalog *catalog, const struct sockaddr_in *address)
@@ -331,8 +385,7 @@
 		struct upstream *upstream = value;
 
 		if (has_address(upstream, address) &&
-		    (found == NULL ||
-			upstream->entry.started_ms > found->entry.started_ms))
+		    (found == NULL || is_later(upstream, found)))
 			found = upstream;
 	}
 	return found;
@@ -340,9 +393,9 @@
 
 /*
  * Return the upstream listed at an address, borrowed, or NULL. Two may be
- * listed there while one replaces the other; the one that started last is
- * returned. The last result is kept, since the gate asks for the same address
- * on each tick.
+ * listed there while one replaces the other; of those whose service is
+ * configured, the one that started last is returned. The last result is kept,
+ * since the gate asks for the same address on each tick.
  */
 struct upstream *
 catalog_upstream_at(
--- a/include/fleet/catalog_private.h
+++ b/include/fleet/catalog_private.h
@@ -37,6 +37,7 @@
     const struct catalog_origin *origin);
 void catalog_unregister_upstream(struct catalog *catalog, const char *id,
     const struct catalog_origin *origin);
+void catalog_configure_upstreams(struct catalog *catalog, uint64_t revision);
 void catalog_expire_upstreams(struct catalog *catalog, int64_t now_ms);
 
 #endif
--- a/include/fleet/upstream.h
+++ b/include/fleet/upstream.h
@@ -70,6 +70,7 @@
 	struct upstream_entry entry;
 	struct fleet_peer *peer;
 	bool listed;          /* false once removed from the catalog */
+	bool configured;      /* its service has been in a configuration */
 	int64_t remove_at_ms; /* end of the grace period; 0: none runs */
 	int64_t cold_until_ms;
 	struct upstream_notice notice; /* in its latest response */
--- a/tests/fleet/test_catalog.c
+++ b/tests/fleet/test_catalog.c
@@ -63,6 +63,22 @@
 	catalog_change_clear(&change);
 }
 
+/* Put a configuration with one service in force, at a revision. */
+static void
+configure(struct fixture *f, const char *name, uint64_t revision)
+{
+	struct catalog_change change = { .kind = CATALOG_CONFIG };
+	struct mesh_service *service = mesh_service_new();
+
+	service->name = g_strdup(name);
+	change.config = mesh_config_new();
+	change.config->label = g_strdup("r1");
+	mesh_config_add_service(change.config, service);
+	f->origin.position.revision = revision;
+	catalog_apply(f->catalog, &change, &f->origin);
+	catalog_change_clear(&change);
+}
+
 static void
 remove_upstream(
     struct fixture *f, const char *id, int64_t now_ms, uint32_t grace_ms)
@@ -298,6 +314,7 @@
 	struct fixture f;
 
 	fixture_init(&f);
+	configure(&f, "orders", 1);
 	apply(&f, make_entry("i-1", "10.0.0.1", 1000, 1), false);
 	apply(&f, make_entry("i-9", "10.0.0.2", 1000, 1), false);
 	apply(&f, make_entry("i-2", "10.0.0.1", 5000, 1), false);
@@ -313,6 +330,63 @@
 	catalog_free(f.catalog);
 }
 
+/*
+ * An entry of a service that isn't configured may be another writer's. At the
+ * address of a live upstream, and with a later start, it must not take that one
+ * out of service.
+ */
+static void
+test_unknown_service_replaces_no_upstream(void)
+{
+	struct upstream_entry odd = make_entry("i-2", "10.0.0.1", 5000, 1);
+	struct sockaddr_in address = odd.address;
+	struct fixture f;
+
+	g_free(odd.service);
+	odd.service = g_strdup("nowhere");
+	fixture_init(&f);
+	configure(&f, "orders", 1);
+	apply(&f, make_entry("i-1", "10.0.0.1", 1000, 1), false);
+	apply(&f, odd, false);
+	CU_ASSERT_PTR_NOT_NULL(find(&f, "i-1"));
+	CU_ASSERT_STRING_EQUAL(id_at(&f, &address), "i-1");
+	apply(&f, make_entry("i-1", "10.0.0.1", 1000, 2), true);
+	CU_ASSERT_TRUE(find(&f, "i-1")->entry.draining);
+	CU_ASSERT_STRING_EQUAL(id_at(&f, &address), "i-1");
+	catalog_free(f.catalog);
+}
+
+/* A node that starts knows the registrations before the configuration. */
+static void
+test_upstreams_take_their_addresses_once_configured(void)
+{
+	struct upstream_entry odd = make_entry("i-3", "10.0.0.1", 9000, 1);
+	struct upstream_entry late = make_entry("i-8", "10.0.0.2", 9000, 1);
+	struct sockaddr_in address = odd.address;
+	struct sockaddr_in other_address = late.address;
+	struct fixture f;
+
+	g_free(odd.service);
+	odd.service = g_strdup("nowhere");
+	g_free(late.service);
+	late.service = g_strdup("drafts");
+	fixture_init(&f);
+	apply(&f, make_entry("i-1", "10.0.0.1", 1000, 1), false);
+	apply(&f, odd, false);
+	apply(&f, make_entry("i-2", "10.0.0.1", 5000, 1), false);
+	apply(&f, make_entry("i-7", "10.0.0.2", 1000, 1), false);
+	apply(&f, late, false);
+	configure(&f, "orders", 2);
+	CU_ASSERT_PTR_NULL(find(&f, "i-1"));
+	CU_ASSERT_STRING_EQUAL(id_at(&f, &address), "i-2");
+	CU_ASSERT_STRING_EQUAL(id_at(&f, &other_address), "i-7");
+	/* The service is added by a later configuration. */
+	configure(&f, "drafts", 3);
+	CU_ASSERT_PTR_NULL(find(&f, "i-7"));
+	CU_ASSERT_STRING_EQUAL(id_at(&f, &other_address), "i-8");
+	catalog_free(f.catalog);
+}
+
 static void
 test_older_configuration_is_ignored(void)
 {
@@ -335,6 +409,10 @@
 }
 
 static const struct test_case cases[] = {
+	{ "an unknown service replaces no upstream",
+	    test_unknown_service_replaces_no_upstream },
+	{ "upstreams take their addresses once configured",
+	    test_upstreams_take_their_addresses_once_configured },
 	{ "leaving holds until a later start",
 	    test_leaving_holds_until_a_later_start },
 	{ "a named limit outlives a lapse", test_named_limit_outlives_a_lapse },
