proxy: take no refusal without an id for the answer to a later request

Cause: an answer with another request's id was skipped, one without an id was taken for the request's own.

Change: response_owner decides by the id, for upstreams and peers alike. On a connection that had another request an answer without one leaves the outcome unknown. A status that promises callers that a request has not run counts only if the upstream says so, and not beside a signature, which is made by running. Requests without an id get a connection of their own. The stand-in of the soak signs no refusals any more, as the users' backends don't, and 421 has the id.

Conclusion: whose answer it is gets decided in one place for both hops.

--- a/include/platform/headers.h
+++ b/include/platform/headers.h
@@ -32,6 +32,8 @@
     const struct http_head *head, struct platform_request_headers *headers);
 /* Key of a workspace that a request carries; empty: none, or more than one. */
 struct str platform_request_key(const struct http_head *head);
+/* Id of the request that a response belongs to; empty: not given. */
+struct str platform_response_id(const struct http_head *head);
 void platform_parse_response_headers(
     const struct http_head *head, struct platform_response_headers *headers);
 /* True if platform_write_forward_headers replaces this header. */
--- a/tests/platform/test_codec.c
+++ b/tests/platform/test_codec.c
@@ -268,6 +268,10 @@
 	http_head_add(head, str_from("X-Not-Executed"), str_from(""));
 	platform_parse_response_headers(head, &response);
 	CU_ASSERT_TRUE(response.not_run);
+	/* Two responses run into one: what is signed has run. */
+	http_head_add(head, str_from("X-Response-Signature"), str_from("3e"));
+	platform_parse_response_headers(head, &response);
+	CU_ASSERT_TRUE(response.is_signed && !response.not_run);
 	platform_write_forward_headers(text, &forward);
 	CU_ASSERT_STRING_EQUAL(text->str,
 	    "X-Deadline: 1500\r\nX-Expected-Instance: i-1\r\n"
--- a/tests/soak/upstream.py
+++ b/tests/soak/upstream.py
@@ -116,7 +116,7 @@
                 writer, 200, b"", "", f"X-Instance-Id: {self.id}\r\n"
                 f"X-Cold-Remaining: {max(int(left * 1000), 0)}\r\n")
         if headers.get("x-expected-instance", self.id) != self.id:
-            return await self.reply(writer, 421, b"", "")
+            return await self.reply(writer, 421, b"", request)
         if self.resets_when_full and self.running >= self.slots:
             self.resets += 1
             writer.transport.abort()
@@ -161,9 +161,11 @@
             extra_headers += f"Server-Limit: {self.limit_per_s}\r\n"
         if self.leaving:
             extra_headers += "Server-Leaving: 1\r\n"
+        if status != 421 and "X-Not-Executed" not in extra_headers:
+            extra_headers += f"{SIGNATURE}: {self.id}.{request}\r\n"
         return (f"HTTP/1.1 {status} x\r\nContent-Length: {length}\r\n"
-                f"X-Attempt-Id: {request}\r\n{SIGNATURE}: {self.id}.{request}"
-                f"\r\n{extra_headers}Keep-Alive: timeout=5\r\n\r\n").encode()
+                f"X-Attempt-Id: {request}\r\n{extra_headers}"
+                f"Keep-Alive: timeout=5\r\n\r\n").encode()
 
     async def reply(self, writer, status, body, request, extra_headers=""):
         writer.write(self.head(status, len(body), request, extra_headers) +
--- a/trefoilhill-proxy/attempt.c
+++ b/trefoilhill-proxy/attempt.c
@@ -165,8 +165,11 @@
 	}
 	if (attempt_is_unwanted(attempt))
 		return;
-	attempt->stream = http_pool_acquire(
-	    attempt->pool, &attempt_stream_ops, attempt, idle_max_ms);
+	/* A pooled connection may hold a response to an earlier request, which
+	 * only the id can tell. */
+	if (attempt->exchange->id.len > 0)
+		attempt->stream = http_pool_acquire(
+		    attempt->pool, &attempt_stream_ops, attempt, idle_max_ms);
 	attempt->reused = attempt->stream != NULL;
 	if (attempt->reused)
 		attempt_write_request(attempt);
--- a/trefoilhill-proxy/attempt_response.c
+++ b/trefoilhill-proxy/attempt_response.c
@@ -16,6 +16,17 @@
 	 */
 	DISCARDED_MAX = 8,
 	DISCARDED_MAX_BYTES = 4 * 1024 * 1024,
+	STATUS_REQUEST_TIMEOUT = 408,
+	STATUS_MISDIRECTED = 421,
+	STATUS_TOO_MANY_REQUESTS = 429,
+	STATUS_SERVICE_UNAVAILABLE = 503,
+};
+
+/* Which request a response on an attempt's connection belongs to. */
+enum response_owner {
+	RESPONSE_OF_THIS,    /* that of the attempt */
+	RESPONSE_OF_ANOTHER, /* a duplicate response to an earlier one */
+	RESPONSE_OF_UNKNOWN, /* it may be either */
 };
 
 /* Keep the connection if the rest of the response arrives soon. */
@@ -51,6 +62,16 @@
 	attempt_release(attempt, ADMISSION_FAILED);
 }
 
+/* Fail as the response tells nothing of whether the request has run. */
+static void
+fail_unusable(struct attempt *attempt, const char *reason)
+{
+	attempt_fail(attempt,
+	    attempt->may_run ? ATTEMPT_FAILURE_UNKNOWN
+			     : ATTEMPT_FAILURE_NOT_RUN,
+	    reason);
+}
+
 /* Count a duplicate response that is skipped, or bytes of it. */
 static void
 count_discarded(struct attempt *attempt, uint32_t responses, size_t bytes)
@@ -59,8 +80,42 @@
 	attempt->discarded_bytes += bytes;
 	if (attempt->discarded_count > DISCARDED_MAX ||
 	    attempt->discarded_bytes > DISCARDED_MAX_BYTES)
-		attempt_fail(
-		    attempt, ATTEMPT_FAILURE_UNKNOWN, "answers_discarded");
+		fail_unusable(attempt, "answers_discarded");
+}
+
+/* Skip a duplicate response to an earlier request. */
+static void
+skip_response(struct attempt *attempt)
+{
+	attempt->discarding = true;
+	proxy_count(&attempt->proxy->stats, STAT_RESPONSES_DISCARDED);
+	count_discarded(attempt, 1, 0);
+}
+
+/*
+ * Tell by the echoed id which request a response belongs to. Without one, only
+ * the first response on a connection can be to no other request.
+ */
+static enum response_owner
+response_owner(const struct attempt *attempt)
+{
+	struct str id = platform_response_id(attempt->stream->head);
+
+	if (id.len == 0)
+		return attempt->reused || attempt->discarded_count > 0
+		    ? RESPONSE_OF_UNKNOWN
+		    : RESPONSE_OF_THIS;
+	return str_equal(id, attempt->exchange->id) ? RESPONSE_OF_THIS
+						    : RESPONSE_OF_ANOTHER;
+}
+
+/* Would a caller take this status for a promise that it has not run? */
+static bool
+promises_not_run(unsigned status)
+{
+	return status == STATUS_SERVICE_UNAVAILABLE ||
+	    status == STATUS_TOO_MANY_REQUESTS ||
+	    status == STATUS_REQUEST_TIMEOUT || status == STATUS_MISDIRECTED;
 }
 
 /* Check a response head from the upstream on this host. */
@@ -69,27 +124,26 @@
 {
 	const struct http_head *head = attempt->stream->head;
 	struct platform_response_headers headers;
+	bool misdirected;
 
 	platform_parse_response_headers(head, &headers);
-	if (headers.id.len > 0 &&
-	    !str_equal(headers.id, attempt->exchange->id)) {
-		/* A duplicate response to an earlier request. */
-		attempt->discarding = true;
-		proxy_count(&attempt->proxy->stats, STAT_RESPONSES_DISCARDED);
-		count_discarded(attempt, 1, 0);
-		return;
-	}
-	/* Status 421 comes from another upstream than the intended one. */
-	if (headers.id.len > 0 && head->status != 421)
+	/* This status comes from another upstream than the intended one. */
+	misdirected = head->status == STATUS_MISDIRECTED && !headers.is_signed;
+	if (headers.id.len > 0 && !misdirected)
 		gate_record_notice(
 		    attempt->proxy->gate, attempt->upstream, &headers.notice);
-	if (headers.not_run || head->status == 421) {
+	if (headers.not_run || misdirected) {
 		attempt->upstream_rejected = true;
-		attempt->misdirected = head->status == 421;
-		if (attempt->misdirected)
+		attempt->misdirected = misdirected;
+		if (misdirected)
 			gate_record_mismatch(attempt->proxy->gate);
 		fail_and_drain(attempt, ATTEMPT_FAILURE_NOT_RUN,
-		    head->status == 421 ? "other_instance" : "shed");
+		    misdirected ? "other_instance" : "shed");
+		return;
+	}
+	if (promises_not_run(head->status)) {
+		fail_and_drain(
+		    attempt, ATTEMPT_FAILURE_UNKNOWN, "refusal_unproven");
 		return;
 	}
 	if (http_head_find(head, str_from("content-encoding")).len > 0) {
@@ -148,17 +202,28 @@
 }
 
 /*
- * Handle a response head.
+ * Handle a response head, from the upstream or a peer, if it belongs to the
+ * request.
  */
 void
 attempt_handle_head(struct http_stream *stream)
 {
 	struct attempt *attempt = stream->owner;
 
-	if (attempt->local)
-		read_upstream_head(attempt);
-	else
-		read_peer_head(attempt);
+	switch (response_owner(attempt)) {
+	case RESPONSE_OF_ANOTHER:
+		skip_response(attempt);
+		break;
+	case RESPONSE_OF_UNKNOWN:
+		fail_unusable(attempt, "answer_unidentified");
+		break;
+	case RESPONSE_OF_THIS:
+		if (attempt->local)
+			read_upstream_head(attempt);
+		else
+			read_peer_head(attempt);
+		break;
+	}
 }
 
 /*
