guard: space the starts at a cold upstream evenly

Cause: the gate let a whole second's worth start at once and counted that in memory. A killed process forgets its count.

Change: starts at a cold upstream are paced, with a burst of a twentieth of a second. The burst of a pacer becomes its member.

--- a/guard/admission.c
+++ b/guard/admission.c
@@ -21,6 +21,8 @@
 	struct admission *admission = g_new0(struct admission, 1);
 
 	admission->bounds = *bounds;
+	admission->pacer.burst_us = RATE_BURST_US;
+	admission->cold_pacer.burst_us = COLD_BURST_US;
 	latency_estimate_reset(&admission->latency);
 	admission->runs =
 	    g_array_new(FALSE, FALSE, sizeof(struct admission_run));
--- a/guard/admission_rate.c
+++ b/guard/admission_rate.c
@@ -36,6 +36,15 @@
 	}
 }
 
+/* Return the pacer of a cold upstream, with the rate in force. */
+static struct pacer *
+cold_pacer(struct admission *admission, int64_t now_ms)
+{
+	pacer_set_rate(&admission->cold_pacer,
+	    (uint32_t)(admission->cold_per_s * MS_PER_S), now_ms);
+	return &admission->cold_pacer;
+}
+
 /*
  * Count a request that starts now.
  */
@@ -54,6 +63,8 @@
 	*start_ms = now_ms;
 	g_queue_push_tail(&admission->starts, start_ms);
 	pacer_record_start(&admission->pacer, now_ms);
+	if (admission_is_cold(admission, now_ms))
+		pacer_record_start(cold_pacer(admission, now_ms), now_ms);
 	admission->in_flight++;
 	admission->bulk_in_flight += waiter->bulk;
 	admission->alone_in_flight += waiter->alone;
@@ -87,6 +98,24 @@
 		g_array_remove_index_fast(admission->runs, found);
 }
 
+/*
+ * When the last second has room for another start at a cold upstream. Counts
+ * those from before it was cold.
+ */
+static int64_t
+cold_window_ms(const struct admission *admission)
+{
+	uint32_t starts_max = MAX(1, (uint32_t)admission->cold_per_s);
+	uint32_t count = g_queue_get_length((GQueue *)&admission->starts);
+	const int64_t *oldest;
+
+	if (count < starts_max)
+		return 0;
+	oldest =
+	    g_queue_peek_nth((GQueue *)&admission->starts, count - starts_max);
+	return *oldest + COLD_WINDOW_MS;
+}
+
 /*
  * Return the earliest time for the next start; now_ms or earlier means at once.
  */
@@ -94,21 +123,16 @@
 admission_next_start_ms(struct admission *admission, int64_t now_ms)
 {
 	int64_t paced_ms = pacer_next_ms(&admission->pacer);
-	const int64_t *oldest;
-	uint32_t starts_max;
+	int64_t cold_ms;
 
 	if (admission->paused_until_ms > now_ms)
 		return admission->paused_until_ms;
 	prune_starts(admission, now_ms);
 	if (!admission_is_cold(admission, now_ms))
 		return paced_ms;
-	starts_max = MAX(1, (uint32_t)admission->cold_per_s);
-	if (g_queue_get_length(&admission->starts) < starts_max)
-		return paced_ms;
-	oldest = g_queue_peek_nth(&admission->starts,
-	    g_queue_get_length(&admission->starts) - starts_max);
-	return MAX(
-	    paced_ms, MIN(*oldest + COLD_WINDOW_MS, admission->cold_until_ms));
+	cold_ms = MAX(cold_window_ms(admission),
+	    pacer_next_ms(cold_pacer(admission, now_ms)));
+	return MAX(paced_ms, MIN(cold_ms, admission->cold_until_ms));
 }
 
 /*
--- a/guard/admission_wait.c
+++ b/guard/admission_wait.c
@@ -5,7 +5,6 @@
 
 enum {
 	US_PER_MS = 1000,
-	MS_PER_S = 1000,
 };
 
 /* What is ahead of the present place in a walk along the queue. */
--- a/guard/pacer.c
+++ b/guard/pacer.c
@@ -5,14 +5,13 @@
 enum {
 	US_PER_MS = 1000,
 	US_PER_KS = 1000 * 1000 * 1000,
-	BURST_US = 500 * 1000, /* starts of this time may come at once */
 };
 
 /* How long before it is due a start may come. */
 static int64_t
 lead_us(const struct pacer *pacer)
 {
-	return MAX(BURST_US - pacer->interval_us, 0);
+	return MAX(pacer->burst_us - pacer->interval_us, 0);
 }
 
 /*
--- a/include/guard/admission_private.h
+++ b/include/guard/admission_private.h
@@ -8,8 +8,15 @@
 
 /* Internals of the admission; include only from its own sources. */
 enum {
-	COLD_WINDOW_MS = 1000, /* cold rates are per second */
+	MS_PER_S = 1000,
+	COLD_WINDOW_MS = MS_PER_S, /* cold rates are per second */
 	COLD_STARTS_MAX = 4096,
+	/*
+	 * Makes up for a late event loop. Small, since each process that starts
+	 * within a second adds as much.
+	 */
+	COLD_BURST_US = 50 * 1000,
+	RATE_BURST_US = 500 * 1000,
 	FAILURE_WEIGHT = 16, /* weight of a new result in the rate: 1/16 */
 	FAILURE_SCALE = 1000,
 	FAILURE_HALF_LIFE_MS = 1500, /* old failures say little */
@@ -46,7 +53,8 @@
 	GQueue queue;      /* struct admission_waiter *, most urgent first */
 	int64_t cold_until_ms;
 	double cold_per_s;
-	struct pacer pacer; /* by the limit that the upstream has named */
+	struct pacer cold_pacer; /* by cold_per_s; counts while it is cold */
+	struct pacer pacer;      /* by the limit that the upstream has named */
 	GQueue starts; /* int64_t *, times of recent starts, oldest first */
 	struct latency_estimate latency;
 	GArray *runs; /* struct admission_run, in no order */
--- a/include/guard/pacer.h
+++ b/include/guard/pacer.h
@@ -6,9 +6,11 @@
 /*
  * Spaces starts evenly at a rate, with a small burst after a pause. Answers the
  * load pattern of an upstream in need that names a rate far below what its
- * slots would take. Times are milliseconds of a monotonic clock.
+ * slots would take, and of a cold one whose node starts again, and so forgets
+ * its earlier starts. Times are milliseconds of a monotonic clock.
  */
 struct pacer {
+	int64_t burst_us;    /* starts of this time may come at once */
 	int64_t interval_us; /* between starts; 0: any rate */
 	int64_t due_us;      /* of the next start, without a burst */
 };
--- a/tests/guard/test_pacer.c
+++ b/tests/guard/test_pacer.c
@@ -5,6 +5,7 @@
 #include "harness.h"
 
 enum {
+	BURST_US = 500 * 1000,
 	WINDOW_MS = 4000,
 	END_MS = 60000,
 	STARTS_MAX = 100000,
@@ -57,7 +58,7 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(rates); i++) {
 		struct rng *rng = rng_seeded_new(i);
-		struct pacer pacer = { 0 };
+		struct pacer pacer = { .burst_us = BURST_US };
 		double per_s = rates[i] / 1000.0;
 		size_t count;
 
@@ -75,7 +76,7 @@
 static void
 test_zero_rate_is_raised(void)
 {
-	struct pacer pacer = { 0 };
+	struct pacer pacer = { .burst_us = BURST_US };
 
 	pacer_set_rate(&pacer, 1, 0);
 	CU_ASSERT_TRUE(pacer_next_ms(&pacer) <= 0);
@@ -87,7 +88,7 @@
 static void
 test_no_rate(void)
 {
-	struct pacer pacer = { 0 };
+	struct pacer pacer = { .burst_us = BURST_US };
 
 	pacer_record_start(&pacer, 100);
 	CU_ASSERT_TRUE(pacer_next_ms(&pacer) <= 100);
@@ -104,7 +105,7 @@
 static void
 test_higher_rate_shortens_the_wait(void)
 {
-	struct pacer pacer = { 0 };
+	struct pacer pacer = { .burst_us = BURST_US };
 
 	pacer_set_rate(&pacer, 500, 0);
 	pacer_record_start(&pacer, 0);
--- a/trefoilhill-proxy/gate.c
+++ b/trefoilhill-proxy/gate.c
@@ -13,8 +13,7 @@
 	PER_MILLE = 1000,
 	/*
 	 * Of the rate that a cold upstream bears: starts are counted here, not
-	 * where they arrive, and a restarted node doesn't know its earlier
-	 * ones.
+	 * where they arrive, and each start of the node allows another burst.
 	 */
 	COLD_RATE_PERCENT = 90,
 };
