proxy: reload the settings when their file changes without a signal

Cause: the settings were read at the start and on SIGHUP only.

Change: settings_watch looks at the file every 200 ms and has it loaded once it has changed and been left alone. settings_load notes the file's version before it reads it, so that no change is missed.

Conclusion: what the platform may change in silence is looked at.

--- a/include/trefoilhilld/settings.h
+++ b/include/trefoilhilld/settings.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 #include <stdint.h>
 
+#include "common/file_version.h"
 #include "common/str.h"
 
 #define SETTINGS_ERROR (settings_error_quark())
@@ -104,6 +105,7 @@
 
 /* Settings of one process; all are parsed and validated before any is used. */
 struct settings {
+	struct file_version file; /* that they were loaded from */
 	struct node_settings node;
 	struct platform_settings platform;
 	struct upstream_settings upstream;
--- a/trefoilhill-proxy/main.c
+++ b/trefoilhill-proxy/main.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "trefoilhill-proxy/proxy.h"
+#include "trefoilhill-proxy/settings_watch.h"
 #include "trefoilhilld/daemon_options.h"
 
 static const char usage[] =
@@ -16,8 +17,8 @@
     "  -h, --help         print this text\n"
     "  -v, --version      print the version\n"
     "\n"
-    "SIGTERM and SIGINT begin a graceful shutdown, SIGHUP reads the settings\n"
-    "again.\n";
+    "SIGTERM and SIGINT begin a graceful shutdown. The settings are read again\n"
+    "on SIGHUP, and when the file has changed.\n";
 
 /* Argument of the signal handlers. */
 struct process {
@@ -59,6 +60,7 @@
 {
 	uv_loop_t *loop = uv_default_loop();
 	struct process process = { .config = config };
+	struct settings_watch *watch;
 	uv_signal_t terminate, interrupt, hang_up;
 	GError *error = NULL;
 
@@ -76,7 +78,9 @@
 	uv_signal_start(&interrupt, handle_stop, SIGINT);
 	uv_signal_start(&hang_up, handle_reload, SIGHUP);
 	mask_signals(SIG_UNBLOCK);
+	watch = settings_watch_new(process.proxy, config);
 	uv_run(loop, UV_RUN_DEFAULT);
+	settings_watch_free(watch);
 	proxy_free(process.proxy);
 	return EXIT_SUCCESS;
 }
--- a/trefoilhilld/settings.c
+++ b/trefoilhilld/settings.c
@@ -90,6 +90,8 @@
 	GError *cause = NULL;
 	bool valid = false;
 
+	/* Before reading: a later change must be found to be one. */
+	settings->file = file_version_read(path);
 	if (!g_key_file_load_from_file(file, path, G_KEY_FILE_NONE, &cause)) {
 		g_set_error(error, SETTINGS_ERROR,
 		    cause->domain == G_KEY_FILE_ERROR ? SETTINGS_ERROR_SYNTAX
