pipeline: forward nothing behind a response that may end the connection

Cause: a large response is sent while it arrives, and ends the connection if it breaks off. Requests behind it were forwarded all the same.

Change: they wait until all of it is here.

Conclusion: no work is begun whose response may be lost with another one. The first large responses of a route are met unprepared.

--- a/include/trefoilhill-proxy/exchange.h
+++ b/include/trefoilhill-proxy/exchange.h
@@ -89,6 +89,7 @@
 	bool has_local_response; /* held; reason is its body */
 	bool committed;          /* the response head has been sent */
 	bool chunked;
+	bool large; /* too large to buffer */
 	bool ended;
 	unsigned status;
 	char reason[64]; /* for the last refusal or failure */
--- a/include/trefoilhill-proxy/pipeline.h
+++ b/include/trefoilhill-proxy/pipeline.h
@@ -23,9 +23,14 @@
 
 /* A request that is not completely answered. */
 struct pipeline_request {
-	bool runs_once;  /* must not overlap with other requests */
-	bool forwarded;  /* an upstream may have received it */
-	bool complete;   /* its response is complete; some may be unsent */
+	bool runs_once; /* must not overlap with other requests */
+	bool forwarded; /* an upstream may have received it */
+	bool complete;  /* its response is complete; some may be unsent */
+	/*
+	 * Its response is probably sent before it is complete, so that it ends
+	 * the connection if it breaks off.
+	 */
+	bool streams;
 	bool keep_alive; /* the caller may send another one after it */
 	bool http_1_0;
 };
--- a/include/trefoilhill-proxy/proxy.h
+++ b/include/trefoilhill-proxy/proxy.h
@@ -8,6 +8,7 @@
 #include "fleet/catalog.h"
 #include "http/listener.h"
 #include "route/fleet_retry_budget.h"
+#include "route/large_share.h"
 #include "route/return_queue.h"
 #include "route/run_times.h"
 #include "route/service_room.h"
@@ -41,6 +42,7 @@
 	struct shaper *shaper;
 	struct fleet_retry_budget *retry_budget;
 	struct run_times *run_times;
+	struct large_share *large_share;
 	struct service_room *service_room;
 	struct return_queue *return_queue;
 	struct quarantine *quarantine;
--- a/tests/proxy/test_pipeline.c
+++ b/tests/proxy/test_pipeline.c
@@ -112,6 +112,23 @@
 	CU_ASSERT_FALSE(pipeline_may_forward(&pipeline, 1));
 }
 
+/* Against responses that are lost with a large one that breaks off. */
+static void
+test_nothing_behind_a_streamed_response(void)
+{
+	struct pipeline pipeline = pipeline_of(3);
+
+	pipeline.requests[0].streams = true;
+	CU_ASSERT_TRUE(pipeline_may_forward(&pipeline, 0));
+	CU_ASSERT_FALSE(pipeline_may_forward(&pipeline, 1));
+	CU_ASSERT_FALSE(pipeline_may_forward(&pipeline, 2));
+	/* All of it has been received: it can't break off any more. */
+	pipeline.requests[0].complete = true;
+	CU_ASSERT_TRUE(pipeline_may_forward(&pipeline, 2));
+	pipeline.requests[2].streams = true;
+	CU_ASSERT_TRUE(pipeline_may_forward(&pipeline, 2));
+}
+
 /* Against responses that together exceed the bound of the connection. */
 static void
 test_buffer_bound(void)
@@ -400,6 +417,8 @@
 		{ "a close waits for forwarded requests",
 		    test_close_waits_for_forwarded },
 		{ "a request that runs once waits", test_run_once_waits },
+		{ "nothing behind a streamed response",
+		    test_nothing_behind_a_streamed_response },
 		{ "buffer bound", test_buffer_bound },
 		{ "mixed load", test_mixed_load },
 		{ "fuzz: pieces", test_fuzz_pieces },
--- a/tests/soak/test_pipelining.py
+++ b/tests/soak/test_pipelining.py
@@ -7,7 +7,7 @@
 unsafe request beside others, requests that run on after the caller has hung up,
 an error in a later head that costs the responses before it, memory that grows
 with what a caller sends or doesn't read, and requests behind a response that
-closes the connection that run but aren't answered.
+closes the connection, or that breaks off, that run but aren't answered.
 
 usage: test_pipelining.py PROGRAM [CASE...]
 """
@@ -358,6 +358,34 @@
     return wrong
 
 
+async def case_cut_behind(mesh):
+    """Large responses of a route that break off take no others along that have
+    run, once the route is known to have them."""
+    c = await Connection().open()
+    for n in range(4):
+        c.send(f"j{n}", 5, 200000, kind="probe")
+        await c.expect(f"j{n}", 200, 200000)
+    c.close()
+    lost = []
+    for n in range(8):
+        c = await Connection().open()
+        c.send(f"y{n}", 5, 200000, kind="probe", fields="X-Cuts: 9\r\n")
+        behind = [f"y{n}-{i}" for i in range(5)]
+        for request in behind:
+            c.send(request, 5)
+        answered = 0
+        try:
+            await c.read()
+            while answered < len(behind) and (await c.read())[0]:
+                answered += 1
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        await asyncio.sleep(0.03)
+        lost += [r for r in behind[answered:] if run_of(r) is not None]
+        c.close()
+    return [f"{lost} have run" if lost else None]
+
+
 async def case_small_buffered(mesh):
     """Responses below the bound arrive at once after the first."""
     c = await Connection().open()
--- a/trefoilhill-proxy/caller_pipeline.c
+++ b/trefoilhill-proxy/caller_pipeline.c
@@ -25,6 +25,16 @@
 	return bytes;
 }
 
+/* Is the response sent before it is complete, or probably will be? */
+static bool
+is_streamed(const struct exchange *exchange)
+{
+	return exchange->large ||
+	    (exchange->route != NULL &&
+		large_share_expects_large(
+		    exchange->proxy->large_share, exchange->route->name));
+}
+
 static void
 describe_pipeline(const struct caller *caller, struct pipeline *pipeline)
 {
@@ -45,6 +55,7 @@
 			    .runs_once = !exchange->idempotent,
 			    .forwarded = exchange->attempt_count > 0,
 			    .complete = exchange->response_complete,
+			    .streams = is_streamed(exchange),
 			    .keep_alive = exchange->keep_alive,
 			    .http_1_0 = exchange->http_1_0,
 		    };
--- a/trefoilhill-proxy/exchange_response.c
+++ b/trefoilhill-proxy/exchange_response.c
@@ -181,6 +181,18 @@
 	return from->has_length && from->length > RESPONSE_BUFFER_BYTES;
 }
 
+/* Record once that the response is too large to buffer. */
+static void
+note_large(struct exchange *exchange)
+{
+	if (exchange->large)
+		return;
+	exchange->large = true;
+	if (exchange->route != NULL)
+		large_share_add(
+		    exchange->proxy->large_share, exchange->route->name, true);
+}
+
 /*
  * Relay the head of an upstream's response. It is sent at once to a peer, or if
  * the body is too large to buffer, and otherwise with the buffered body.
@@ -201,6 +213,8 @@
 			http_field_append(
 			    text, name, http_head_value(from->head, i));
 	}
+	if (is_too_large(from))
+		note_large(exchange);
 	if (exchange->has_turn)
 		exchange_write_connection(exchange);
 	write_load_fields(exchange,
@@ -235,8 +249,11 @@
 		exchange_pause_if_held(exchange, 0);
 	else if (!exchange->committed && is_too_large(from))
 		exchange_commit(exchange, true, from->length);
-	else if (!exchange->committed && buffered->len > RESPONSE_BUFFER_BYTES)
+	else if (!exchange->committed &&
+	    buffered->len > RESPONSE_BUFFER_BYTES) {
+		note_large(exchange);
 		exchange_commit(exchange, false, 0);
+	}
 }
 
 static void
@@ -289,6 +306,10 @@
 	exchange_log(exchange,
 	    exchange->status < 500 ? LOG_CLASS_SUCCESS : LOG_CLASS_FAILURE,
 	    "answered", exchange->responding, "");
+	if (exchange->route != NULL && exchange->status < 300 &&
+	    !exchange->large)
+		large_share_add(
+		    exchange->proxy->large_share, exchange->route->name, false);
 	if (exchange->has_turn)
 		exchange_send_complete(exchange);
 	else
--- a/trefoilhill-proxy/pipeline.c
+++ b/trefoilhill-proxy/pipeline.c
@@ -25,8 +25,10 @@
 /*
  * Tell whether a request may be sent to an upstream. One that may run only once
  * waits until all before it are answered, and those behind it wait for it: they
- * may depend on its effect. Nothing is sent behind a response that closes,
- * since the caller sends those requests again.
+ * may depend on its effect. Those behind a response that is sent before it is
+ * complete wait for it as well: their responses would be lost with it. Nothing
+ * is sent behind a response that closes, since the caller sends those requests
+ * again.
  */
 bool
 pipeline_may_forward(const struct pipeline *pipeline, size_t index)
@@ -38,8 +40,9 @@
 	if (pipeline->requests[index].runs_once)
 		return false;
 	for (size_t i = 0; i < index; i++) {
-		if (pipeline->requests[i].runs_once &&
-		    !pipeline->requests[i].complete)
+		const struct pipeline_request *before = &pipeline->requests[i];
+
+		if (!before->complete && (before->runs_once || before->streams))
 			return false;
 	}
 	return true;
--- a/trefoilhill-proxy/proxy.c
+++ b/trefoilhill-proxy/proxy.c
@@ -242,6 +242,7 @@
 	proxy->retry_budget = fleet_retry_budget_new(&retry_budget);
 	proxy->shaper = shaper_new(proxy->loop, settings->node.link_kbps);
 	proxy->run_times = run_times_new();
+	proxy->large_share = large_share_new();
 	proxy->service_room = service_room_new();
 	proxy->return_queue = return_queue_new();
 	proxy->quarantine = quarantine_new(quarantine);
