--- a/fleet/catalog_upstreams.c
+++ b/fleet/catalog_upstreams.c
@@ -141,12 +141,12 @@
 }
 
 /*
- * Remove upstreams that started earlier at the same address, once the service
- * of the later one is configured. Only one process can hold the socket, so they
+ * Let an upstream take its address, if its service is configured: remove those
+ * that started earlier there. Only one process can hold the socket, so they
  * have ended even if their registrations have not expired yet.
  */
 static void
-remove_superseded(
+take_address(
     struct catalog *catalog, struct upstream *upstream, uint64_t revision)
 {
 	GPtrArray *removed;
@@ -213,7 +213,7 @@
 		    catalog->upstreams, g_strdup(upstream->entry.id), upstream);
 		catalog->upstreams_version++;
 		group_add(catalog, upstream);
-		remove_superseded(catalog, upstream, revision);
+		take_address(catalog, upstream, revision);
 		upstream_emit_event(catalog, upstream, revision);
 		return;
 	}
@@ -237,7 +237,7 @@
 		fleet_peer_unref(old_peer);
 		peer_remove_unused(catalog, old_host);
 	}
-	remove_superseded(catalog, upstream, revision);
+	take_address(catalog, upstream, revision);
 	upstream_emit_event(catalog, upstream, revision);
 }
 
@@ -356,7 +356,7 @@
 		struct upstream *upstream = configured->pdata[i];
 
 		if (upstream->listed)
-			remove_superseded(catalog, upstream, revision);
+			take_address(catalog, upstream, revision);
 	}
 	if (configured->len > 0)
 		catalog->upstreams_version++;
