tests: loop over the expected items of a page

Cause: clang-tidy can't tell that as many items were found as are expected.

Change: the loop's bound is the number expected, which is asserted before.

--- a/tests/platform/test_item_page.c
+++ b/tests/platform/test_item_page.c
@@ -88,7 +88,7 @@
 	};
 
 	CU_ASSERT_EQUAL_FATAL(items->len, GOOD_COUNT);
-	for (guint i = 0; i < items->len; i++) {
+	for (guint i = 0; i < GOOD_COUNT; i++) {
 		const struct replica_item *item = items->pdata[i];
 
 		CU_ASSERT_STRING_EQUAL(item->key, keys[i]);
