tests: let counters wait for each outcome, and say what was seen

Cause: counters needs a refusal, a failure and a caller that gives up in its few seconds, and failed when chance left one out ('no request of the run ended as refused', 1 of 4 runs).

Change: callers go on until each has been seen, for 16 s at most; all checks stay.

--- a/tests/soak/test_counters.py
+++ b/tests/soak/test_counters.py
@@ -26,6 +26,7 @@
 HOSTS = 4
 CALLERS_PER_HOST = 4
 SECONDS = 4.0
+SECONDS_MAX = 16.0  # until each kind of outcome has occurred
 SETTLE_S = 3.0  # after which every caller's deadline has passed
 SLOWDOWN = 80.0  # factor on the run time: some responses miss the deadline
 
@@ -93,6 +94,12 @@
     return wrong
 
 
+def has_all_outcomes(counts):
+    """Whether the callers have seen each outcome that the checks need."""
+    return (any(counts[status] for status in NOT_EXECUTED_STATUSES) and
+            (counts[502] or counts[504]) and counts["left"])
+
+
 async def run(program, directory):
     rng = random.Random(5)
     mesh = Mesh(program, directory, HOSTS, rng)
@@ -106,6 +113,10 @@
         tasks = [asyncio.create_task(callers.run(host))
                  for host in mesh.hosts for _ in range(CALLERS_PER_HOST)]
         await asyncio.sleep(SECONDS)
+        until = asyncio.get_running_loop().time() + SECONDS_MAX - SECONDS
+        while asyncio.get_running_loop().time() < until and \
+                not has_all_outcomes(callers.counts):
+            await asyncio.sleep(0.1)
         callers.stopping = True
         await asyncio.gather(*tasks)
         await asyncio.sleep(SETTLE_S)
