tests: draw the caller that keeps its connection out of two tests

Cause: head_cut and repeated_refusal had the same caller, line for line.

Change: kept_caller.py. The checks stay.

--- /dev/null
+++ b/tests/soak/kept_caller.py
@@ -0,0 +1,48 @@
+"""A caller that keeps its connection to the node on a host."""
+
+import asyncio
+
+from callers import Callers
+from mesh import CALLER_PORT
+
+DEADLINE_MS = 1200
+WAIT_S = 3
+
+
+class KeptCaller:
+    def __init__(self, entry, number):
+        self.entry = entry  # number of the host
+        self.name = f"e{entry}c{number:02}"
+        self.results = []  # (request, is unsafe, response or None)
+        self.reader = self.writer = None
+
+    async def exchange(self, request, unsafe):
+        if self.writer is None:
+            self.reader, self.writer = await asyncio.open_connection(
+                f"127.2.{self.entry}.1", CALLER_PORT)
+        method, path = ("POST", "/post/x") if unsafe else ("GET", "/get/x")
+        body = b"order" if unsafe else b""
+        self.writer.write(
+            f"{method} {path} HTTP/1.1\r\nHost: shop.example\r\n"
+            f"X-Attempt-Id: {request}\r\nX-Deadline: {DEADLINE_MS}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        response = await asyncio.wait_for(Callers.read(self.reader), WAIT_S)
+        if response.headers.get("connection", "") == "close":
+            self.close()
+        return response
+
+    async def send(self, number, unsafe):
+        """Send one request; its result is None if the connection is cut."""
+        request = f"{self.name}-{number:05}"
+        response = None
+        try:
+            response = await self.exchange(request, unsafe)
+        except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError,
+                ValueError):
+            self.close()
+        self.results.append((request, unsafe, response))
+
+    def close(self):
+        if self.writer is not None:
+            self.writer.transport.abort()
+        self.reader = self.writer = None
--- a/tests/soak/test_head_cut.py
+++ b/tests/soak/test_head_cut.py
@@ -20,8 +20,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
 import mesh as mesh_module  # noqa: E402
-from callers import Callers  # noqa: E402
-from mesh import CALLER_PORT  # noqa: E402
+from kept_caller import KeptCaller  # noqa: E402
 from scenario import run_mesh_scenario  # noqa: E402
 from upstream import HEALTH_PATH, SIGNATURE, Upstream, body_for  # noqa: E402
 
@@ -105,53 +104,20 @@
     return cuts
 
 
-class Caller:
-    def __init__(self, entry, number):
-        self.entry = entry
-        self.name = f"e{entry}c{number:02}"
-        self.results = []
-        self.reader = self.writer = None
-
-    async def send(self, request, unsafe):
-        if self.writer is None:
-            self.reader, self.writer = await asyncio.open_connection(
-                f"127.2.{self.entry}.1", CALLER_PORT)
-        method, path = ("POST", "/post/x") if unsafe else ("GET", "/get/x")
-        body = b"order" if unsafe else b""
-        self.writer.write(
-            f"{method} {path} HTTP/1.1\r\nHost: shop.example\r\n"
-            f"X-Attempt-Id: {request}\r\nX-Deadline: 1200\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
-        response = await asyncio.wait_for(Callers.read(self.reader), 3)
-        if response.headers.get("connection", "") == "close":
-            self.close()
-        return response
-
-    def close(self):
-        if self.writer is not None:
-            self.writer.transport.abort()
-        self.reader = self.writer = None
-
-    async def run(self):
-        number = 0
-        while CuttingUpstream.cuts:
-            number += 1
-            request = f"{self.name}-{number:05}"
-            response = None
-            try:
-                response = await self.send(request, number % 2 == 1)
-            except (OSError, asyncio.IncompleteReadError,
-                    asyncio.TimeoutError, ValueError):
-                self.close()
-            self.results.append((request, number % 2 == 1, response))
-        self.close()
+async def send_all(caller):
+    """Send requests, safe and unsafe in turn, while there are cuts left."""
+    number = 0
+    while CuttingUpstream.cuts:
+        number += 1
+        await caller.send(number, number % 2 == 1)
+    caller.close()
 
 
 async def play(mesh):
     CuttingUpstream.cuts = all_cuts()
     mesh.rng.shuffle(CuttingUpstream.cuts)
-    callers = [Caller(entry, n) for entry in ENTRIES for n in range(CALLERS)]
-    await asyncio.gather(*(caller.run() for caller in callers))
+    callers = [KeptCaller(entry, n) for entry in ENTRIES for n in range(CALLERS)]
+    await asyncio.gather(*map(send_all, callers))
     results = [result for caller in callers for result in caller.results]
     statuses = collections.Counter(
         0 if response is None else response.status
--- a/tests/soak/test_repeated_refusal.py
+++ b/tests/soak/test_repeated_refusal.py
@@ -20,8 +20,8 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
 import mesh as mesh_module  # noqa: E402
-from callers import Callers, NOT_EXECUTED_STATUSES  # noqa: E402
-from mesh import CALLER_PORT  # noqa: E402
+from callers import NOT_EXECUTED_STATUSES  # noqa: E402
+from kept_caller import KeptCaller  # noqa: E402
 from scenario import run_mesh_scenario  # noqa: E402
 from upstream import HEALTH_PATH, Upstream, body_for  # noqa: E402
 
@@ -124,46 +124,11 @@
         return True
 
 
-class Caller:
-    def __init__(self, entry, number):
-        self.entry = entry
-        self.name = f"e{entry}c{number}"
-        self.rng = random.Random(f"{SEED}-{self.name}")
-        self.results = []  # (request, is unsafe, response)
-        self.reader = self.writer = None
-
-    async def send(self, request, unsafe):
-        """Send one request; return the response, or None if it is cut."""
-        if self.writer is None:
-            self.reader, self.writer = await asyncio.open_connection(
-                f"127.2.{self.entry}.1", CALLER_PORT)
-        method, path = ("POST", "/post/x") if unsafe else ("GET", "/get/x")
-        body = b"order" if unsafe else b""
-        self.writer.write(
-            f"{method} {path} HTTP/1.1\r\nHost: shop.example\r\n"
-            f"X-Attempt-Id: {request}\r\nX-Deadline: 1200\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
-        response = await asyncio.wait_for(Callers.read(self.reader), 3)
-        if response.headers.get("connection", "") == "close":
-            self.close()
-        return response
-
-    def close(self):
-        if self.writer is not None:
-            self.writer.transport.abort()
-        self.reader = self.writer = None
-
-    async def run(self):
-        for number in range(REQUESTS):
-            request, unsafe = f"{self.name}-{number}", self.rng.random() < 0.6
-            response = None
-            try:
-                response = await self.send(request, unsafe)
-            except (OSError, asyncio.IncompleteReadError,
-                    asyncio.TimeoutError, ValueError):
-                self.close()
-            self.results.append((request, unsafe, response))
-        self.close()
+async def send_all(caller):
+    rng = random.Random(f"{SEED}-{caller.name}")
+    for number in range(REQUESTS):
+        await caller.send(number, rng.random() < 0.6)
+    caller.close()
 
 
 def check(results, runs):
@@ -184,8 +149,8 @@
 
 
 async def play(mesh):
-    callers = [Caller(entry, n) for entry in ENTRIES for n in range(CALLERS)]
-    await asyncio.gather(*(caller.run() for caller in callers))
+    callers = [KeptCaller(entry, n) for entry in ENTRIES for n in range(CALLERS)]
+    await asyncio.gather(*map(send_all, callers))
     results = [result for caller in callers for result in caller.results]
     wrong = check(results, mesh.record.runs)
     statuses = collections.Counter(
