--- /dev/null
+++ b/review/standins2.py
@@ -0,0 +1,576 @@
+"""Stand-ins for the second review: store, backends, clients, deployment.
+
+Everything listens on loopback addresses. Machine N has the address 127.X.N.1,
+X is drawn for each run; ports are the same on all machines and are drawn until
+they are free. Backends, clients and the store behave as PROTOCOL.md says and
+are sound unless a case tells them otherwise.
+"""
+
+import asyncio
+import base64
+import json
+import os
+import pathlib
+import random
+import re
+import shutil
+import signal
+import socket
+import sys
+import tempfile
+import time
+import urllib.parse
+
+HERE = pathlib.Path(__file__).resolve().parent
+ROOT = HERE.parent
+PROGRAM = ROOT / "target/trefoilhill-proxy/trefoilhill-proxy"
+TEMPLATE = ROOT / "deploy/node.ini.template"
+HEALTH = "/health"
+# As in the settings of the site ekw-mesh.
+BOUNDS = {"drainMs": 2000, "graceS": 6, "lossSlackMs": 200,
+          "configApplyMs": 2000, "stableWindowMs": 3000,
+          "retryBudgetRatio": 0.2, "retryWindowS": 10,
+          "retryBudgetSlack": 60, "coldBurstFactor": 1.5, "coldSlack": 5}
+
+
+class Unrunnable(Exception):
+    """The case can't run here."""
+
+
+class Record:
+    """record.txt: what was sent, answered and run, by time."""
+
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
+        self.start = time.monotonic()
+
+    def now(self):
+        return time.monotonic() - self.start
+
+    def __call__(self, text):
+        self.file.write(f"{self.now():8.3f} {text}\n")
+        self.file.flush()
+
+
+def render(template, values):
+    """Fill in a settings template as DEPLOY.md tells."""
+    def find(name):
+        value = values
+        for part in name.split("."):
+            if not isinstance(value, dict) or part not in value:
+                return None
+            value = value[part]
+        return value
+
+    def section(match):
+        return match.group(2) if find(match.group(1)) else ""
+
+    text = re.sub(r"\{\{#([\w.]+)\}\}\n?(.*?)\{\{/\1\}\}\n?", section,
+                  template, flags=re.S)
+    return re.sub(r"\{\{([\w.]+)\}\}",
+                  lambda m: "" if find(m.group(1)) is None
+                  else str(find(m.group(1))), text)
+
+
+class Store:
+    """The platform's metadata store."""
+
+    def __init__(self):
+        self.revision = 1
+        self.items = {}
+        self.events = []
+        self.changed = asyncio.Event()
+        self.server = None
+        self.address = None
+
+    async def start(self, host, port):
+        self.address = f"{host}:{port}"
+        self.server = await asyncio.start_server(self.serve, host, port)
+
+    def put(self, key, value):
+        """Write a value; None deletes it."""
+        self.revision += 1
+        data = None if value is None else json.dumps(value).encode()
+        if data is None:
+            self.items.pop(key, None)
+        else:
+            self.items[key] = (data, self.revision)
+        self.events.append((self.revision, key, data))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    @staticmethod
+    def item(key, data, revision):
+        if data is None:
+            return {"key": key, "revision": revision, "deleted": True}
+        return {"key": key, "value": base64.b64encode(data).decode(),
+                "revision": revision, "created": revision, "lease": 0}
+
+    async def answer(self, target):
+        parts = urllib.parse.urlsplit(target)
+        query = dict(urllib.parse.parse_qsl(parts.query,
+                                            keep_blank_values=True))
+        prefix = query.get("prefix", "")
+        if parts.path == "/kv-range":
+            keys = sorted(k for k in self.items if k.startswith(prefix) and
+                          k > query.get("after", ""))
+            return 200, {"items": [self.item(k, *self.items[k])
+                                   for k in keys[:500]],
+                         "hasMore": len(keys) > 500, "at": self.revision}
+        if parts.path != "/kv-watch":
+            return 404, {}
+        after = int(query["after"])
+        until = time.monotonic() + int(query["waitMs"]) / 1000
+        while True:
+            found = [e for e in self.events
+                     if e[0] > after and e[1].startswith(prefix)]
+            left = until - time.monotonic()
+            if found or left <= 0:
+                return 200, {"events": [self.item(k, d, r)
+                                        for r, k, d in found],
+                             "at": self.revision}
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                await asyncio.sleep(0.004)
+                status, body = await self.answer(
+                    head.split(b" ", 2)[1].decode())
+                text = json.dumps(body).encode()
+                writer.write(
+                    f"HTTP/1.1 {status} OK\r\n"
+                    "Content-Type: application/json\r\n"
+                    f"Content-Length: {len(text)}\r\n\r\n".encode() + text)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, OSError):
+            pass
+        finally:
+            writer.close()
+
+
+def signature(instance, attempt, length):
+    return f"{instance}.{attempt}.{length}"
+
+
+def body_of(attempt, length):
+    """The body of the response to an attempt, which no other one has."""
+    unit = attempt.encode() + b"."
+    return (unit * (length // len(unit) + 1))[:length]
+
+
+class Backend:
+    """One start of a backend."""
+
+    def __init__(self, record, identity, service, host, port, zone):
+        self.record = record
+        self.id = identity
+        self.service = service
+        self.host = host
+        self.port = port
+        self.zone = zone
+        self.slots = 12
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.state = "ready"
+        self.runs = {}        # attempt id: number of runs
+        self.callers = {}     # attempt id: X-Caller-Service
+        self.work_s = lambda request: 0.07
+        self.size = lambda request: 400
+        self.server = None
+        self.writers = set()
+        self.running = 0
+        self.beats = True
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, self.host,
+                                                 self.port)
+
+    async def stop(self):
+        """The process ends: its connections are reset."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    def entry(self):
+        self.sequence += 1
+        return {"address": f"{self.host}:{self.port}", "born": self.born,
+                "info": {"service": self.service, "version": "v1",
+                         "zone": self.zone, "slots": self.slots},
+                "status": {"state": self.state, "seq": self.sequence,
+                           "coldRemainingMs": 0}}
+
+    async def read_request(self, reader):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        lines = head.split("\r\n")
+        fields = {}
+        for line in lines[1:]:
+            name, _, value = line.partition(":")
+            fields[name.strip().lower()] = value.strip()
+        method, target, _ = lines[0].split(" ", 2)
+        body = b""
+        if "chunked" in fields.get("transfer-encoding", ""):
+            while True:
+                size = int((await reader.readline()).split(b";")[0], 16)
+                chunk = await reader.readexactly(size + 2)
+                if size == 0:
+                    break
+                body += chunk[:-2]
+        elif "content-length" in fields:
+            body = await reader.readexactly(int(fields["content-length"]))
+        return method, target, fields, body
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while True:
+                request = await self.read_request(reader)
+                if not await self.answer(writer, *request):
+                    break
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, OSError,
+                ValueError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def send(self, writer, status, fields, body=b""):
+        head = f"HTTP/1.1 {status} x\r\n" + "".join(
+            f"{name}: {value}\r\n" for name, value in fields)
+        writer.write(head.encode() + f"Content-Length: {len(body)}\r\n"
+                     "Keep-Alive: timeout=10\r\n\r\n".encode() + body)
+        await writer.drain()
+        return True
+
+    async def answer(self, writer, method, target, fields, body):
+        attempt = fields.get("x-attempt-id", "")
+        echo = [("X-Attempt-Id", attempt)] if attempt else []
+        if target == HEALTH:
+            return await self.send(writer, 200 if self.state == "ready"
+                                   else 503, [("X-Instance-Id", self.id)])
+        if fields.get("x-expected-instance", self.id) != self.id:
+            return await self.send(writer, 421, echo +
+                                   [("X-Instance-Id", self.id)])
+        if not attempt:
+            return await self.send(writer, 400, [("X-Not-Executed", "1")])
+        if self.running >= self.slots:
+            return await self.send(writer, 503, echo +
+                                   [("X-Not-Executed", "1")])
+        self.runs[attempt] = self.runs.get(attempt, 0) + 1
+        self.callers[attempt] = fields.get("x-caller-service")
+        self.record(f"backend {self.id} runs {attempt} "
+                    f"({method} {target}, {len(body)} bytes)")
+        self.running += 1
+        try:
+            await asyncio.sleep(self.work_s(attempt))
+        finally:
+            self.running -= 1
+        data = body_of(attempt, self.size(attempt))
+        await self.send(writer, 200, echo + [
+            ("X-Response-Signature", signature(self.id, attempt, len(data)))],
+            data)
+        self.record(f"backend {self.id} has sent its answer to {attempt}, "
+                    f"{len(data)} bytes")
+        return True
+
+
+class Machine:
+    """A machine: one node and the address of one backend."""
+
+    def __init__(self, mesh, number, zone, service):
+        self.mesh = mesh
+        self.number = number
+        self.name = f"node-{number}"
+        self.zone = zone
+        self.service = service
+        self.ip = f"127.{mesh.network}.{number}.1"
+        self.process = None
+        self.misses = 0       # of /ready in a row
+        self.in_service = False
+
+    def settings(self):
+        port = self.mesh.ports
+        return render(TEMPLATE.read_text(), {
+            "node": self.name, "zone": self.zone, "service": self.service,
+            "appAddr": f"{self.ip}:{port['app']}",
+            "listen": {"outbound": f"{self.ip}:{port['outbound']}",
+                       "inbound": f"{self.ip}:{port['inbound']}",
+                       "readinessAddr": f"{self.ip}:{port['ready']}"},
+            "bounds": self.mesh.bounds,
+            "limits": {"linkMbps": 1000},
+            "platform": {"address": self.mesh.store.address}})
+
+    async def start(self):
+        path = self.mesh.directory / f"{self.name}.ini"
+        path.write_text(self.settings())
+        log = open(self.mesh.directory / f"{self.name}.log", "ab")
+        self.process = await asyncio.create_subprocess_exec(
+            str(self.mesh.program), "--config", str(path), stdout=log,
+            stderr=log, cwd=str(ROOT))
+        log.close()
+        self.mesh.record(f"{self.name} is started, process "
+                         f"{self.process.pid}")
+
+    def is_running(self):
+        return self.process is not None and self.process.returncode is None
+
+    def signal(self, number):
+        if self.is_running():
+            self.process.send_signal(number)
+
+    async def ask_ready(self):
+        """The platform's question; True for 200."""
+        try:
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(
+                self.ip, self.mesh.ports["ready"]), 0.5)
+        except (OSError, asyncio.TimeoutError):
+            return False
+        try:
+            writer.write(b"GET /ready HTTP/1.1\r\nHost: node\r\n"
+                         b"Connection: close\r\n\r\n")
+            line = await asyncio.wait_for(reader.readline(), 0.5)
+            return b" 200 " in line
+        except (OSError, asyncio.TimeoutError):
+            return False
+        finally:
+            writer.transport.abort()
+
+
+class Mesh:
+    """A small deployment: a store, machines, backends."""
+
+    def __init__(self, record, machines, services, bounds=None):
+        self.record = record
+        self.program = pathlib.Path(os.environ.get("PROGRAM", PROGRAM))
+        self.bounds = dict(BOUNDS, **(bounds or {}))
+        self.directory = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
+        self.store = Store()
+        self.network = random.randrange(20, 240)
+        self.ports = {}
+        self.machines = []
+        for number, (zone, service) in enumerate(machines, 1):
+            self.machines.append(Machine(self, number, zone, service))
+        self.services = services
+        self.tasks = []
+
+    def draw_ports(self):
+        names = ("app", "outbound", "inbound", "ready")
+        for _ in range(50):
+            self.network = random.randrange(20, 240)
+            for machine in self.machines:
+                machine.ip = f"127.{self.network}.{machine.number}.1"
+            base = random.randrange(21000, 31000, 8)
+            sockets = []
+            try:
+                for machine in self.machines:
+                    for offset in range(len(names)):
+                        one = socket.socket()
+                        sockets.append(one)
+                        one.bind((machine.ip, base + offset))
+                self.ports = {n: base + i for i, n in enumerate(names)}
+                return
+            except OSError:
+                continue
+            finally:
+                for one in sockets:
+                    one.close()
+        raise Unrunnable("no free ports")
+
+    async def start(self, routes, version="r5"):
+        if not self.program.exists():
+            raise Unrunnable(f"{self.program} is not built")
+        self.draw_ports()
+        await self.store.start(f"127.{self.network}.250.1",
+                               self.ports["app"] + 5)
+        self.publish(routes, version)
+
+    def publish(self, routes, version):
+        self.store.put("op/config", {
+            "version": version, "routes": routes,
+            "services": {name: {"healthPath": HEALTH, "maxConnections": 120,
+                                "coldStartS": 3, "coldPerS": 26}
+                         for name in self.services},
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20,
+                       "headerTimeoutMs": 3000, "idleTimeoutMs": 10000}})
+        self.record(f"the operator has written version {version}")
+
+    async def wait_ready(self, machines=None, limit_s=10):
+        until = time.monotonic() + limit_s
+        for machine in machines or self.machines:
+            while not await machine.ask_ready():
+                if time.monotonic() > until:
+                    raise Unrunnable(f"{machine.name} isn't ready")
+                await asyncio.sleep(0.05)
+            machine.in_service = True
+
+    def begin(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self.tasks.append(task)
+        return task
+
+    async def poll_readiness(self):
+        """Once a second, as the platform does. After two misses the clients
+        of a machine get no new work until it answers 200 again, unless fewer
+        than half of the zone's nodes are in."""
+        while True:
+            for machine in self.machines:
+                ready = await machine.ask_ready()
+                machine.misses = 0 if ready else machine.misses + 1
+                if machine.misses == 1:
+                    self.record(f"{machine.name} isn't ready")
+            for machine in self.machines:
+                zone = [m for m in self.machines if m.zone == machine.zone]
+                is_in = sum(m.misses < 2 for m in zone) * 2 >= len(zone)
+                in_service = machine.misses < 2 or not is_in
+                if in_service != machine.in_service:
+                    self.record(f"{machine.name} gets "
+                                f"{'new' if in_service else 'no new'} work")
+                machine.in_service = in_service
+            await asyncio.sleep(1)
+
+    def stop_beat(self, backend):
+        """The backend writes no more."""
+        backend.beats = False
+
+    async def beat(self, backend, period_s=1.5):
+        """Write a backend's entry every heartbeat while it runs."""
+        while backend.server is not None and backend.beats:
+            self.store.put(f"servers/{backend.id}", backend.entry())
+            await asyncio.sleep(period_s)
+
+    async def stop(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for machine in self.machines:
+            if machine.is_running():
+                machine.signal(signal.SIGCONT)
+                machine.signal(signal.SIGKILL)
+                await machine.process.wait()
+        if self.store.server is not None:
+            self.store.server.close()
+        if os.environ.get("KEEP"):
+            print(self.directory)
+        else:
+            shutil.rmtree(self.directory, ignore_errors=True)
+
+
+class Answer:
+    """What a client has got for an attempt."""
+
+    def __init__(self):
+        self.status = 0          # 0: no status line
+        self.fields = {}
+        self.body = b""
+        self.complete = False
+        self.end = ""            # how the connection ended, if it did
+        self.sent_at = 0.0
+        self.ended_at = 0.0
+
+    def __str__(self):
+        return (f"status {self.status}, {len(self.body)} bytes, "
+                f"{'complete' if self.complete else 'NOT COMPLETE'}"
+                f"{', ' + self.end if self.end else ''}, after "
+                f"{self.ended_at - self.sent_at:.3f} s")
+
+
+async def ask(record, machine, request, deadline_s, pace=None, small=False,
+              after_send=None):
+    """Send a request on a new connection and read the answer.
+
+    pace: bytes per second that the client's link takes; small: segments and
+    receive buffer as on a link outside of this machine.
+    """
+    loop = asyncio.get_running_loop()
+    answer = Answer()
+    one = socket.socket()
+    one.setblocking(False)
+    if small:
+        one.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1400)
+        one.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
+    data = b""
+    length = None
+    try:
+        await asyncio.wait_for(loop.sock_connect(
+            one, (machine.ip, machine.mesh.ports["outbound"])), 1)
+        answer.sent_at = record.now()
+        await loop.sock_sendall(one, request)
+        if after_send is not None:
+            after_send()
+        until = time.monotonic() + deadline_s
+        begun = None
+        while True:
+            left = until - time.monotonic()
+            if left <= 0:
+                answer.end = "the client's deadline has passed"
+                break
+            piece = await asyncio.wait_for(loop.sock_recv(one, 4096), left)
+            if not piece:
+                answer.end = "closed"
+                break
+            data += piece
+            if begun is None:
+                begun = time.monotonic()
+            if length is None and b"\r\n\r\n" in data:
+                head, _, _ = data.partition(b"\r\n\r\n")
+                lines = head.decode("latin-1").split("\r\n")
+                answer.status = int(lines[0].split(" ")[1])
+                for line in lines[1:]:
+                    name, _, value = line.partition(":")
+                    answer.fields[name.lower()] = value.strip()
+                length = int(answer.fields.get("content-length", -1))
+                start = len(head) + 4
+            if length is not None and length >= 0 and \
+                    len(data) - start >= length:
+                answer.complete = True
+                break
+            if pace is not None:
+                ahead = len(data) / pace - (time.monotonic() - begun)
+                if ahead > 0:
+                    await asyncio.sleep(ahead)
+    except asyncio.TimeoutError:
+        answer.end = "the client's deadline has passed"
+    except ConnectionRefusedError:
+        answer.end = "refused"
+    except OSError as error:
+        answer.end = f"reset ({error.strerror})"
+    finally:
+        one.close()
+    if length is not None:
+        answer.body = data[start:]
+    answer.ended_at = record.now()
+    return answer
+
+
+def request_text(method, path, host, attempt, deadline_ms, body=None,
+                 fields=()):
+    head = [f"{method} {path} HTTP/1.1", f"Host: {host}",
+            f"X-Attempt-Id: {attempt}", f"X-Deadline: {deadline_ms}"]
+    if body is not None:
+        head.append(f"Content-Length: {len(body)}")
+    head.extend(fields)
+    return "\r\n".join(head).encode() + b"\r\n\r\n" + (body or b"")
+
+
+def main(play):
+    """Run a case: exit with 1 if the rule was broken, 0 if it held, 2 if the
+    case couldn't run. TROUBLE=0 leaves the disruption out."""
+    folder = pathlib.Path(sys.argv[0]).resolve().parent
+    record = Record(folder / "record.txt")
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    record("with the disruption" if trouble else "without the disruption")
+    try:
+        broken = asyncio.run(asyncio.wait_for(play(record, trouble), 110))
+    except (Unrunnable, OSError, asyncio.TimeoutError) as error:
+        record(f"the case couldn't run: {error!r}")
+        print(f"could not run: {error!r}")
+        sys.exit(2)
+    record(f"the rule was broken: {broken}" if broken else "the rule held")
+    print(broken or "the rule held")
+    sys.exit(1 if broken else 0)
