review: show that odd entries of the store take all nodes over their memory

Cause: platform_decode_upstream parses a whole value before it checks it; a list of empty objects takes 75 times its size. The store's stand-in now bounds its pages and its history.

--- a/review/standins2.py
+++ b/review/standins2.py
@@ -26,6 +26,10 @@
 PROGRAM = ROOT / "target/trefoilhill-proxy/trefoilhill-proxy"
 TEMPLATE = ROOT / "deploy/node.ini.template"
 HEALTH = "/health"
+HISTORY_S = 20           # historyS
+PAGE_ITEMS = 500         # of kv-range
+PAGE_BYTES = 1 << 20
+VALUE_BYTES = 1048576    # valueBytes of the settings
 # As in the settings of the site ekw-mesh.
 BOUNDS = {"drainMs": 2000, "graceS": 6, "lossSlackMs": 200,
           "configApplyMs": 2000, "stableWindowMs": 3000,
@@ -78,7 +82,9 @@
     def __init__(self):
         self.revision = 1
         self.items = {}
-        self.events = []
+        self.events = []          # (revision, key, data), of HISTORY_S
+        self.written = []         # when each of them was written
+        self.forgotten = 1        # the last revision that is no longer there
         self.changed = asyncio.Event()
         self.server = None
         self.address = None
@@ -88,17 +94,27 @@
         self.server = await asyncio.start_server(self.serve, host, port)
 
     def put(self, key, value):
-        """Write a value; None deletes it."""
+        """Write a value: bytes, or what is written as JSON; None deletes
+        it."""
         self.revision += 1
-        data = None if value is None else json.dumps(value).encode()
+        data = value if value is None or isinstance(value, bytes) \
+            else json.dumps(value).encode()
         if data is None:
             self.items.pop(key, None)
         else:
             self.items[key] = (data, self.revision)
         self.events.append((self.revision, key, data))
+        self.written.append(time.monotonic())
+        while self.written[0] < time.monotonic() - HISTORY_S:
+            self.forget()
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def forget(self):
+        """Discard the oldest event."""
+        self.forgotten = self.events.pop(0)[0]
+        self.written.pop(0)
+
     @staticmethod
     def item(key, data, revision):
         if data is None:
@@ -114,14 +130,25 @@
         if parts.path == "/kv-range":
             keys = sorted(k for k in self.items if k.startswith(prefix) and
                           k > query.get("after", ""))
-            return 200, {"items": [self.item(k, *self.items[k])
-                                   for k in keys[:500]],
-                         "hasMore": len(keys) > 500, "at": self.revision}
+            page = []
+            size = 0
+            for key in keys[:PAGE_ITEMS]:
+                size += len(self.items[key][0])
+                if page and size > PAGE_BYTES:
+                    break
+                page.append(self.item(key, *self.items[key]))
+            return 200, {"items": page, "hasMore": len(keys) > len(page),
+                         "at": self.revision}
         if parts.path != "/kv-watch":
             return 404, {}
         after = int(query["after"])
         until = time.monotonic() + int(query["waitMs"]) / 1000
         while True:
+            while self.written and \
+                    self.written[0] < time.monotonic() - HISTORY_S:
+                self.forget()
+            if after < self.forgotten:
+                return 410, {}
             found = [e for e in self.events
                      if e[0] > after and e[1].startswith(prefix)]
             left = until - time.monotonic()
@@ -439,15 +466,23 @@
         backend.beats = False
 
     async def beat(self, backend, period_s=1.5):
-        """Write a backend's entry every heartbeat while it runs."""
+        """Report a backend each heartbeat while it runs. The entry changes
+        when more than its `seq` changes."""
+        written = None
         while backend.server is not None and backend.beats:
-            self.store.put(f"servers/{backend.id}", backend.entry())
+            entry = backend.entry()
+            if written != (backend.state, backend.born):
+                written = (backend.state, backend.born)
+                self.store.put(f"servers/{backend.id}", entry)
             await asyncio.sleep(period_s)
 
     async def stop(self):
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for _ in range(5):  # wait_for may lose a cancellation
+            for task in self.tasks:
+                task.cancel()
+            if self.tasks and not (await asyncio.wait(
+                    self.tasks, timeout=0.5))[1]:
+                break
         for machine in self.machines:
             if machine.is_running():
                 machine.signal(signal.SIGCONT)
