json: refuse text that takes many times its size in memory

Cause: sizes were bounded, what a value becomes in memory was not. A list of empty objects takes 75 times its size once it is parsed, and the values of all entries were kept, also of keys that nobody reads. On related paths: the items of a heartbeat were bounded one by one only, and its body not at all, since the limit was asked of callers' requests only.

Values that can't be a registration are dropped while a page is read. A heartbeat's body and values, and the settings file, have limits.

--- a/config/change.c
+++ b/config/change.c
@@ -1,6 +1,6 @@
-#include <jansson.h>
 #include <string.h>
 
+#include "common/json_parse.h"
 #include "config/change.h"
 #include "config/field_reader.h"
 #include "config/record_reader.h"
@@ -176,8 +176,7 @@
 			PUBLICATION_BYTES_MAX));
 		return;
 	}
-	root = json_loadb(
-	    text == NULL ? "" : text, len, JSON_REJECT_DUPLICATES, &error);
+	root = json_parse(str_make(text, len), JSON_REJECT_DUPLICATES, &error);
 	if (!json_is_object(root)) {
 		refusal_list_add(refusals,
 		    refusal_new(CONFIG_ERROR_SYNTAX, "", "byte %d: %s",
--- a/config/publication.c
+++ b/config/publication.c
@@ -1,8 +1,8 @@
-#include <jansson.h>
 #include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/json_parse.h"
 #include "config/error.h"
 #include "config/publication.h"
 
@@ -114,7 +114,7 @@
 		    "the list of changes is too large");
 		return NULL;
 	}
-	root = json_loadb(json, len, 0, &json_error);
+	root = json_parse(str_make(json, len), 0, &json_error);
 	if (root == NULL) {
 		g_set_error(error, CONFIG_ERROR, CONFIG_ERROR_SYNTAX,
 		    "byte %d: %s", json_error.position, json_error.text);
--- a/config/record_json.c
+++ b/config/record_json.c
@@ -1,5 +1,4 @@
-#include <jansson.h>
-
+#include "common/json_parse.h"
 #include "config/record.h"
 
 enum {
@@ -141,7 +140,7 @@
 	json_t *json;
 
 	record_append_json(record, text);
-	json = json_loadb(text->str, text->len, 0, NULL);
+	json = json_parse(str_make(text->str, text->len), 0, NULL);
 	g_string_free(text, TRUE);
 	return json;
 }
--- a/config/serialize.c
+++ b/config/serialize.c
@@ -1,7 +1,7 @@
 #include <inttypes.h>
-#include <jansson.h>
 #include <string.h>
 
+#include "common/json_parse.h"
 #include "config/digest.h"
 #include "config/record_reader.h"
 #include "config/snapshot_private.h"
@@ -106,7 +106,8 @@
 		return NULL;
 	}
 	len = (size_t)(end - text->ptr);
-	json = json_loadb(text->ptr, len, JSON_REJECT_DUPLICATES, &error);
+	json = json_parse(
+	    str_make(text->ptr, len), JSON_REJECT_DUPLICATES, &error);
 	if (json == NULL)
 		*refusal = refusal_new(CONFIG_ERROR_SYNTAX, "", "byte %d: %s",
 		    error.position, error.text);
--- a/include/platform/codec.h
+++ b/include/platform/codec.h
@@ -13,6 +13,8 @@
     struct mesh_config *last, struct catalog_change *change);
 /* Is this the key of the configuration? */
 bool platform_is_config_key(const char *key);
+/* Larger values of the key need not be kept: an empty one says as much. */
+size_t platform_value_max_bytes(const char *key);
 
 /* Decoders of single items. Return NULL or false with error set on failure. */
 struct mesh_config *platform_decode_config(
--- a/source/record_pages.c
+++ b/source/record_pages.c
@@ -1,5 +1,4 @@
-#include <jansson.h>
-
+#include "common/json_parse.h"
 #include "source/response_reader.h"
 #include "source/error.h"
 
@@ -102,7 +101,7 @@
 bool
 record_pages_parse(struct record_pages *pages, struct str body, GError **error)
 {
-	json_t *root = json_loadb(body.ptr, body.len, 0, NULL);
+	json_t *root = json_parse(body, 0, NULL);
 	bool valid = root != NULL && pages_parse_page(pages, root);
 
 	if (!valid)
--- a/source/response_reader.c
+++ b/source/response_reader.c
@@ -1,6 +1,6 @@
-#include <jansson.h>
 #include <string.h>
 
+#include "common/json_parse.h"
 #include "config/field_reader.h"
 #include "source/response_reader.h"
 #include "source/error.h"
@@ -96,7 +96,7 @@
 {
 	struct config_response *response =
 	    config_response_new(PLATFORM_READ_HOSTS);
-	json_t *root = json_loadb(body.ptr, body.len, 0, NULL);
+	json_t *root = json_parse(body, 0, NULL);
 
 	response->kind = CONFIG_RESPONSE_HOSTS;
 	if (!read_hosts(response, json_object_get(root, "hosts"))) {
@@ -116,7 +116,7 @@
 config_response_compacted(enum platform_request request, struct str body)
 {
 	struct config_response *response = config_response_new(request);
-	json_t *root = json_loadb(body.ptr, body.len, 0, NULL);
+	json_t *root = json_parse(body, 0, NULL);
 	json_int_t oldest = json_integer_value(json_object_get(root, "oldest"));
 
 	response->kind = CONFIG_RESPONSE_COMPACTED;
--- a/tests/proxy/test_fuzz.c
+++ b/tests/proxy/test_fuzz.c
@@ -238,6 +238,39 @@
 	g_bytes_unref(bytes);
 }
 
+/*
+ * Items of zeros, each of which compresses to some hundred bytes, must not fill
+ * the memory of the node that reads them.
+ */
+static void
+test_compressed_items_are_bounded(void)
+{
+	enum {
+		ZEROS_BYTES = 3 << 20,
+		ITEMS = 40,
+	};
+	struct heartbeat_message message = {
+		.upstream = g_strdup("i-1"),
+		.items = g_ptr_array_new_with_free_func(replica_item_free),
+	};
+	GBytes *zeros = g_bytes_new_take(g_malloc0(ZEROS_BYTES), ZEROS_BYTES);
+	struct heartbeat_message read;
+	GBytes *bytes;
+	size_t len;
+	const void *data;
+
+	for (int i = 0; i < ITEMS; i++)
+		g_ptr_array_add(
+		    message.items, replica_item_new("a", zeros, 91));
+	bytes = heartbeat_message_encode(&message);
+	data = g_bytes_get_data(bytes, &len);
+	CU_ASSERT_TRUE(len < ZEROS_BYTES);
+	CU_ASSERT_FALSE(heartbeat_message_decode(str_make(data, len), &read));
+	g_bytes_unref(bytes);
+	g_bytes_unref(zeros);
+	heartbeat_message_clear(&message);
+}
+
 static void
 parse_reports(struct str bytes)
 {
@@ -348,6 +381,7 @@
 static const struct test_case cases[] = {
 	{ "items of the store", test_items },
 	{ "heartbeats", test_heartbeats },
+	{ "compressed items are bounded", test_compressed_items_are_bounded },
 	{ "reports of quotas", test_quota_reports },
 	{ "header fields", test_header_fields },
 	{ "suspects of crashes", test_suspects },
--- a/trefoilhill-load/audit.c
+++ b/trefoilhill-load/audit.c
@@ -1,6 +1,6 @@
 #include <curl/curl.h>
-#include <jansson.h>
 
+#include "common/json_parse.h"
 #include "trefoilhill-load/audit.h"
 #include "trefoilhill-load/request_kind.h"
 
@@ -37,7 +37,7 @@
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, handle_body);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, body);
 	if (curl_easy_perform(easy) == CURLE_OK)
-		json = json_loadb(body->str, body->len, 0, NULL);
+		json = json_parse(str_make(body->str, body->len), 0, NULL);
 	curl_easy_cleanup(easy);
 	g_free(url);
 	g_string_free(body, TRUE);
--- a/trefoilhill-proxy/exchange.c
+++ b/trefoilhill-proxy/exchange.c
@@ -270,21 +270,37 @@
 		http_stream_resume(exchange->caller->stream);
 }
 
+static bool
+is_heartbeat(const struct exchange *exchange)
+{
+	return exchange->origin == CALLER_PEER &&
+	    heartbeat_is_target(
+		http_head_span(exchange->head, exchange->head->target));
+}
+
+/* The largest body, which for a peer's request its own node has checked. */
+static uint64_t
+body_max_bytes(const struct exchange *exchange)
+{
+	if (is_heartbeat(exchange))
+		return HEARTBEAT_BODY_MAX;
+	return exchange->config == NULL
+	    ? UINT64_MAX
+	    : exchange->config->limits.body_max_bytes;
+}
+
 /*
  * Handle a part of the request body.
  */
 void
 exchange_append_body(struct exchange *exchange, struct str bytes)
 {
-	uint64_t max = exchange->config == NULL
-	    ? HEARTBEAT_BODY_MAX
-	    : exchange->config->limits.body_max_bytes;
 	uint64_t total;
 
 	g_byte_array_append(
 	    exchange->body, (const guint8 *)bytes.ptr, (guint)bytes.len);
 	total = exchange->body_dropped + exchange->body->len;
-	if (total > max && exchange->origin == CALLER_LOCAL) {
+	if (total > body_max_bytes(exchange)) {
 		exchange_cancel_attempts(exchange, NULL);
 		if (exchange->committed)
 			return;
@@ -292,8 +308,7 @@
 		return;
 	}
 	if (total > BODY_BUFFER_BYTES && exchange->attempt_count == 0 &&
-	    !heartbeat_is_target(
-		http_head_span(exchange->head, exchange->head->target)))
+	    !is_heartbeat(exchange))
 		exchange_dispatch(exchange);
 	if (exchange->ended || exchange->response_complete)
 		return;
@@ -327,9 +342,7 @@
 		exchange->has_length = true;
 		exchange->length = exchange->body->len;
 	}
-	if (exchange->origin == CALLER_LOCAL ||
-	    !heartbeat_is_target(
-		http_head_span(exchange->head, exchange->head->target))) {
+	if (!is_heartbeat(exchange)) {
 		exchange_dispatch(exchange);
 		return;
 	}
--- a/trefoilhill-proxy/heartbeat_message.c
+++ b/trefoilhill-proxy/heartbeat_message.c
@@ -3,9 +3,9 @@
 #include "trefoilhill-proxy/heartbeat_message.h"
 
 enum {
-	COMPRESS_MIN_BYTES = 2048, /* smaller values aren't compressed */
-	VALUE_MAX_BYTES = 4 << 20, /* of one item, decompressed */
-	COMPRESS_LEVEL = 1,        /* the fastest */
+	COMPRESS_MIN_BYTES = 2048,   /* smaller values aren't compressed */
+	VALUES_MAX_BYTES = 16 << 20, /* of a message's items, decompressed */
+	COMPRESS_LEVEL = 1,          /* the fastest */
 };
 
 /*
@@ -47,17 +47,21 @@
 	return item->compressed;
 }
 
-/* Returns NULL if the value is malformed or too large. */
+/*
+ * Decompress a value and take its size from what is left for the message.
+ * Returns NULL if the value is malformed or too large.
+ */
 static GBytes *
-decompress_value(GBytes *packed)
+decompress_value(GBytes *packed, size_t *left)
 {
 	size_t len, decompressed_len;
 	const void *bytes = g_bytes_get_data(packed, &len);
 	unsigned long long size = ZSTD_getFrameContentSize(bytes, len);
 	void *out;
 
-	if (size > VALUE_MAX_BYTES)
+	if (size > *left)
 		return NULL;
+	*left -= size;
 	out = g_malloc(size);
 	decompressed_len = ZSTD_decompress(out, size, bytes, len);
 	if (ZSTD_isError(decompressed_len) || decompressed_len != size) {
@@ -194,7 +198,7 @@
 /* Returns NULL if the value is malformed. */
 static struct replica_item *
 item_decode(const char *key, uint64_t revision, enum item_encoding encoding,
-    GVariant *value)
+    GVariant *value, size_t *left)
 {
 	GBytes *bytes = g_variant_get_data_as_bytes(value);
 	struct replica_item *item = NULL;
@@ -208,7 +212,7 @@
 		item = replica_item_new(key, bytes, revision);
 		break;
 	case ITEM_COMPRESSED:
-		plain = decompress_value(bytes);
+		plain = decompress_value(bytes, left);
 		if (plain == NULL)
 			break;
 		item = replica_item_new(key, plain, revision);
@@ -225,6 +229,7 @@
 items_decode(GVariant *list)
 {
 	GPtrArray *items = g_ptr_array_new_with_free_func(replica_item_free);
+	size_t left = VALUES_MAX_BYTES;
 	GVariantIter iter;
 	const char *key;
 	guint64 revision;
@@ -235,7 +240,7 @@
 	while (g_variant_iter_next(
 	    &iter, "(&sty@ay)", &key, &revision, &encoding, &value)) {
 		struct replica_item *item =
-		    item_decode(key, revision, encoding, value);
+		    item_decode(key, revision, encoding, value, &left);
 
 		g_variant_unref(value);
 		if (item == NULL) {
--- a/trefoilhill-timeline/read.c
+++ b/trefoilhill-timeline/read.c
@@ -1,7 +1,7 @@
 #include <glib/gstdio.h>
-#include <jansson.h>
 #include <string.h>
 
+#include "common/json_parse.h"
 #include "trefoilhill-timeline/timeline.h"
 
 enum {
@@ -111,8 +111,8 @@
 event_parse(struct timeline *timeline, const char *line)
 {
 	const char *begin = strchr(line, '{');
-	json_t *json =
-	    json_loads(begin == NULL ? line : begin, JSON_ALLOW_NUL, NULL);
+	json_t *json = json_parse(
+	    str_from(begin == NULL ? line : begin), JSON_ALLOW_NUL, NULL);
 	struct timeline_event *event = event_from_json(json);
 
 	if (event == NULL) {
--- a/trefoilhillctl/commands/events.c
+++ b/trefoilhillctl/commands/events.c
@@ -1,6 +1,7 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "common/json_parse.h"
 #include "trefoilhillctl/command.h"
 #include "trefoilhillctl/error.h"
 #include "trefoilhillctl/text_table.h"
@@ -28,7 +29,7 @@
 
 		if (**line == '\0')
 			continue;
-		event = json_loads(*line, 0, NULL);
+		event = json_parse(str_from(*line), 0, NULL);
 		name = json_string_value(json_object_get(event, "kind"));
 		valid = name != NULL;
 		if (valid && (kind == NULL || strcmp(kind, name) == 0))
--- a/trefoilhillctl/node_client.c
+++ b/trefoilhillctl/node_client.c
@@ -1,6 +1,7 @@
 #include <curl/curl.h>
 #include <string.h>
 
+#include "common/json_parse.h"
 #include "trefoilhillctl/error.h"
 #include "trefoilhillctl/node_client.h"
 
@@ -91,7 +92,8 @@
 
 	if (status >= HTTP_SUCCESS_MIN && status <= HTTP_SUCCESS_MAX)
 		return;
-	json = json_loadb(response->body->str, response->body->len, 0, NULL);
+	json = json_parse(
+	    str_make(response->body->str, response->body->len), 0, NULL);
 	json_unpack(json, "{s?s,s?s}", "error", &type, "detail", &detail);
 	g_set_error(&response->error, CTL_ERROR, CTL_ERROR_HTTP_STATUS,
 	    "%s: HTTP status %ld, %s: %s", response->address, status, type,
@@ -190,8 +192,9 @@
 
 	if (response->error != NULL)
 		return false;
-	response->json = json_loadb(
-	    response->body->str, response->body->len, 0, &parse_error);
+	response->json =
+	    json_parse(str_make(response->body->str, response->body->len), 0,
+		&parse_error);
 	if (json_is_object(response->json))
 		return true;
 	g_set_error(&response->error, CTL_ERROR, CTL_ERROR_RESPONSE,
--- a/trefoilhillctl/publication_draft.c
+++ b/trefoilhillctl/publication_draft.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/json_parse.h"
 #include "config/change.h"
 #include "trefoilhillctl/error.h"
 #include "trefoilhillctl/publication_draft.h"
@@ -185,7 +186,8 @@
 
 	if (text == NULL)
 		return false;
-	json = json_loadb(text, len, JSON_REJECT_DUPLICATES, &parse_error);
+	json = json_parse(
+	    str_make(text, len), JSON_REJECT_DUPLICATES, &parse_error);
 	g_free(text);
 	if (json == NULL) {
 		g_set_error(error, CTL_ERROR, CTL_ERROR_SYNTAX, "%s:%d:%d: %s",
--- a/trefoilhilld/settings.c
+++ b/trefoilhilld/settings.c
@@ -3,6 +3,10 @@
 #include "trefoilhilld/setting_desc.h"
 #include "trefoilhilld/settings.h"
 
+enum {
+	FILE_MAX_BYTES = 256 * 1024,
+};
+
 G_DEFINE_QUARK(trefoilhill - settings - error, settings_error)
 
 static bool
@@ -92,6 +96,11 @@
 
 	/* Before reading: a later change must be found to be one. */
 	settings->file = file_version_read(path);
+	if (settings->file.size > FILE_MAX_BYTES) {
+		g_set_error(error, SETTINGS_ERROR, SETTINGS_ERROR_READ,
+		    "%s: larger than %d bytes", path, FILE_MAX_BYTES);
+		goto done;
+	}
 	if (!g_key_file_load_from_file(file, path, G_KEY_FILE_NONE, &cause)) {
 		g_set_error(error, SETTINGS_ERROR,
 		    cause->domain == G_KEY_FILE_ERROR ? SETTINGS_ERROR_SYNTAX
