settings: take fractions and units in the figures of a deployment

Cause: the template made milliseconds by appending 000 to seconds, and the reader took whole numbers only. The same on related paths: the window of the retry budget and of quotas, the drain time, and three allowances. Ratios were cut to a thousandth, so that 0.57 became 0.569.

Allowances may be fractions and are rounded down; ratios are rounded. The quota's window may be shorter than a second.

Conclusion: the arithmetic is in one place that knows the unit.

--- a/include/trefoilhilld/setting_desc.h
+++ b/include/trefoilhilld/setting_desc.h
@@ -15,6 +15,8 @@
 	SETTING_SEEDS,            /* IP:PORT, comma-separated, may be empty */
 	SETTING_HTTP_URL,         /* http://IP:PORT */
 	SETTING_NUMBER,           /* a whole number */
+	SETTING_AMOUNT,           /* a number, rounded down */
+	SETTING_DURATION,         /* a number of ms, or with a unit; in ms */
 	SETTING_DECIMAL,          /* a decimal number, stored in thousandths */
 	SETTING_CHOICE,
 };
--- a/tests/soak/test_settings.py
+++ b/tests/soak/test_settings.py
@@ -39,6 +39,10 @@
 }
 QUOTA = {"bounds.quotaWindowS": "7", "bounds.quotaOverage": "0.125",
          "bounds.quotaSlack": "4"}
+FIGURES = [name for name in DEPLOYMENT
+           if name.startswith(("bounds.", "limits."))]
+# How the platform may write a figure.
+FRACTIONS = ("{}.5", "{}.0", "{}.5000", "{}.25e0", "{}5e-1")
 # (changed figure, whether it is valid, key that the error names)
 CASES = [
     ({}, True, ""),
@@ -54,7 +58,16 @@
     ({**QUOTA, "bounds.quotaOverage": "-1"}, False, "overage"),
     ({**QUOTA, "bounds.quotaWindowS": "0"}, False, "window_ms"),
     ({**QUOTA, "bounds.quotaSlack": ""}, False, "slack"),
+    ({"bounds.graceS": "6.5.0"}, False, "grace_ms"),
+    ({"bounds.graceS": "nan"}, False, "grace_ms"),
+    ({"bounds.graceS": ""}, False, "grace_ms"),
+    ({"bounds.retryWindowS": "1e9"}, False, "retry_window_ms"),
 ]
+CASES += [({name: text.format(DEPLOYMENT[name].partition(".")[0])}, True, "")
+          for name in FIGURES for text in FRACTIONS
+          if name != "bounds.retryBudgetRatio"]
+CASES += [({**QUOTA, name: text.format(1)}, True, "")
+          for name in QUOTA for text in FRACTIONS]
 
 
 def render(values):
--- a/tests/tools/test_man.c
+++ b/tests/tools/test_man.c
@@ -38,7 +38,8 @@
 	} else if (desc->default_value != NULL) {
 		CU_ASSERT_TRUE(g_str_has_suffix(line, fallback));
 	}
-	if (desc->type == SETTING_NUMBER)
+	if (desc->type == SETTING_NUMBER || desc->type == SETTING_DURATION ||
+	    desc->type == SETTING_AMOUNT)
 		CU_ASSERT_PTR_NOT_NULL(strstr(line, bounds));
 	for (size_t i = 0;
 	     desc->type == SETTING_CHOICE && desc->choices[i] != NULL; i++)
--- a/trefoilhilld/setting_desc.c
+++ b/trefoilhilld/setting_desc.c
@@ -1,4 +1,5 @@
 #include <arpa/inet.h>
+#include <math.h>
 #include <string.h>
 
 #include "mesh/mesh.h"
@@ -9,6 +10,7 @@
 	NAME_MAX_BYTES = 63,
 	PORT_MAX = 65535,
 	MINUTE_MS = 60000,
+	THOUSAND = 1000,
 };
 
 static const char *const spread_policy_names[] = {
@@ -46,7 +48,7 @@
 	{ "node", "seeds", "", SETTING_SEEDS, OFFSET(node.seeds), 0, 0, NULL },
 	{ "node", "caller_threads", "32", SETTING_NUMBER,
 	    OFFSET(node.caller_threads), 2, 1024, NULL },
-	{ "node", "grace_ms", "10000", SETTING_NUMBER, OFFSET(node.grace_ms),
+	{ "node", "grace_ms", "10000", SETTING_DURATION, OFFSET(node.grace_ms),
 	    100, 60 * MINUTE_MS, NULL },
 	{ "node", "link_mbps", "0", SETTING_DECIMAL, OFFSET(node.link_kbps), 0,
 	    1000000, NULL },
@@ -54,9 +56,9 @@
 	    OFFSET(node.metrics_listen), 0, 0, NULL },
 	{ "platform", "url", NULL, SETTING_HTTP_URL, OFFSET(platform.url), 0, 0,
 	    NULL },
-	{ "platform", "timeout_ms", "2000", SETTING_NUMBER,
+	{ "platform", "timeout_ms", "2000", SETTING_DURATION,
 	    OFFSET(platform.timeout_ms), 10, MINUTE_MS, NULL },
-	{ "platform", "watch_ms", "10000", SETTING_NUMBER,
+	{ "platform", "watch_ms", "10000", SETTING_DURATION,
 	    OFFSET(platform.watch_ms), 10, MINUTE_MS, NULL },
 	{ "upstream", "name", NULL, SETTING_NAME, OFFSET(upstream.name), 0, 0,
 	    NULL },
@@ -66,9 +68,9 @@
 	    OFFSET(upstream.service), 0, 0, NULL },
 	{ "mesh", "policy", "tree", SETTING_CHOICE, OFFSET(mesh.policy), 0, 0,
 	    spread_policy_names },
-	{ "mesh", "heartbeat_ms", "500", SETTING_NUMBER,
+	{ "mesh", "heartbeat_ms", "500", SETTING_DURATION,
 	    OFFSET(mesh.heartbeat_ms), 50, MINUTE_MS, NULL },
-	{ "mesh", "drain_ms", "2000", SETTING_NUMBER, OFFSET(mesh.drain_ms),
+	{ "mesh", "drain_ms", "2000", SETTING_DURATION, OFFSET(mesh.drain_ms),
 	    100, 60 * MINUTE_MS, NULL },
 	{ "mesh", "readers_per_zone", "3", SETTING_NUMBER,
 	    OFFSET(mesh.readers_per_zone), 1, 16, NULL },
@@ -82,37 +84,37 @@
 	    1, 4096, NULL },
 	{ "guard", "cold_burst_factor", "1", SETTING_DECIMAL,
 	    OFFSET(guard.cold_burst_per_mille), 1, 100, NULL },
-	{ "guard", "cold_allowance", "1", SETTING_NUMBER,
+	{ "guard", "cold_allowance", "1", SETTING_AMOUNT,
 	    OFFSET(guard.cold_allowance), 0, 4096, NULL },
 	{ "guard", "queue_limit", "24", SETTING_NUMBER,
 	    OFFSET(guard.queue_limit), 0, 65536, NULL },
-	{ "guard", "queue_wait_ms", "250", SETTING_NUMBER,
+	{ "guard", "queue_wait_ms", "250", SETTING_DURATION,
 	    OFFSET(guard.queue_wait_ms), 0, MINUTE_MS, NULL },
-	{ "guard", "tick_ms", "100", SETTING_NUMBER, OFFSET(guard.tick_ms), 10,
-	    1000, NULL },
+	{ "guard", "tick_ms", "100", SETTING_DURATION, OFFSET(guard.tick_ms),
+	    10, 1000, NULL },
 	{ "guard", "tick_bound", "20", SETTING_NUMBER, OFFSET(guard.tick_bound),
 	    2, 1000, NULL },
 	{ "guard", "once_entries", "65536", SETTING_NUMBER,
 	    OFFSET(guard.once_entries), 1024, 1048576, NULL },
 	{ "route", "policy", "hinted", SETTING_CHOICE, OFFSET(route.policy), 0,
 	    0, choice_policy_names },
-	{ "route", "hint_fresh_ms", "1000", SETTING_NUMBER,
+	{ "route", "hint_fresh_ms", "1000", SETTING_DURATION,
 	    OFFSET(route.hint_fresh_ms), 10, MINUTE_MS, NULL },
 	{ "route", "retry_percent", "20", SETTING_NUMBER,
 	    OFFSET(route.retry_percent), 0, 100, NULL },
 	{ "route", "retry_ratio", "0.2", SETTING_DECIMAL,
 	    OFFSET(route.retry_per_mille), 0, 1, NULL },
-	{ "route", "retry_window_ms", "10000", SETTING_NUMBER,
+	{ "route", "retry_window_ms", "10000", SETTING_DURATION,
 	    OFFSET(route.retry_window_ms), 100, 60 * MINUTE_MS, NULL },
-	{ "route", "retry_allowance", "50", SETTING_NUMBER,
+	{ "route", "retry_allowance", "50", SETTING_AMOUNT,
 	    OFFSET(route.retry_allowance), 0, 1000000, NULL },
-	{ "route", "timeout_ms", "10000", SETTING_NUMBER,
+	{ "route", "timeout_ms", "10000", SETTING_DURATION,
 	    OFFSET(route.timeout_ms), 1, 60 * MINUTE_MS, NULL },
-	{ "quota", "window_ms", "5000", SETTING_NUMBER, OFFSET(quota.window_ms),
-	    1000, 10 * MINUTE_MS, NULL },
+	{ "quota", "window_ms", "5000", SETTING_DURATION,
+	    OFFSET(quota.window_ms), 100, 10 * MINUTE_MS, NULL },
 	{ "quota", "overage", "0.25", SETTING_DECIMAL,
 	    OFFSET(quota.overage_per_mille), 0, 10, NULL },
-	{ "quota", "slack", "20", SETTING_NUMBER, OFFSET(quota.slack), 0,
+	{ "quota", "slack", "20", SETTING_AMOUNT, OFFSET(quota.slack), 0,
 	    1000000, NULL },
 	{ "log", "level", "info", SETTING_CHOICE, OFFSET(log.level), 0, 0,
 	    log_level_names },
@@ -177,6 +179,11 @@
 	case SETTING_NUMBER:
 		return g_strdup_printf(
 		    "a whole number from %u to %u", desc->min, desc->max);
+	case SETTING_DURATION:
+		return g_strdup_printf("%u to %u ms, or a number with the unit "
+				       "ms, s or min",
+		    desc->min, desc->max);
+	case SETTING_AMOUNT:
 	case SETTING_DECIMAL:
 		return g_strdup_printf(
 		    "a number from %u to %u", desc->min, desc->max);
@@ -236,17 +243,68 @@
 	return valid;
 }
 
+/* Read a number in range, which a fraction is, and no text after it. */
+static bool
+number_read(const struct setting_desc *desc, const char *text, double *number)
+{
+	char *end;
+
+	*number = g_ascii_strtod(text, &end);
+	return end != text && *end == '\0' && *number >= desc->min &&
+	    *number <= desc->max;
+}
+
 static bool
 decimal_store(
     const struct setting_desc *desc, const char *text, uint32_t *thousandths)
+{
+	double number;
+
+	if (!number_read(desc, text, &number))
+		return false;
+	*thousandths = (uint32_t)lround(number * THOUSAND);
+	return true;
+}
+
+static bool
+amount_store(const struct setting_desc *desc, const char *text, uint32_t *whole)
+{
+	double number;
+
+	if (!number_read(desc, text, &number))
+		return false;
+	*whole = (uint32_t)number;
+	return true;
+}
+
+/* Milliseconds in a unit of time, also without one; 0 if it is unknown. */
+static uint32_t
+unit_ms(const char *unit)
+{
+	static const struct {
+		const char *name;
+		uint32_t ms;
+	} units[] = { { "", 1 }, { "ms", 1 }, { "s", THOUSAND },
+		{ "min", MINUTE_MS } };
+
+	while (g_ascii_isspace(*unit))
+		unit++;
+	for (size_t i = 0; i < G_N_ELEMENTS(units); i++)
+		if (strcmp(unit, units[i].name) == 0)
+			return units[i].ms;
+	return 0;
+}
+
+static bool
+duration_store(const struct setting_desc *desc, const char *text, uint32_t *ms)
 {
 	char *end;
-	double number = g_ascii_strtod(text, &end);
+	double number = g_ascii_strtod(text, &end) * unit_ms(end);
 
-	if (end == text || *end != '\0' ||
+	if (end == text || unit_ms(end) == 0 ||
 	    !(number >= desc->min && number <= desc->max))
 		return false;
-	*thousandths = (uint32_t)(number * 1000);
+	*ms = (uint32_t)lround(number);
 	return true;
 }
 
@@ -299,6 +357,10 @@
 		return choice_store(desc->choices, text, member);
 	case SETTING_DECIMAL:
 		return decimal_store(desc, text, member);
+	case SETTING_DURATION:
+		return duration_store(desc, text, member);
+	case SETTING_AMOUNT:
+		return amount_store(desc, text, member);
 	case SETTING_NUMBER:
 		if (!g_ascii_string_to_unsigned(
 			text, 10, desc->min, desc->max, &number, NULL))
