platform: take fractions in the times and weights of a configuration

A time-out of 1200.5 ms, a weight of 0.9 or a number written as 1.2e3 refused the configuration whole, so that nodes kept the one before it, and starting ones served nothing.

Change: times are read as numbers and rounded to milliseconds, weights are numbers. The draw among weighted services takes the last one with a weight if rounding leaves a rest, never one whose weight is 0.

--- a/common/rng.c
+++ b/common/rng.c
@@ -5,6 +5,8 @@
 
 enum {
 	HALF_WORD_BITS = 32,
+	UNIT_BITS = 53, /* that a double holds exactly */
+	UNIT_SHIFT = 64 - UNIT_BITS,
 };
 
 struct glib_rng {
@@ -80,6 +82,15 @@
 	return bound == 0 ? 0 : rng_next(rng) % bound;
 }
 
+/*
+ * Return a random number from 0 to below 1.
+ */
+double
+rng_unit(struct rng *rng)
+{
+	return (double)(rng_next(rng) >> UNIT_SHIFT) / (1ULL << UNIT_BITS);
+}
+
 /*
  * Free a generator. NULL is allowed.
  */
--- a/fleet/mesh_config.c
+++ b/fleet/mesh_config.c
@@ -58,7 +58,7 @@
  */
 void
 mesh_route_add_destination(
-    struct mesh_route *route, struct str service, uint32_t weight)
+    struct mesh_route *route, struct str service, double weight)
 {
 	struct route_destination destination = {
 		.service = str_dup_cstr(service),
--- a/include/common/rng.h
+++ b/include/common/rng.h
@@ -19,6 +19,8 @@
 struct rng *rng_system_new(void);
 uint64_t rng_next(struct rng *rng);
 uint64_t rng_below(struct rng *rng, uint64_t bound);
+/* A number from 0 to below 1. */
+double rng_unit(struct rng *rng);
 void rng_free(struct rng *rng);
 
 #endif
--- a/include/fleet/mesh_config.h
+++ b/include/fleet/mesh_config.h
@@ -12,7 +12,7 @@
 /* One destination service of a route and its relative traffic weight. */
 struct route_destination {
 	char *service;
-	uint32_t weight;
+	double weight;
 };
 
 /* Immutable once added to a configuration; atomically reference-counted. */
@@ -71,7 +71,7 @@
 struct mesh_route *mesh_route_ref(struct mesh_route *route);
 void mesh_route_unref(struct mesh_route *route);
 void mesh_route_add_destination(
-    struct mesh_route *route, struct str service, uint32_t weight);
+    struct mesh_route *route, struct str service, double weight);
 struct mesh_service *mesh_service_new(void);
 /* Take ownership; call mesh_config_index_routes after the last one. */
 void mesh_config_add_route(
--- a/include/platform/json_fields.h
+++ b/include/platform/json_fields.h
@@ -30,6 +30,8 @@
 bool json_read_u32(const json_t *object, const char *name, uint32_t max,
     uint32_t *value, GError **error);
 /* Integer or real, from 0 to max. */
+bool json_read_duration(const json_t *object, const char *name, uint32_t max_ms,
+    uint32_t *ms, GError **error);
 bool json_read_number(const json_t *object, const char *name, double max,
     double *value, GError **error);
 
--- a/tests/daemon/test_settings.c
+++ b/tests/daemon/test_settings.c
@@ -53,7 +53,7 @@
 	const struct setting_desc *desc = setting_desc_find(c->section, c->key);
 	struct settings *settings = g_new0(struct settings, 1);
 
-	CU_ASSERT_PTR_NOT_NULL_FATAL(desc);
+	g_assert_nonnull(desc);
 	if (setting_desc_store(desc, c->text, settings) != c->valid) {
 		printf("%s=%s\n", c->key, c->text);
 		CU_FAIL("not as expected");
--- a/tests/platform/test_codec.c
+++ b/tests/platform/test_codec.c
@@ -121,6 +121,33 @@
 	}
 }
 
+/* A time or a weight that is a fraction must not cost the configuration. */
+static void
+test_fractions_are_taken(void)
+{
+	static const char *const mutations[][2] = {
+		{ "\"timeoutMs\":1200", "\"timeoutMs\":1200.5" },
+		{ "\"timeoutMs\":1200", "\"timeoutMs\":1.2e3" },
+		{ "\"targetLatencyMs\":400", "\"targetLatencyMs\":400.25" },
+		{ "\"weight\":90", "\"weight\":0.9" },
+		{ "\"weight\":10", "\"weight\":10.0" },
+		{ "\"headerTimeoutMs\":3000", "\"headerTimeoutMs\":3000.5" },
+		{ "\"idleTimeoutMs\":15000", "\"idleTimeoutMs\":1.5e4" },
+	};
+	struct catalog_change change;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(mutations); i++) {
+		char *text = replace_text(
+		    valid_config, mutations[i][0], mutations[i][1]);
+
+		CU_ASSERT_STRING_NOT_EQUAL(text, valid_config);
+		CU_ASSERT_EQUAL(
+		    decode("op/config", text, &change), CATALOG_CONFIG);
+		catalog_change_clear(&change);
+		g_free(text);
+	}
+}
+
 /* Unchanged routes are shared with the last configuration, others decoded. */
 static void
 test_unchanged_routes_are_shared(void)
@@ -369,6 +396,7 @@
 	{ "configuration", test_config },
 	{ "an invalid configuration is rejected as a whole",
 	    test_invalid_config_is_rejected },
+	{ "fractions are taken", test_fractions_are_taken },
 	{ "unchanged routes are shared", test_unchanged_routes_are_shared },
 	{ "upstream", test_upstream },
 	{ "invalid upstreams are rejected",
--- a/trefoilhill-config-check/changes.c
+++ b/trefoilhill-config-check/changes.c
@@ -66,7 +66,7 @@
 		const struct route_destination *destination =
 		    &g_array_index(destinations, struct route_destination, i);
 
-		g_string_append_printf(text, "%s%s %u", i == 0 ? "" : ", ",
+		g_string_append_printf(text, "%s%s %g", i == 0 ? "" : ", ",
 		    destination->service, destination->weight);
 	}
 	return g_string_free(text, FALSE);
--- a/trefoilhill-config-check/entries.c
+++ b/trefoilhill-config-check/entries.c
@@ -71,7 +71,7 @@
 {
 	const struct mesh_route *route = entry;
 	GString *unused = g_string_new(NULL);
-	uint64_t total = 0;
+	double total = 0;
 
 	for (guint i = 0; i < route->destinations->len; i++)
 		total += g_array_index(
--- a/trefoilhill-proxy/exchange_begin.c
+++ b/trefoilhill-proxy/exchange_begin.c
@@ -48,30 +48,31 @@
 	    (uint64_t)MAX(ms, 1), 0);
 }
 
-/* Draw one of a weighted route's services for this request. */
+/*
+ * Draw one of a weighted route's services for this request: the first one if
+ * all weights are 0.
+ */
 static const char *
 choose_service(struct exchange *exchange)
 {
 	const GArray *destinations = exchange->route->destinations;
-	uint64_t total = 0, drawn;
+	const struct route_destination *list =
+	    (const struct route_destination *)(void *)destinations->data;
+	const struct route_destination *chosen = &list[0];
+	double total = 0, drawn;
 
 	for (guint i = 0; i < destinations->len; i++)
-		total +=
-		    g_array_index(destinations, struct route_destination, i)
-			.weight;
-	if (total == 0)
-		return g_array_index(destinations, struct route_destination, 0)
-		    .service;
-	drawn = rng_below(exchange->proxy->rng, total);
+		total += list[i].weight;
+	drawn = rng_unit(exchange->proxy->rng) * total;
 	for (guint i = 0; i < destinations->len; i++) {
-		const struct route_destination *destination =
-		    &g_array_index(destinations, struct route_destination, i);
-
-		if (drawn < destination->weight)
-			return destination->service;
-		drawn -= destination->weight;
+		if (list[i].weight <= 0)
+			continue;
+		chosen = &list[i];
+		if (drawn < chosen->weight)
+			break;
+		drawn -= chosen->weight;
 	}
-	return g_array_index(destinations, struct route_destination, 0).service;
+	return chosen->service;
 }
 
 /*
