http: check the syntax of messages before they are parsed

Cause: the parser is lenient as the distribution builds it, nothing behind it looked at a whole message, and the callbacks trusted its order, so that a body could come before any head was handled.

Change: http/syntax checks the bytes of heads, chunks and trailers before the parser sees them, and the status and the framing before anybody else does, on both sides of all connections. Interim answers, 204 and 304 have no body. The log names the part at fault, a counter counts.

Conclusion: nothing behind the parser sees a message that isn't whole and valid.

--- a/http/stream.c
+++ b/http/stream.c
@@ -296,8 +296,7 @@
 	stream->unacknowledged_ms = UNACKNOWLEDGED_DEFAULT_MS;
 	stream->field_name = g_string_new(NULL);
 	stream->field_value = g_string_new(NULL);
-	http_parser_init(&stream->parser,
-	    side == HTTP_SIDE_SERVER ? HTTP_REQUEST : HTTP_RESPONSE);
-	stream->parser.data = stream;
+	stream->syntax.is_response = side == HTTP_SIDE_CLIENT;
+	stream_begin_message(stream);
 	return stream;
 }
--- a/http/stream_parse.c
+++ b/http/stream_parse.c
@@ -2,6 +2,16 @@
 
 /* Message parsing: the callbacks of http_parser, and its input. */
 
+enum {
+	PARSER_GO_ON = 0,
+	PARSER_NO_BODY = 1, /* result of on_headers_complete */
+	PARSER_FAIL = -1,
+	STATUS_CONTINUE = 100,
+	STATUS_FINAL_MIN = 200,
+	STATUS_NO_CONTENT = 204,
+	STATUS_NOT_MODIFIED = 304,
+};
+
 /* Add the parsed header field to the head. */
 static int
 field_flush(struct http_stream *stream)
@@ -25,6 +35,14 @@
 	return stream->head_bytes > stream->head_max_bytes ? -1 : 0;
 }
 
+/* Is the head that of an interim (1xx) response? */
+static bool
+stream_is_interim(const struct http_stream *stream)
+{
+	return stream->side == HTTP_SIDE_CLIENT &&
+	    stream->head->status < STATUS_FINAL_MIN;
+}
+
 static int
 handle_begin(http_parser *parser)
 {
@@ -79,44 +97,83 @@
 	return head_bytes_add(stream, len);
 }
 
+/* Record a defect of the message; the result makes the parser stop. */
+static int
+reject(struct http_stream *stream, enum http_defect defect)
+{
+	stream->syntax.defect = defect;
+	return PARSER_FAIL;
+}
+
+/* An interim response: the final one follows, in the same stream of bytes. */
+static int
+handle_interim_head(struct http_stream *stream)
+{
+	if (++stream->interim_count > HTTP_INTERIM_MAX)
+		return reject(stream, HTTP_DEFECT_STATUS);
+	if (stream->head->status == STATUS_CONTINUE &&
+	    stream->ops->handle_continue != NULL)
+		stream->ops->handle_continue(stream);
+	return stream->closing ? PARSER_FAIL : PARSER_NO_BODY;
+}
+
+static void
+set_method(struct http_stream *stream)
+{
+	struct http_head *head = stream->head;
+	struct str method =
+	    str_from(http_method_str((enum http_method)stream->parser.method));
+
+	head->method.offset = (uint32_t)head->text->len;
+	head->method.len = (uint32_t)method.len;
+	g_string_append_len(head->text, method.ptr, (gssize)method.len);
+}
+
+/* Does no body follow the head, whatever its fields say? */
+static bool
+has_no_body(const struct http_stream *stream)
+{
+	return stream->side == HTTP_SIDE_CLIENT &&
+	    (stream->skip_body || stream->head->status == STATUS_NO_CONTENT ||
+		stream->head->status == STATUS_NOT_MODIFIED);
+}
+
 static int
 handle_headers(http_parser *parser)
 {
 	struct http_stream *stream = parser->data;
-	struct http_head *head = stream->head;
 	bool chunked = (parser->flags & F_CHUNKED) != 0;
+	enum http_defect defect;
 
 	if (field_flush(stream) != 0)
-		return -1;
+		return PARSER_FAIL;
+	if (stream->side == HTTP_SIDE_SERVER)
+		set_method(stream);
+	else
+		stream->head->status = parser->status_code;
+	defect =
+	    http_head_check(stream->head, stream->side == HTTP_SIDE_CLIENT);
+	if (defect != HTTP_DEFECT_NONE)
+		return reject(stream, defect);
+	if (parser->upgrade)
+		return PARSER_FAIL;
+	if (stream_is_interim(stream))
+		return handle_interim_head(stream);
 	stream->head_done = true;
-	stream->has_length = !chunked && parser->content_length != (uint64_t)-1;
-	stream->length = stream->has_length ? parser->content_length : 0;
+	stream->has_length = !chunked &&
+	    (parser->content_length != (uint64_t)-1 ||
+		stream->side == HTTP_SIDE_SERVER);
+	stream->length = parser->content_length != (uint64_t)-1 && !chunked
+	    ? parser->content_length
+	    : 0;
 	stream->keep_alive = http_should_keep_alive(parser) != 0;
-	if (stream->side == HTTP_SIDE_SERVER) {
-		struct str method =
-		    str_from(http_method_str((enum http_method)parser->method));
-
-		if (!stream->has_length && !chunked)
-			stream->has_length = true;
-		head->method.offset = (uint32_t)head->text->len;
-		head->method.len = (uint32_t)method.len;
-		g_string_append_len(head->text, method.ptr, (gssize)method.len);
-		if (parser->upgrade)
-			return -1;
-	} else {
-		head->status = parser->status_code;
-		if (head->status / 100 == 1 &&
-		    ++stream->interim_count > HTTP_INTERIM_MAX)
-			return -1;
-		if (head->status == 100 && stream->ops->handle_continue != NULL)
-			stream->ops->handle_continue(stream);
-		if (head->status / 100 == 1)
-			return stream->closing ? -1 : 0;
-	}
+	http_syntax_begin_body(&stream->syntax,
+	    chunked && !has_no_body(stream) ? HTTP_FRAMING_CHUNKED
+					    : HTTP_FRAMING_OTHER);
 	stream->ops->handle_head(stream);
 	if (stream->closing || stream->discarding)
-		return -1;
-	return stream->side == HTTP_SIDE_CLIENT && stream->skip_body ? 1 : 0;
+		return PARSER_FAIL;
+	return has_no_body(stream) ? PARSER_NO_BODY : PARSER_GO_ON;
 }
 
 static int
@@ -124,9 +181,12 @@
 {
 	struct http_stream *stream = parser->data;
 
+	if (!stream->head_done || stream->message_done)
+		return PARSER_FAIL;
 	stream->body_bytes += len;
 	stream->ops->handle_body(stream, str_make(at, len));
-	return stream->closing || stream->discarding ? -1 : 0;
+	return stream->closing || stream->discarding ? PARSER_FAIL
+						     : PARSER_GO_ON;
 }
 
 static int
@@ -134,12 +194,13 @@
 {
 	struct http_stream *stream = parser->data;
 
-	/* Skip an interim (1xx) response: the final one follows. */
-	if (stream->side == HTTP_SIDE_CLIENT && stream->head->status / 100 == 1)
-		return 0;
+	if (stream_is_interim(stream)) {
+		http_syntax_begin(&stream->syntax);
+		return PARSER_GO_ON;
+	}
 	stream->message_done = true;
 	http_parser_pause(parser, 1);
-	return 0;
+	return PARSER_GO_ON;
 }
 
 static const http_parser_settings parser_settings = {
@@ -163,6 +224,31 @@
 		: HTTP_END_MALFORMED);
 }
 
+/*
+ * Parse bytes in parts whose syntax is known to be valid: the head, and what
+ * follows it. Returns the number of bytes used.
+ */
+static size_t
+parse_parts(struct http_stream *stream, const char *bytes, size_t len)
+{
+	size_t at = 0, part, used;
+
+	if (len == 0)
+		return http_parser_execute(
+		    &stream->parser, &parser_settings, bytes, 0);
+	do {
+		part = http_syntax_accept(
+		    &stream->syntax, str_make(bytes + at, len - at));
+		if (part == 0)
+			break;
+		used = http_parser_execute(
+		    &stream->parser, &parser_settings, bytes + at, part);
+		at += used;
+	} while (used == part && at < len && !stream->message_done &&
+	    HTTP_PARSER_ERRNO(&stream->parser) == HPE_OK);
+	return at;
+}
+
 /* Parse bytes up to the end of the message. */
 static void
 parse_message(struct http_stream *stream, const char *bytes, size_t len)
@@ -178,8 +264,7 @@
 			return;
 	}
 	stream->parsing = true;
-	used =
-	    http_parser_execute(&stream->parser, &parser_settings, bytes, len);
+	used = parse_parts(stream, bytes, len);
 	stream->parsing = false;
 	if (stream->closing || stream->discarding)
 		return;
@@ -231,6 +316,28 @@
 		parse_pending(stream);
 }
 
+/*
+ * Get ready to parse the next message.
+ */
+void
+stream_begin_message(struct http_stream *stream)
+{
+	http_parser_init(&stream->parser,
+	    stream->side == HTTP_SIDE_SERVER ? HTTP_REQUEST : HTTP_RESPONSE);
+	stream->parser.data = stream;
+	http_syntax_begin(&stream->syntax);
+}
+
+/*
+ * Return the name of what was wrong with a malformed message, as far as it is
+ * known.
+ */
+const char *
+http_stream_defect(const struct http_stream *stream)
+{
+	return http_defect_name(stream->syntax.defect);
+}
+
 /*
  * Start reading the next message. Pending bytes are parsed immediately, so the
  * stream may be closed when this returns; on the side of the server, if called
@@ -248,9 +355,7 @@
 	stream->head_done = false;
 	stream->skip_body = false;
 	stream->interim_count = 0;
-	http_parser_init(&stream->parser,
-	    stream->side == HTTP_SIDE_SERVER ? HTTP_REQUEST : HTTP_RESPONSE);
-	stream->parser.data = stream;
+	stream_begin_message(stream);
 	http_stream_resume(stream);
 	if (stream->side == HTTP_SIDE_SERVER) {
 		if (!stream->delivering)
--- a/include/http/stream.h
+++ b/include/http/stream.h
@@ -5,6 +5,7 @@
 #include <uv.h>
 
 #include "http/head.h"
+#include "http/syntax.h"
 
 /*
  * The client or server side of an HTTP/1.1 connection on an event loop. It
@@ -21,11 +22,11 @@
 
 /* Why a connection ended or a message was rejected. */
 enum http_end_reason {
-	HTTP_END_EOF,     /* orderly close by the peer */
-	HTTP_END_RESET,   /* reset, or a write failed */
-	HTTP_END_TIMEOUT, /* sent data stayed unacknowledged */
-	HTTP_END_CONNECT, /* the connection was never established */
-	HTTP_END_MALFORMED,
+	HTTP_END_EOF,       /* orderly close by the peer */
+	HTTP_END_RESET,     /* reset, or a write failed */
+	HTTP_END_TIMEOUT,   /* sent data stayed unacknowledged */
+	HTTP_END_CONNECT,   /* the connection was never established */
+	HTTP_END_MALFORMED, /* see http_stream_defect */
 	HTTP_END_TOO_LARGE, /* head exceeds head_max_bytes */
 };
 
@@ -69,6 +70,7 @@
 	 */
 	uint32_t unacknowledged_ms;
 	http_parser parser;
+	struct http_syntax syntax; /* of the message being received */
 	struct http_head *head;
 	uint32_t head_max_bytes;
 	uint32_t read_max_bytes; /* at once; 0: unlimited */
@@ -122,6 +124,8 @@
     struct http_stream *stream, struct str first, struct str second);
 /* Has the peer closed or reset the connection, even if that is unread? */
 bool http_stream_is_peer_closed(const struct http_stream *stream);
+/* What was wrong with a malformed message, for logs; may be empty. */
+const char *http_stream_defect(const struct http_stream *stream);
 /* Bytes written and not yet accepted by the socket. */
 size_t http_stream_queued_bytes(const struct http_stream *stream);
 /*
--- /dev/null
+++ b/tests/http/test_odd_messages.c
@@ -0,0 +1,442 @@
+#include <string.h>
+
+#include "common/rng.h"
+#include "harness.h"
+#include "http/stream_private.h"
+
+/*
+ * Guards against messages that aren't HTTP/1.1 and are taken for it: a status
+ * that is none, a name with a blank or a control byte, a body that nobody
+ * announced. Each message is also parsed in pieces, cut at any place.
+ */
+enum {
+	RANDOM_CUTS = 40,
+	MUTATIONS = 20000,
+};
+
+#define OK "HTTP/1.1 200 OK\r\n"
+#define END "Content-Length: 2\r\n\r\nok"
+#define VALID_RESULT "head:200 [ok] message "
+
+struct fixture {
+	uv_loop_t loop;
+	struct http_stream *stream;
+	GString *log;
+	bool in_body;
+};
+
+static void
+end_body(struct fixture *f)
+{
+	if (f->in_body)
+		g_string_append(f->log, "] ");
+	f->in_body = false;
+}
+
+static void
+handle_head(struct http_stream *stream)
+{
+	struct fixture *f = stream->owner;
+
+	g_string_append_printf(f->log, "head:%u ", stream->head->status);
+	for (size_t i = 0; i < stream->head->field_count; i++) {
+		struct str name = http_head_name(stream->head, i);
+		struct str value = http_head_value(stream->head, i);
+
+		CU_ASSERT_TRUE(name.len > 0);
+		for (size_t j = 0; j < name.len; j++)
+			CU_ASSERT_TRUE(
+			    g_ascii_isgraph(name.ptr[j]) && name.ptr[j] != ':');
+		for (size_t j = 0; j < value.len; j++)
+			CU_ASSERT_TRUE(value.ptr[j] == '\t' ||
+			    !g_ascii_iscntrl(value.ptr[j]));
+	}
+}
+
+static void
+handle_body(struct http_stream *stream, struct str bytes)
+{
+	struct fixture *f = stream->owner;
+
+	if (!f->in_body)
+		g_string_append_c(f->log, '[');
+	f->in_body = true;
+	g_string_append_len(f->log, bytes.ptr, (gssize)bytes.len);
+}
+
+static void
+handle_message(struct http_stream *stream)
+{
+	end_body(stream->owner);
+	g_string_append(((struct fixture *)stream->owner)->log, "message ");
+}
+
+static void
+handle_end(struct http_stream *stream, enum http_end_reason reason)
+{
+	struct fixture *f = stream->owner;
+
+	end_body(f);
+	g_string_append_printf(f->log, "%s ",
+	    reason == HTTP_END_MALFORMED       ? "malformed"
+		: reason == HTTP_END_TOO_LARGE ? "too_large"
+					       : "end");
+	http_stream_abort(stream);
+	f->stream = NULL;
+}
+
+static const struct http_stream_ops ops = {
+	.handle_head = handle_head,
+	.handle_body = handle_body,
+	.handle_message = handle_message,
+	.handle_end = handle_end,
+};
+
+static void
+fixture_init(struct fixture *f, enum http_side side)
+{
+	*f = (struct fixture){ .log = g_string_new(NULL) };
+	uv_loop_init(&f->loop);
+	f->stream = http_stream_new(&f->loop, side, &ops, f);
+}
+
+static void
+fixture_clear(struct fixture *f)
+{
+	if (f->stream != NULL)
+		http_stream_abort(f->stream);
+	uv_run(&f->loop, UV_RUN_DEFAULT);
+	uv_loop_close(&f->loop);
+	g_string_free(f->log, TRUE);
+}
+
+static void
+feed(struct fixture *f, const char *bytes, size_t len)
+{
+	/* A copy of the exact size, for the sanitizer to see overreads. */
+	char *copy = g_memdup2(bytes, len);
+
+	if (f->stream != NULL && len > 0 && !f->stream->message_done)
+		stream_parse(f->stream, copy, len);
+	g_free(copy);
+}
+
+/* Return the callbacks for a message in three pieces, to be freed. */
+static char *
+parse(enum http_side side, struct str text, size_t first, size_t second)
+{
+	struct fixture f;
+	char *log;
+
+	fixture_init(&f, side);
+	feed(&f, text.ptr, first);
+	feed(&f, text.ptr + first, second - first);
+	feed(&f, text.ptr + second, text.len - second);
+	end_body(&f);
+	log = g_strdup(f.log->str);
+	fixture_clear(&f);
+	return log;
+}
+
+struct message {
+	const char *text;
+	size_t len; /* 0: up to the NUL */
+	const char *expected;
+};
+
+#define WITH_NUL(text) text, sizeof(text) - 1
+
+static const struct message responses[] = {
+	{ OK END, 0, VALID_RESULT },
+	{ "HTTP/1.0 200 OK\r\n" END, 0, VALID_RESULT },
+	{ "HTTP/1.1 200\r\n" END, 0, VALID_RESULT },
+	{ "HTTP/1.1 200 \r\n" END, 0, VALID_RESULT },
+	{ "HTTP/1.1 200 \xe9t\xe9\r\n" END, 0, VALID_RESULT },
+	{ "HTTP/1.1 200 OK\n"
+	  "Content-Length: 2\n\nok",
+	    0, VALID_RESULT },
+	{ OK "a!#$%&'*+-.^_`|~9: b\r\n" END, 0, VALID_RESULT },
+	{ OK "A:\r\nB:\t b \tc \xff\t\r\n" END, 0, VALID_RESULT },
+	{ OK "content-LENGTH:2 \r\n\r\nok", 0, VALID_RESULT },
+	{ OK "Transfer-Encoding: Chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", 0,
+	    VALID_RESULT },
+	{ OK "Transfer-Encoding: chunked\r\n\r\n"
+	     "1;a=\"b c\"\r\no\r\n01\r\nk\r\n000\r\nA: b\r\n\r\n",
+	    0, VALID_RESULT },
+	{ "HTTP/1.1 100 Continue\r\n\r\n" OK END, 0, VALID_RESULT },
+	{ "HTTP/1.1 103 x\r\nLink: <a>\r\n\r\nHTTP/1.1 100 \r\n\r\n" OK END, 0,
+	    VALID_RESULT },
+	{ "HTTP/1.1 102 x\r\nContent-Length: 0\r\n\r\n" OK END, 0,
+	    VALID_RESULT },
+	{ "HTTP/1.1 204 x\r\n\r\n", 0, "head:204 message " },
+	{ "HTTP/1.1 204 x\r\nContent-Length: 0\r\n\r\n", 0,
+	    "head:204 message " },
+	{ "HTTP/1.1 304 x\r\nContent-Length: 5\r\n\r\n", 0,
+	    "head:304 message " },
+	{ "HTTP/1.1 599 x\r\n" END, 0, "head:599 [ok] message " },
+	/* Behind a message, bytes are none of its own. */
+	{ "HTTP/1.1 304 x\r\nContent-Length: 5\r\n\r\nhello", 0,
+	    "head:304 message " },
+
+	/* Status lines. */
+	{ "HTTP/1.1 000 OK\r\n" END, 0, "malformed " },
+	{ "HTTP/1.1 099 OK\r\n" END, 0, "malformed " },
+	{ "HTTP/1.1 600 OK\r\n" END, 0, "malformed " },
+	{ "HTTP/1.1 999 OK\r\n" END, 0, "malformed " },
+	{ "HTTP/1.1 20 OK\r\n" END, 0, "malformed " },
+	{ "HTTP/1.1 0200 OK\r\n" END, 0, "malformed " },
+	{ "HTTP/1.1 2000 OK\r\n" END, 0, "malformed " },
+	{ "HTTP/1.1 2x0 OK\r\n" END, 0, "malformed " },
+	{ "HTTP/1.1 -20 OK\r\n" END, 0, "malformed " },
+	{ "HTTP/1.1  200 OK\r\n" END, 0, "malformed " },
+	{ "HTTP/1.1\t200 OK\r\n" END, 0, "malformed " },
+	{ "HTTP/1.1 200\tOK\r\n" END, 0, "malformed " },
+	{ "HTTP/1.1 OK\r\n" END, 0, "malformed " },
+	{ "HTTP/1.1\r\n" END, 0, "malformed " },
+	{ "HTTP/2.0 200 OK\r\n" END, 0, "malformed " },
+	{ "HTTP/0.9 200 OK\r\n" END, 0, "malformed " },
+	{ "HTTP/11.1 200 OK\r\n" END, 0, "malformed " },
+	{ "HTTP/1.11 200 OK\r\n" END, 0, "malformed " },
+	{ "http/1.1 200 OK\r\n" END, 0, "malformed " },
+	{ "ICY 200 OK\r\n" END, 0, "malformed " },
+	{ " HTTP/1.1 200 OK\r\n" END, 0, "malformed " },
+	{ "\r\n" OK END, 0, "malformed " },
+	{ "GET / HTTP/1.1\r\n\r\n", 0, "malformed " },
+	{ "HTTP/1.1 200 a\x01"
+	  "b\r\n" END,
+	    0, "malformed " },
+	{ WITH_NUL("HTTP/1.1 200 a\0b\r\n" END), "malformed " },
+	{ "HTTP/1.1 200 a\rb\r\n" END, 0, "malformed " },
+	{ "HTTP/1.1 101 x\r\n\r\n", 0, "malformed " },
+	{ "HTTP/1.1 101 x\r\nConnection: upgrade\r\nUpgrade: a\r\n" END, 0,
+	    "malformed " },
+
+	/* Fields. */
+	{ OK "A : b\r\n" END, 0, "malformed " },
+	{ OK " A: b\r\n" END, 0, "malformed " },
+	{ OK "A: b\r\n c\r\n" END, 0, "malformed " },
+	{ OK "A b: c\r\n" END, 0, "malformed " },
+	{ OK "A\tb: c\r\n" END, 0, "malformed " },
+	{ OK "A\x01: b\r\n" END, 0, "malformed " },
+	{ OK "A\x7f: b\r\n" END, 0, "malformed " },
+	{ OK "\xe9: b\r\n" END, 0, "malformed " },
+	{ WITH_NUL(OK "A\0: b\r\n" END), "malformed " },
+	{ OK ": b\r\n" END, 0, "malformed " },
+	{ OK "A\r\n" END, 0, "malformed " },
+	{ OK "(A): b\r\n" END, 0, "malformed " },
+	{ OK "A/b: c\r\n" END, 0, "malformed " },
+	{ OK "A: b\x01\r\n" END, 0, "malformed " },
+	{ OK "A: b\x7f\r\n" END, 0, "malformed " },
+	{ WITH_NUL(OK "A: b\0c\r\n" END), "malformed " },
+	{ OK "A: b\rc\r\n" END, 0, "malformed " },
+	{ OK "A: b\r\r\n" END, 0, "malformed " },
+	{ OK "Content-Length : 2\r\n\r\nok", 0, "malformed " },
+
+	/* Framing. */
+	{ OK "Content-Length: 2\r\n" END, 0, "malformed " },
+	{ OK "Content-Length: 3\r\n" END, 0, "malformed " },
+	{ OK "Content-Length: 2, 2\r\n\r\nok", 0, "malformed " },
+	{ OK "Content-Length: +2\r\n\r\nok", 0, "malformed " },
+	{ OK "Content-Length: -2\r\n\r\nok", 0, "malformed " },
+	{ OK "Content-Length: 0x2\r\n\r\nok", 0, "malformed " },
+	{ OK "Content-Length: 2 2\r\n\r\nok", 0, "malformed " },
+	{ OK "Content-Length:\r\n\r\nok", 0, "malformed " },
+	{ OK "Content-Length: 99999999999999999999\r\n\r\nok", 0,
+	    "malformed " },
+	{ OK "Transfer-Encoding: chunked\r\n" END, 0, "malformed " },
+	{ OK "Transfer-Encoding: gzip\r\n\r\nok", 0, "malformed " },
+	{ OK "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 0,
+	    "malformed " },
+	{ OK "Transfer-Encoding: chunked\r\nTransfer-Encoding: "
+	     "chunked\r\n\r\n0\r\n\r\n",
+	    0, "malformed " },
+	{ OK "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n", 0, "malformed " },
+	{ "HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\nno" OK END, 0,
+	    "malformed " },
+	{ "HTTP/1.1 103 x\r\nTransfer-Encoding: chunked\r\n\r\n"
+	  "2\r\nno\r\n0\r\n\r\n" OK END,
+	    0, "malformed " },
+	{ "HTTP/1.1 204 x\r\n" END, 0, "malformed " },
+	{ "HTTP/1.1 204 x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 0,
+	    "malformed " },
+	{ "HTTP/1.1 103 x\r\nA : b\r\n\r\n" OK END, 0, "malformed " },
+};
+
+#define CHUNKED OK "Transfer-Encoding: chunked\r\n\r\n"
+
+/* Chunked bodies: what is before the defect has been delivered. */
+static const struct message chunked[] = {
+	{ CHUNKED "2\r\nokXX0\r\n\r\n", 0, "head:200 [ok] malformed " },
+	{ CHUNKED "2\r\nok\r\r0\r\n\r\n", 0, "head:200 [ok] malformed " },
+	{ CHUNKED "2\nok\r\n0\r\n\r\n", 0, "head:200 malformed " },
+	{ CHUNKED "2\rXok\r\n0\r\n\r\n", 0, "head:200 malformed " },
+	{ CHUNKED "2\r\nok\r\n\r\n0\r\n\r\n", 0, "head:200 [ok] malformed " },
+	{ CHUNKED "2\r\nok\r\n;a\r\n\r\n", 0, "head:200 [ok] malformed " },
+	{ CHUNKED "-2\r\nok\r\n0\r\n\r\n", 0, "head:200 malformed " },
+	{ CHUNKED "0x2\r\nok\r\n0\r\n\r\n", 0, "head:200 malformed " },
+	{ CHUNKED " 2\r\nok\r\n0\r\n\r\n", 0, "head:200 malformed " },
+	{ CHUNKED "2;\x01\r\nok\r\n0\r\n\r\n", 0, "head:200 malformed " },
+	{ CHUNKED "2\r\nok\r\n0\r\nA : b\r\n\r\n", 0,
+	    "head:200 [ok] malformed " },
+	{ CHUNKED "2\r\nok\r\n0\r\nA\r\n\r\n", 0, "head:200 [ok] malformed " },
+	{ CHUNKED "fffffffffffffffff\r\nok", 0, "head:200 malformed " },
+};
+
+#define HOST "Host: a\r\n\r\n"
+
+static const struct message requests[] = {
+	{ "GET /a HTTP/1.1\r\n" HOST, 0, "head:0 message " },
+	{ "\r\n\r\nGET /a HTTP/1.0\r\n" HOST, 0, "head:0 message " },
+	{ "GET /\xc3\xa9 HTTP/1.1\r\n" HOST, 0, "head:0 message " },
+	{ "POST /a HTTP/1.1\r\n" END, 0, "head:0 [ok] message " },
+	{ "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	  "2\r\nok\r\n0\r\n\r\n",
+	    0, "head:0 [ok] message " },
+	{ "GET /a HTTP/1.1\r\nA : b\r\n" HOST, 0, "malformed " },
+	{ "GET /a HTTP/1.1\r\nA\x01: b\r\n" HOST, 0, "malformed " },
+	{ "GET /a HTTP/1.1\r\nA: b\x01\r\n" HOST, 0, "malformed " },
+	{ "GET /a HTTP/1.1\r\nA: b\r\n c\r\n" HOST, 0, "malformed " },
+	{ "GET  /a HTTP/1.1\r\n" HOST, 0, "malformed " },
+	{ "GET /a  HTTP/1.1\r\n" HOST, 0, "malformed " },
+	{ "GET /a b HTTP/1.1\r\n" HOST, 0, "malformed " },
+	{ "GET /a\x01 HTTP/1.1\r\n" HOST, 0, "malformed " },
+	{ "GET /a HTTP/2.0\r\n" HOST, 0, "malformed " },
+	{ "GET /a HTTP/0.9\r\n" HOST, 0, "malformed " },
+	{ "GET /a\r\n" HOST, 0, "malformed " },
+	{ "POST /a HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\nok", 0,
+	    "malformed " },
+	{ "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n" END, 0,
+	    "malformed " },
+	{ "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	  "2\r\nokXX0\r\n\r\n",
+	    0, "head:0 [ok] malformed " },
+};
+
+static struct str
+message_text(const struct message *message)
+{
+	return str_make(message->text,
+	    message->len > 0 ? message->len : strlen(message->text));
+}
+
+static void
+check_parse(enum http_side side, const struct message *message, size_t first,
+    size_t second)
+{
+	struct str text = message_text(message);
+	char *log = parse(side, text, first, second);
+
+	if (strcmp(log, message->expected) != 0)
+		printf("%.*s cut at %zu, %zu:\n  %s\n  expected %s\n",
+		    STR_ARG(text), first, second, log, message->expected);
+	CU_ASSERT_STRING_EQUAL(log, message->expected);
+	g_free(log);
+}
+
+static void
+check_messages(
+    enum http_side side, const struct message *messages, size_t count)
+{
+	struct rng *rng = rng_seeded_new(1);
+
+	for (size_t i = 0; i < count; i++) {
+		size_t len = message_text(&messages[i]).len;
+
+		for (size_t at = 0; at <= len; at++)
+			check_parse(side, &messages[i], at, at);
+		for (int j = 0; j < RANDOM_CUTS; j++) {
+			size_t first = rng_below(rng, len + 1);
+
+			check_parse(side, &messages[i], first,
+			    first + rng_below(rng, len - first + 1));
+		}
+	}
+	rng_free(rng);
+}
+
+static void
+test_responses(void)
+{
+	check_messages(HTTP_SIDE_CLIENT, responses, G_N_ELEMENTS(responses));
+}
+
+static void
+test_chunked_bodies(void)
+{
+	check_messages(HTTP_SIDE_CLIENT, chunked, G_N_ELEMENTS(chunked));
+}
+
+static void
+test_requests(void)
+{
+	check_messages(HTTP_SIDE_SERVER, requests, G_N_ELEMENTS(requests));
+}
+
+/* Any byte but those of a token ends a name, or the message. */
+static void
+test_each_byte_of_a_name(void)
+{
+	for (int c = 0; c < 256; c++) {
+		GString *text = g_string_new(OK "A");
+		bool is_valid = c < 0x80 &&
+		    (g_ascii_isalnum((char)c) ||
+			(c != 0 && strchr("!#$%&'*+-.^_`|~:", c) != NULL));
+		char *log;
+
+		g_string_append_c(text, (char)c);
+		g_string_append(text, "b: c\r\n" END);
+		log = parse(HTTP_SIDE_CLIENT, str_make(text->str, text->len),
+		    text->len, text->len);
+		CU_ASSERT_STRING_EQUAL(
+		    log, is_valid ? VALID_RESULT : "malformed ");
+		g_free(log);
+		g_string_free(text, TRUE);
+	}
+}
+
+/* Random changes give the same callbacks however the bytes are cut. */
+static void
+test_cuts_of_mutations(void)
+{
+	struct rng *rng = rng_seeded_new(2);
+
+	for (int i = 0; i < MUTATIONS; i++) {
+		bool is_request = rng_below(rng, 3) == 0;
+		const struct message *from = is_request
+		    ? &requests[rng_below(rng, G_N_ELEMENTS(requests))]
+		    : &responses[rng_below(rng, G_N_ELEMENTS(responses))];
+		enum http_side side =
+		    is_request ? HTTP_SIDE_SERVER : HTTP_SIDE_CLIENT;
+		struct str text = message_text(from);
+		char *bytes = g_memdup2(text.ptr, text.len);
+		size_t at = rng_below(rng, text.len);
+		size_t first = rng_below(rng, text.len + 1);
+		char *whole, *cut;
+
+		bytes[at] = (char)rng_below(rng, 256);
+		whole =
+		    parse(side, str_make(bytes, text.len), text.len, text.len);
+		cut = parse(side, str_make(bytes, text.len), first,
+		    first + rng_below(rng, text.len - first + 1));
+		CU_ASSERT_STRING_EQUAL(whole, cut);
+		g_free(whole);
+		g_free(cut);
+		g_free(bytes);
+	}
+	rng_free(rng);
+}
+
+static const struct test_case cases[] = {
+	{ "responses", test_responses },
+	{ "chunked bodies", test_chunked_bodies },
+	{ "requests", test_requests },
+	{ "each byte of a name", test_each_byte_of_a_name },
+	{ "cuts of mutations", test_cuts_of_mutations },
+	{ NULL, NULL },
+};
+
+int
+main(void)
+{
+	return harness_run("odd messages", cases);
+}
--- a/tests/soak/kept_caller.py
+++ b/tests/soak/kept_caller.py
@@ -10,6 +10,8 @@
 
 
 class KeptCaller:
+    read = staticmethod(Callers.read)
+
     def __init__(self, entry, number):
         self.entry = entry  # number of the host
         self.name = f"e{entry}c{number:02}"
@@ -26,7 +28,7 @@
             f"{method} {path} HTTP/1.1\r\nHost: shop.example\r\n"
             f"X-Attempt-Id: {request}\r\nX-Deadline: {DEADLINE_MS}\r\n"
             f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
-        response = await asyncio.wait_for(Callers.read(self.reader), WAIT_S)
+        response = await asyncio.wait_for(self.read(self.reader), WAIT_S)
         if response.headers.get("connection", "") == "close":
             self.close()
         return response
--- a/trefoilhill-proxy/attempt.c
+++ b/trefoilhill-proxy/attempt.c
@@ -187,6 +187,15 @@
 		attempt_write_request(attempt);
 }
 
+/* Record what is wrong with a response that can't be used. */
+static void
+record_malformed(struct attempt *attempt)
+{
+	proxy_count(&attempt->proxy->stats, STAT_RESPONSES_MALFORMED);
+	exchange_log(attempt->exchange, LOG_CLASS_FAILURE, "answer_malformed",
+	    attempt, http_stream_defect(attempt->stream));
+}
+
 /*
  * Find out whether the upstream on this host has crashed, as the connection was
  * lost. Returns true if the attempt fails only when that is known.
@@ -216,6 +225,8 @@
 
 	if (attempt->ended)
 		return;
+	if (malformed)
+		record_malformed(attempt);
 	if (!attempt->local &&
 	    (attempt->sent_ms == 0 || end == HTTP_END_TIMEOUT))
 		peer_health_failed(attempt->proxy, attempt->upstream->peer,
--- a/trefoilhill-proxy/caller.c
+++ b/trefoilhill-proxy/caller.c
@@ -141,6 +141,7 @@
 	    caller->proxy->log, LOG_CLASS_FAILURE, "bad_request");
 
 	json_line_cstr(line, "answer", status_line);
+	json_line_cstr(line, "defect", http_stream_defect(caller->stream));
 	json_log_end(line);
 	proxy_count(&caller->proxy->stats, STAT_BAD_REQUESTS);
 	http_stream_write(caller->stream, str_from(text));
--- a/trefoilhill-proxy/stats.c
+++ b/trefoilhill-proxy/stats.c
@@ -73,6 +73,8 @@
 	    "Callers' requests above the limit of their workspace" },
 	[STAT_RESPONSES_DISCARDED] = { "trefoilhill_answers_discarded_total",
 	    "Upstream answers that belonged to no request in progress" },
+	[STAT_RESPONSES_MALFORMED] = { "trefoilhill_answers_malformed_total",
+	    "Answers of upstreams and peers that are no HTTP/1.1" },
 	[STAT_STORE_READS] = { "trefoilhill_store_reads_total",
 	    "Reads of the platform" },
 	[STAT_STORE_FAILURES] = { "trefoilhill_store_failures_total",
