trefoilhilld: fail a call whose upstream answers with no HTTP/1.1

Change: a status line without three digits from 100 to 599, status 101, a name that is no token and a value with a control byte fail the transfer. Its outcome isn't known then, as after a lost connection.

Conclusion: no answer is made up from a head that is none.

--- a/include/trefoilhilld/response_parser.h
+++ b/include/trefoilhilld/response_parser.h
@@ -16,6 +16,7 @@
 	uint32_t status;
 	bool complete;  /* the head was read to its end */
 	bool too_large; /* the headers exceed the limits of a call frame */
+	bool malformed; /* no HTTP/1.1 response; it must not be used */
 	bool framed;    /* a truncated body can be detected */
 	uint64_t length;
 	bool shed; /* the upstream reports that it did not start the request */
--- a/trefoilhilld/data_path/response_parser.c
+++ b/trefoilhilld/data_path/response_parser.c
@@ -1,10 +1,15 @@
 #include <string.h>
 
+#include "common/http_text.h"
 #include "trefoilhilld/response_parser.h"
 #include "trefoilhilld/header_filter.h"
 
 enum {
+	STATUS_MIN = 100,
+	STATUS_SWITCHING = 101, /* never requested */
 	STATUS_OK = 200,
+	STATUS_MAX = 599,
+	STATUS_DIGITS = 3,
 	STATUS_NO_CONTENT = 204,
 	STATUS_NOT_MODIFIED = 304,
 	STATUS_UNAVAILABLE = 503,
@@ -109,6 +114,26 @@
 		parser->framed = true;
 }
 
+/* Parse the status of a status line; false if it is none. */
+static bool
+read_status(struct str line, uint32_t *status)
+{
+	const char *space = memchr(line.ptr, ' ', line.len);
+	size_t at = space == NULL ? line.len : (size_t)(space + 1 - line.ptr);
+
+	if (line.len < at + STATUS_DIGITS ||
+	    (line.len > at + STATUS_DIGITS &&
+		line.ptr[at + STATUS_DIGITS] != ' '))
+		return false;
+	for (size_t i = at; i < at + STATUS_DIGITS; i++)
+		if (!g_ascii_isdigit(line.ptr[i]))
+			return false;
+	*status =
+	    (uint32_t)parse_number(str_make(line.ptr + at, STATUS_DIGITS));
+	return *status >= STATUS_MIN && *status <= STATUS_MAX &&
+	    *status != STATUS_SWITCHING;
+}
+
 /*
  * Parse one header line as delivered by libcurl, including its line end.
  */
@@ -126,13 +151,8 @@
 		return;
 	}
 	if (str_has_prefix(line, str_from("HTTP/"))) {
-		const char *space = memchr(line.ptr, ' ', line.len);
-
 		response_parser_reset(parser);
-		if (space != NULL)
-			parser->status =
-			    (uint32_t)parse_number(str_make(space + 1,
-				line.len - (size_t)(space + 1 - line.ptr)));
+		parser->malformed = !read_status(line, &parser->status);
 		return;
 	}
 	colon = memchr(line.ptr, ':', line.len);
@@ -142,6 +162,10 @@
 	value = str_make(colon + 1, line.len - name.len - 1);
 	while (value.len > 0 && g_ascii_isspace(value.ptr[0]))
 		value = str_make(value.ptr + 1, value.len - 1);
+	if (!http_is_token(name) || !http_is_value(value)) {
+		parser->malformed = true;
+		return;
+	}
 	interpret_header(parser, name, value);
 	store_header(parser, name, value);
 }
--- a/trefoilhilld/data_path/upstream_client.c
+++ b/trefoilhilld/data_path/upstream_client.c
@@ -66,7 +66,9 @@
 	if (client->parser.complete && !was_complete)
 		client->result->latency_us = (uint32_t)timespec_us_between(
 		    client->send_started, clock_now(client->clock));
-	return client->parser.too_large ? 0 : size * count;
+	return client->parser.too_large || client->parser.malformed
+	    ? 0
+	    : size * count;
 }
 
 static void
