proxy: keep the grace period of a stop that has begun

Callers got no answer to requests that a stopping node had taken and passed on, also to those that may run once, when the settings named a shorter grace period while it stopped.

Cause: the end of the process was worked out from the settings in force at each look, so that a change moved it before the deadlines it had been compared with.

Change: the grace period of the moment at which the stop begins holds for it.

Conclusion: the platform's kill follows the period it told before its signal.

--- a/include/trefoilhill-proxy/proxy.h
+++ b/include/trefoilhill-proxy/proxy.h
@@ -58,6 +58,7 @@
 	uint32_t exchanges;              /* in progress */
 	bool stopping;
 	int64_t stop_started_ms; /* start of the shutdown */
+	int64_t stop_grace_ms;   /* of the shutdown; settings may change */
 	uv_timer_t tick;
 	struct proxy_stats stats;
 };
--- a/trefoilhill-proxy/proxy.c
+++ b/trefoilhill-proxy/proxy.c
@@ -71,11 +71,9 @@
 bool
 proxy_exits_before(const struct proxy *proxy, int64_t at_ms)
 {
-	int64_t grace_ms = proxy->settings->node.grace_ms;
-
 	return proxy->stopping &&
-	    at_ms >
-	    proxy->stop_started_ms + grace_ms * STOP_EXIT_PERCENT / PERCENT;
+	    at_ms > proxy->stop_started_ms +
+		proxy->stop_grace_ms * STOP_EXIT_PERCENT / PERCENT;
 }
 
 /*
@@ -85,11 +83,9 @@
 bool
 proxy_refuses_peers(const struct proxy *proxy)
 {
-	int64_t grace_ms = proxy->settings->node.grace_ms;
-
 	return proxy->stopping &&
 	    proxy_now_ms(proxy) - proxy->stop_started_ms >=
-	    grace_ms * STOP_REFUSE_PEERS_PERCENT / PERCENT;
+	    proxy->stop_grace_ms * STOP_REFUSE_PEERS_PERCENT / PERCENT;
 }
 
 static void
@@ -152,7 +148,7 @@
 advance_shutdown(struct proxy *proxy)
 {
 	int64_t elapsed_ms = proxy_now_ms(proxy) - proxy->stop_started_ms;
-	int64_t grace_ms = proxy->settings->node.grace_ms;
+	int64_t grace_ms = proxy->stop_grace_ms;
 	bool idle =
 	    proxy->exchanges == 0 && g_hash_table_size(proxy->callers) == 0;
 
@@ -190,6 +186,7 @@
 		return;
 	proxy->stopping = true;
 	proxy->stop_started_ms = proxy_now_ms(proxy);
+	proxy->stop_grace_ms = proxy->settings->node.grace_ms;
 	log_lifecycle(proxy, "stopping");
 	heartbeat_announce(proxy->heartbeat);
 }
