proxy: answer every request before a stopping process ends

Callers whose requests were still in progress at the end of the grace period had their connections closed without an answer, also where the request had not run and could have been told so.

Cause: the loop was stopped, and the connections went with the process.

Change: at the end each request gets 503 if it has not run and 502 if it may have; an answer that has begun is cut so that its caller notices. Nothing is sent to upstreams from then on, at the one place where all sends pass.

Conclusion: what is known of a request is told before the process ends.

--- a/include/trefoilhill-proxy/caller.h
+++ b/include/trefoilhill-proxy/caller.h
@@ -41,6 +41,8 @@
 void caller_close_idle(struct caller *caller);
 /* Notice callers that have gone, though reading from them is paused. */
 void callers_check_gone(struct proxy *proxy);
+/* The process ends: respond to all requests in progress. */
+void callers_end_by_stop(struct proxy *proxy);
 /* Bytes that wait for their turn, of all callers. */
 uint64_t callers_buffered_bytes(const struct proxy *proxy);
 /* Bytes that wait for their turn; see PIPELINE_BUFFER_MAX_BYTES. */
--- a/include/trefoilhill-proxy/exchange.h
+++ b/include/trefoilhill-proxy/exchange.h
@@ -17,6 +17,8 @@
 #define EXCHANGE_REASON_QUARANTINED "quarantined"
 /* Reason of requests that no upstream has a place for. */
 #define EXCHANGE_REASON_NO_ROOM "no_room"
+/* The process stops, or has no time left for the request. */
+#define EXCHANGE_REASON_STOPPING "stopping"
 
 /* A request and its response. */
 struct exchange {
@@ -106,6 +108,8 @@
 /* Private to exchange*.c, attempt*.c and caller.c. */
 extern const struct attempt_ops exchange_attempt_ops;
 void exchange_handle_deadline(uv_timer_t *timer);
+/* The process ends: respond, or cut the response. */
+void exchange_end_by_stop(struct exchange *exchange);
 void exchange_push_body(struct exchange *exchange);
 void exchange_dispatch(struct exchange *exchange);
 /*
--- a/include/trefoilhill-proxy/proxy.h
+++ b/include/trefoilhill-proxy/proxy.h
@@ -59,6 +59,7 @@
 	bool stopping;
 	int64_t stop_started_ms; /* start of the shutdown */
 	int64_t stop_grace_ms;   /* of the shutdown; settings may change */
+	bool ending;             /* nothing more is sent to upstreams */
 	uv_timer_t tick;
 	struct proxy_stats stats;
 };
--- a/tests/soak/test_stop_answers.py
+++ b/tests/soak/test_stop_answers.py
@@ -2,9 +2,9 @@
 """A stopping node ends what it has begun.
 
 One real node that is stopped. Its caller reads the answer slowly, or the settings
-name a shorter grace period while it stops. Guards against an answer whose rest is lost
-as the process ends, and a request that is cut since the end came sooner than it had
-counted on.
+name a shorter grace period while it stops, or a request lasts longer than the grace
+period. Guards against an answer whose rest is lost as the process ends, a request that
+is cut since the end came sooner than it had counted on, and one that gets no answer.
 
 usage: test_stop_answers.py PROGRAM
 """
@@ -175,13 +175,25 @@
     return None
 
 
+async def outlast(deployment):
+    tasks = [asyncio.create_task(send(kind, 8500, f"long-{kind}"))
+             for kind in ("get", "post")]
+    await asyncio.sleep(0.3)
+    deployment.stop()
+    statuses = await asyncio.gather(*tasks)
+    if statuses != [502, 502]:
+        return f"requests longer than the grace period: {statuses}"
+    return None
+
+
 async def run(program, directory):
     deployment = Deployment(program, directory)
     wrong = []
     await deployment.start()
     for step in (lambda: stop_slow_reader(deployment, "get"),
                  lambda: stop_slow_reader(deployment, "bulk"),
-                 lambda: shorten_grace(deployment)):
+                 lambda: shorten_grace(deployment),
+                 lambda: outlast(deployment)):
         found = await step()
         if not await deployment.wait_gone():
             wrong.append("the node outlived its grace period")
@@ -189,7 +201,7 @@
             wrong.append(found)
         await deployment.restart()
     await deployment.host.stop_node(signal.SIGKILL)
-    print(f"3 stops: {wrong or 'passed'}")
+    print(f"4 stops: {wrong or 'passed'}")
     return not wrong
 
 
--- a/trefoilhill-proxy/attempt.c
+++ b/trefoilhill-proxy/attempt.c
@@ -157,6 +157,11 @@
 	    ? UINT32_MAX
 	    : NON_IDEMPOTENT_IDLE_MAX_MS;
 
+	if (attempt->proxy->ending) {
+		attempt_fail(
+		    attempt, ATTEMPT_FAILURE_NOT_RUN, EXCHANGE_REASON_STOPPING);
+		return;
+	}
 	if (attempt->local && !exchange_may_run(attempt->exchange)) {
 		attempt->blocked = true;
 		attempt_fail(attempt, ATTEMPT_FAILURE_NOT_RUN,
--- a/trefoilhill-proxy/caller_pipeline.c
+++ b/trefoilhill-proxy/caller_pipeline.c
@@ -267,6 +267,31 @@
 	g_list_free(callers);
 }
 
+/*
+ * End all requests, as the process ends: each gets a response, unless its
+ * connection is cut in the middle of one.
+ */
+void
+callers_end_by_stop(struct proxy *proxy)
+{
+	GList *callers = g_hash_table_get_keys(proxy->callers);
+
+	/* Those that end make room for others at the upstream. */
+	proxy->ending = true;
+	for (GList *link = callers; link != NULL; link = link->next) {
+		struct caller *caller = link->data;
+		struct exchange *first;
+
+		while (caller->stream != NULL &&
+		    (first = g_queue_peek_head(&caller->exchanges)) != NULL) {
+			exchange_end_by_stop(first);
+			if (g_queue_peek_head(&caller->exchanges) == first)
+				break;
+		}
+	}
+	g_list_free(callers);
+}
+
 /*
  * Return the bytes that wait for their turn, on all connections.
  */
--- a/trefoilhill-proxy/exchange.c
+++ b/trefoilhill-proxy/exchange.c
@@ -194,9 +194,9 @@
 	caller_cut(caller, is_delimited);
 }
 
-/* The deadline has passed without a response. */
-static void
-respond_deadline(struct exchange *exchange)
+/* Cancel all attempts; returns whether the request may have run. */
+static bool
+give_up(struct exchange *exchange)
 {
 	bool sent = exchange->may_have_run;
 
@@ -206,9 +206,36 @@
 			exchange->attempts[i]->may_run);
 	exchange->may_have_run = sent;
 	exchange_cancel_attempts(exchange, NULL);
+	return sent;
+}
+
+/* The deadline has passed without a response. */
+static void
+respond_deadline(struct exchange *exchange)
+{
+	bool sent = give_up(exchange);
+
 	exchange_respond(exchange, sent ? 504 : 503, "deadline", !sent);
 }
 
+/*
+ * The process ends: respond, or cut a response that has started.
+ */
+void
+exchange_end_by_stop(struct exchange *exchange)
+{
+	bool sent;
+
+	if (exchange->committed) {
+		exchange_abort_response(
+		    exchange, exchange->responding, EXCHANGE_REASON_STOPPING);
+		return;
+	}
+	sent = give_up(exchange);
+	exchange_respond(
+	    exchange, sent ? 502 : 503, EXCHANGE_REASON_STOPPING, !sent);
+}
+
 /*
  * The caller's deadline or the route's timeout has passed.
  */
--- a/trefoilhill-proxy/exchange_begin.c
+++ b/trefoilhill-proxy/exchange_begin.c
@@ -148,7 +148,7 @@
 		return false;
 	count_request(exchange);
 	if (proxy_exits_before(proxy, exchange->deadline_ms)) {
-		exchange_respond(exchange, 503, "stopping", true);
+		exchange_respond(exchange, 503, EXCHANGE_REASON_STOPPING, true);
 		return false;
 	}
 	if (exchange->has_length &&
--- a/trefoilhill-proxy/exchange_dispatch.c
+++ b/trefoilhill-proxy/exchange_dispatch.c
@@ -213,7 +213,8 @@
 	struct upstream *upstream = gate_upstream(exchange->proxy->gate);
 
 	if (proxy_refuses_peers(exchange->proxy)) {
-		exchange_respond(exchange, 503, "stopping", false);
+		exchange_respond(
+		    exchange, 503, EXCHANGE_REASON_STOPPING, false);
 		return;
 	}
 	if (!gate_accepts_instance(
--- a/trefoilhill-proxy/exchange_turn.c
+++ b/trefoilhill-proxy/exchange_turn.c
@@ -138,7 +138,7 @@
 {
 	exchange->waiting = false;
 	if (proxy_exits_before(exchange->proxy, exchange->deadline_ms))
-		exchange_respond(exchange, 503, "stopping", true);
+		exchange_respond(exchange, 503, EXCHANGE_REASON_STOPPING, true);
 	else
 		exchange_dispatch(exchange);
 }
--- a/trefoilhill-proxy/proxy.c
+++ b/trefoilhill-proxy/proxy.c
@@ -157,9 +157,11 @@
 		http_listener_close(g_steal_pointer(&proxy->mesh_listener));
 		close_idle_callers(proxy);
 	}
-	if ((idle && elapsed_ms >= STOP_MIN_MS) ||
-	    elapsed_ms >= grace_ms * STOP_EXIT_PERCENT / PERCENT)
-		uv_stop(proxy->loop);
+	if (elapsed_ms >= grace_ms * STOP_EXIT_PERCENT / PERCENT)
+		callers_end_by_stop(proxy);
+	else if (!idle || elapsed_ms < STOP_MIN_MS)
+		return;
+	uv_stop(proxy->loop);
 }
 
 static void
