http: keep a pool as long as its connections

Cause: the registration's move freed the peer of the former host, and with it the pool to which attempts in progress returned their connections. After a move an attempt also took the new host's peer for the one it had been sent to.

Change: a connection holds a reference to its pool and is returned without naming it, so that nobody can name a freed one. An attempt holds its peer.

--- a/http/call.c
+++ b/http/call.c
@@ -70,7 +70,7 @@
 	call->settings.handle_result(call->settings.arg, &result);
 	if (outcome == HTTP_CALL_RESPONSE) {
 		call->stream = NULL;
-		http_pool_release(call->pool, stream);
+		http_pool_release(stream);
 	}
 	call_release(call);
 }
--- a/http/pool.c
+++ b/http/pool.c
@@ -17,6 +17,8 @@
 };
 
 struct http_pool {
+	uint32_t refs; /* of its owner, and of all its open connections */
+	bool closed;   /* the owner has freed it */
 	uv_loop_t *loop;
 	struct http_pool_settings settings;
 	GArray *idle; /* struct idle_stream, oldest first */
@@ -81,10 +83,8 @@
 static void
 handle_drain_message(struct http_stream *stream)
 {
-	struct http_pool *pool = stream->owner;
-
-	pool_remove(pool, stream);
-	http_pool_release(pool, stream);
+	pool_remove(stream->owner, stream);
+	http_pool_release(stream);
 }
 
 static const struct http_stream_ops drain_ops = {
@@ -126,6 +126,7 @@
 {
 	struct http_pool *pool = g_new0(struct http_pool, 1);
 
+	pool->refs = 1;
 	pool->loop = loop;
 	pool->settings = *settings;
 	pool->idle = g_array_new(FALSE, FALSE, sizeof(struct idle_stream));
@@ -141,18 +142,30 @@
 	g_free(handle);
 }
 
+static void
+pool_unref(void *arg)
+{
+	struct http_pool *pool = arg;
+
+	if (--pool->refs > 0)
+		return;
+	g_array_free(pool->idle, TRUE);
+	g_free(pool);
+}
+
 /*
- * Free a pool and close its idle connections. NULL is allowed.
+ * Free a pool and close its idle connections. Those in use are closed when they
+ * are returned. NULL is allowed.
  */
 void
 http_pool_free(struct http_pool *pool)
 {
 	if (pool == NULL)
 		return;
+	pool->closed = true;
 	http_pool_close_idle(pool);
 	uv_close((uv_handle_t *)pool->sweep_timer, handle_timer_closed);
-	g_array_free(pool->idle, TRUE);
-	g_free(pool);
+	pool_unref(pool);
 }
 
 /*
@@ -205,6 +218,9 @@
 	struct http_stream *stream =
 	    http_stream_new(pool->loop, HTTP_SIDE_CLIENT, ops, owner);
 
+	pool->refs++;
+	stream->release = pool_unref;
+	stream->release_arg = pool;
 	if (pool->settings.unacknowledged_ms > 0)
 		stream->unacknowledged_ms = pool->settings.unacknowledged_ms;
 	if (!http_stream_connect(stream, &pool->settings.address)) {
@@ -238,11 +254,13 @@
 
 /*
  * Return a stream after a complete response. It is closed if the peer doesn't
- * keep it open, if it has unsent or unread bytes, or if the pool is full.
+ * keep it open, if it has unsent or unread bytes, or if the pool is full or
+ * freed.
  */
 void
-http_pool_release(struct http_pool *pool, struct http_stream *stream)
+http_pool_release(struct http_stream *stream)
 {
+	struct http_pool *pool = stream->release_arg;
 	uint32_t idle_ms = keepalive_timeout_ms(pool, stream);
 	struct idle_stream idle = {
 		.stream = stream,
@@ -252,8 +270,9 @@
 
 	if (stream->closing)
 		return;
-	if (!stream->keep_alive || stream->eof || stream->pending != NULL ||
-	    idle_ms == 0 || http_stream_queued_bytes(stream) > 0 ||
+	if (pool->closed || !stream->keep_alive || stream->eof ||
+	    stream->pending != NULL || idle_ms == 0 ||
+	    http_stream_queued_bytes(stream) > 0 ||
 	    pool->idle->len >= pool->settings.idle_max) {
 		http_stream_close(stream);
 		return;
@@ -272,8 +291,9 @@
  * rest arrives within DRAIN_TIMEOUT_MS, and closed otherwise.
  */
 void
-http_pool_drain(struct http_pool *pool, struct http_stream *stream)
+http_pool_drain(struct http_stream *stream)
 {
+	struct http_pool *pool = stream->release_arg;
 	struct idle_stream idle = {
 		.stream = stream,
 		.idle_since_ms = uv_now(pool->loop),
@@ -283,6 +303,10 @@
 
 	if (stream->closing)
 		return;
+	if (pool->closed) {
+		http_stream_abort(stream);
+		return;
+	}
 	stream->ops = &drain_ops;
 	stream->owner = pool;
 	g_array_append_val(pool->idle, idle);
--- a/http/stream.c
+++ b/http/stream.c
@@ -31,6 +31,8 @@
 		g_byte_array_free(stream->pending, TRUE);
 	g_string_free(stream->field_name, TRUE);
 	g_string_free(stream->field_value, TRUE);
+	if (stream->release != NULL)
+		stream->release(stream->release_arg);
 	g_free(stream);
 }
 
--- a/include/http/pool.h
+++ b/include/http/pool.h
@@ -19,7 +19,10 @@
 
 struct http_pool *http_pool_new(
     uv_loop_t *loop, const struct http_pool_settings *settings);
-/* Closes idle connections; streams in use stay open. NULL is allowed. */
+/*
+ * Closes idle connections; streams in use stay open, and may still be returned.
+ * NULL is allowed.
+ */
 void http_pool_free(struct http_pool *pool);
 /*
  * Take the most recently used idle stream; NULL if there is none that was idle
@@ -33,10 +36,10 @@
  */
 struct http_stream *http_pool_connect(
     struct http_pool *pool, const struct http_stream_ops *ops, void *owner);
-/* Return a stream whose response was read completely. */
-void http_pool_release(struct http_pool *pool, struct http_stream *stream);
-/* Return a stream whose response is unwanted and may be incomplete. */
-void http_pool_drain(struct http_pool *pool, struct http_stream *stream);
+/* Return a stream to its pool whose response was read completely. */
+void http_pool_release(struct http_stream *stream);
+/* Return a stream to its pool whose response is unwanted, maybe incomplete. */
+void http_pool_drain(struct http_stream *stream);
 /* Close all idle connections, e.g. when the peer may have gone. */
 void http_pool_close_idle(struct http_pool *pool);
 size_t http_pool_idle_count(const struct http_pool *pool);
--- a/include/http/stream.h
+++ b/include/http/stream.h
@@ -96,6 +96,9 @@
 	bool discarding; /* drops what it receives */
 	bool above_high_mark;
 	uint64_t body_bytes; /* received of this message */
+	/* Called with release_arg when the stream is freed. May be NULL. */
+	void (*release)(void *release_arg);
+	void *release_arg;
 };
 
 /* Create a stream for an accepted or an outgoing connection. */
--- a/include/trefoilhill-proxy/attempt.h
+++ b/include/trefoilhill-proxy/attempt.h
@@ -42,8 +42,10 @@
 	struct exchange *exchange;
 	struct proxy *proxy;
 	struct upstream *upstream; /* holds a reference */
-	uint32_t number;           /* within the exchange, from 0 */
-	bool local;                /* through this host's gate, not a peer */
+	/* Holds a reference: the upstream's registration may move on. */
+	struct fleet_peer *peer;
+	uint32_t number; /* within the exchange, from 0 */
+	bool local;      /* through this host's gate, not a peer */
 	bool hedge;
 	bool is_retry; /* an earlier attempt has reached an upstream */
 	int64_t started_ms;
--- a/tests/http/test_stream.c
+++ b/tests/http/test_stream.c
@@ -252,24 +252,70 @@
 	g_string_free(text, TRUE);
 }
 
-/* Bytes received on an idle connection must not answer the next request. */
-static void
-test_pool_drops_a_connection_with_late_bytes(void)
+/* Replace the fixture's stream by one of a pool, which is returned. */
+static struct http_pool *
+fixture_use_pool(struct fixture *f)
 {
 	struct http_pool_settings settings = {
+		.address = f->address,
 		.idle_max = 4,
 		.idle_default_ms = 10000,
 		.idle_max_ms = 10000,
 	};
+	struct http_pool *pool = http_pool_new(&f->loop, &settings);
+
+	http_stream_abort(f->stream);
+	close(f->raw);
+	f->stream = http_pool_connect(pool, &ops, f);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(f->stream);
+	f->raw = accept(f->listener, NULL, NULL);
+	while (!f->stream->connected)
+		uv_run(&f->loop, UV_RUN_ONCE);
+	return pool;
+}
+
+/*
+ * An upstream that moves to another host takes the pool of the former one with
+ * it, while requests are in progress there.
+ */
+static void
+test_a_connection_outlives_its_pool(void)
+{
+	struct http_pool *pool;
+	struct fixture f;
+
+	fixture_init(&f);
+	pool = fixture_use_pool(&f);
+	http_pool_free(pool);
+	uv_run(&f.loop, UV_RUN_NOWAIT);
+	raw_send(&f, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1");
+	CU_ASSERT_TRUE(wait_for(&f, "message"));
+	http_pool_release(f.stream);
+	f.stream = NULL;
+	fixture_clear(&f);
+	fixture_init(&f);
+	pool = fixture_use_pool(&f);
+	raw_send(&f, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n1");
+	CU_ASSERT_TRUE(wait_for(&f, "head"));
+	http_pool_free(pool);
+	uv_run(&f.loop, UV_RUN_NOWAIT);
+	http_pool_drain(f.stream);
+	f.stream = NULL;
+	fixture_clear(&f);
+}
+
+/* Bytes received on an idle connection must not answer the next request. */
+static void
+test_pool_drops_a_connection_with_late_bytes(void)
+{
 	struct http_pool *pool;
 	struct fixture f;
 
 	fixture_init(&f);
-	settings.address = f.address;
-	pool = http_pool_new(&f.loop, &settings);
+	pool = fixture_use_pool(&f);
 	raw_send(&f, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1");
 	CU_ASSERT_TRUE(wait_for(&f, "message"));
-	http_pool_release(pool, f.stream);
+	http_pool_release(f.stream);
 	f.stream = NULL;
 	CU_ASSERT_EQUAL(http_pool_idle_count(pool), 1);
 	raw_send(&f, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n2");
@@ -292,6 +338,8 @@
 	{ "bytes that are not HTTP", test_bytes_that_are_not_http },
 	{ "a large head is refused", test_large_head_is_refused },
 	{ "interim responses are bounded", test_interim_responses_are_bounded },
+	{ "a connection outlives its pool",
+	    test_a_connection_outlives_its_pool },
 	{ "the pool drops a connection with late bytes",
 	    test_pool_drops_a_connection_with_late_bytes },
 	{ NULL, NULL },
--- a/trefoilhill-proxy/attempt.c
+++ b/trefoilhill-proxy/attempt.c
@@ -36,6 +36,7 @@
 {
 	struct attempt *attempt = (struct attempt *)handle;
 
+	fleet_peer_unref(attempt->peer);
 	upstream_unref(attempt->upstream);
 	g_free(attempt);
 }
@@ -125,7 +126,7 @@
 		return;
 	if (!attempt->local)
 		peer_health_failed(
-		    attempt->proxy, attempt->upstream->peer, "connect_timeout");
+		    attempt->proxy, attempt->peer, "connect_timeout");
 	attempt_fail(attempt, ATTEMPT_FAILURE_NOT_RUN, "connect_timeout");
 }
 
@@ -234,7 +235,7 @@
 		record_malformed(attempt);
 	if (!attempt->local &&
 	    (attempt->sent_ms == 0 || end == HTTP_END_TIMEOUT))
-		peer_health_failed(attempt->proxy, attempt->upstream->peer,
+		peer_health_failed(attempt->proxy, attempt->peer,
 		    attempt->sent_ms == 0 ? "unreachable" : "silent");
 	if (attempt->sent_ms == 0) {
 		attempt_fail(attempt, ATTEMPT_FAILURE_NOT_RUN, "unreachable");
@@ -338,7 +339,7 @@
 static struct http_pool *
 peer_pool(struct attempt *attempt)
 {
-	struct fleet_peer *peer = attempt->upstream->peer;
+	struct fleet_peer *peer = attempt->peer;
 	struct http_pool_settings settings = {
 		.address = attempt->proxy->mesh_address,
 		.idle_max = PEER_IDLE_CONNECTIONS_MAX,
@@ -366,6 +367,7 @@
 	attempt->exchange = exchange;
 	attempt->proxy = exchange->proxy;
 	attempt->upstream = upstream_ref(upstream);
+	attempt->peer = fleet_peer_ref(upstream->peer);
 	attempt->started_ms = proxy_now_ms(exchange->proxy);
 	attempt->local = upstream == gate_upstream(exchange->proxy->gate);
 	attempt->needs_confirmation =
@@ -388,7 +390,7 @@
 		return;
 	}
 	fleet_zone_begin_request(
-	    attempt->upstream->peer->zone, proxy_now_ms(attempt->proxy));
+	    attempt->peer->zone, proxy_now_ms(attempt->proxy));
 	attempt->pool = peer_pool(attempt);
 	attempt_connect(attempt);
 }
--- a/trefoilhill-proxy/attempt_confirm.c
+++ b/trefoilhill-proxy/attempt_confirm.c
@@ -38,7 +38,7 @@
 
 	if (attempt->ended || attempt->may_run)
 		return;
-	peer_health_failed(attempt->proxy, attempt->upstream->peer, "no_grant");
+	peer_health_failed(attempt->proxy, attempt->peer, "no_grant");
 	attempt_fail(attempt, ATTEMPT_FAILURE_NOT_RUN, "no_grant");
 }
 
--- a/trefoilhill-proxy/attempt_response.c
+++ b/trefoilhill-proxy/attempt_response.c
@@ -38,7 +38,7 @@
 	attempt_end_request(attempt);
 	attempt->stream = NULL;
 	if (attempt->body_end_sent)
-		http_pool_drain(attempt->pool, stream);
+		http_pool_drain(stream);
 	else
 		http_stream_abort(stream);
 }
@@ -173,7 +173,7 @@
 	char reason[64];
 
 	hop_read_response(head, &response);
-	peer_health_responded(attempt->proxy, upstream->peer);
+	peer_health_responded(attempt->proxy, attempt->peer);
 	if (response.has_load)
 		upstream_set_load(
 		    catalog_current(attempt->proxy->catalog, upstream),
@@ -282,7 +282,7 @@
 	    proxy_now_ms(attempt->proxy) - attempt->sent_ms);
 	/* The upstream would parse the rest of the body as a new request. */
 	if (attempt->body_end_sent)
-		http_pool_release(attempt->pool, stream);
+		http_pool_release(stream);
 	else
 		http_stream_abort(stream);
 	if (attempt->local && attempt->exchange->bulk)
