fleet: take hosts of configured services only for peers

Cause: the host of every registration became a peer, before its service was looked at. Peers rank as readers of a zone, are sent heartbeats, and divide the retry budget.

Change: a host is a peer if one of its upstreams is of a configured service; before the first configuration every host is.

--- a/fleet/catalog.c
+++ b/fleet/catalog.c
@@ -9,12 +9,6 @@
 	upstream_unref(upstream);
 }
 
-static void
-peer_unref(void *peer)
-{
-	fleet_peer_unref(peer);
-}
-
 static void
 zone_unref(void *zone)
 {
@@ -45,8 +39,8 @@
 	catalog->last_lookup = g_new0(struct upstream_lookup, 1);
 	catalog->groups =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, group_free);
-	catalog->peers = g_hash_table_new_full(
-	    g_direct_hash, g_direct_equal, NULL, peer_unref);
+	catalog->peers = catalog_peer_table_new();
+	catalog->peer_zones = g_hash_table_new(g_str_hash, g_str_equal);
 	catalog->zones =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, zone_unref);
 	catalog->zone_outages = zone_outages_new();
@@ -65,6 +59,7 @@
 	g_hash_table_destroy(catalog->groups);
 	g_hash_table_destroy(catalog->upstreams);
 	g_hash_table_destroy(catalog->peers);
+	g_hash_table_destroy(catalog->peer_zones);
 	g_hash_table_destroy(catalog->zones);
 	zone_outages_free(catalog->zone_outages);
 	departed_free(catalog->departed);
@@ -122,6 +117,7 @@
     const struct catalog_origin *origin)
 {
 	uint64_t revision = origin->position.revision;
+	bool is_first = catalog->config == NULL;
 
 	if (!is_config_current(catalog, change->config, origin)) {
 		catalog_emit_event(catalog, CATALOG_EVENT_CONFIG_STALE,
@@ -134,6 +130,7 @@
 	catalog->config_position = origin->position;
 	catalog->config_ms = origin->now_ms;
 	catalog_configure_upstreams(catalog, revision);
+	catalog_update_peers(catalog, is_first);
 	catalog_emit_event(catalog, CATALOG_EVENT_CONFIG,
 	    catalog->config->label, "", revision);
 }
@@ -266,24 +263,6 @@
 	return zone_outages_is_out(catalog->zone_outages, zone);
 }
 
-/*
- * Return the peers, keyed by host address in network byte order.
- */
-GHashTable *
-catalog_peers(const struct catalog *catalog)
-{
-	return catalog->peers;
-}
-
-/*
- * Return the number of zones in which upstreams are or were listed.
- */
-uint32_t
-catalog_zone_count(const struct catalog *catalog)
-{
-	return g_hash_table_size(catalog->zones);
-}
-
 /*
  * Return the number of listed upstreams.
  */
--- a/fleet/catalog_upstreams.c
+++ b/fleet/catalog_upstreams.c
@@ -11,33 +11,6 @@
 	    own->sin_port == address->sin_port;
 }
 
-static struct fleet_zone *
-zone_get_or_create(struct catalog *catalog, const char *name)
-{
-	struct fleet_zone *zone = g_hash_table_lookup(catalog->zones, name);
-
-	if (zone == NULL) {
-		zone = fleet_zone_new(name);
-		g_hash_table_insert(catalog->zones, zone->name, zone);
-	}
-	return zone;
-}
-
-static struct fleet_peer *
-peer_get_or_create(struct catalog *catalog, const struct upstream_entry *entry)
-{
-	struct in_addr host = entry->address.sin_addr;
-	void *key = GUINT_TO_POINTER(host.s_addr);
-	struct fleet_peer *peer = g_hash_table_lookup(catalog->peers, key);
-
-	if (peer == NULL) {
-		peer = fleet_peer_new(
-		    host, zone_get_or_create(catalog, entry->zone));
-		g_hash_table_insert(catalog->peers, key, peer);
-	}
-	return peer;
-}
-
 static void
 group_add(struct catalog *catalog, struct upstream *upstream)
 {
@@ -64,23 +37,6 @@
 		g_ptr_array_remove(group->upstreams, upstream);
 }
 
-/* Remove the peer of a host that has no listed upstream left. */
-static void
-peer_remove_unused(struct catalog *catalog, struct in_addr host)
-{
-	GHashTableIter iter;
-	void *value;
-
-	g_hash_table_iter_init(&iter, catalog->upstreams);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct upstream *upstream = value;
-
-		if (upstream->entry.address.sin_addr.s_addr == host.s_addr)
-			return;
-	}
-	g_hash_table_remove(catalog->peers, GUINT_TO_POINTER(host.s_addr));
-}
-
 static void
 upstream_remove(
     struct catalog *catalog, struct upstream *upstream, uint64_t revision)
@@ -94,7 +50,7 @@
 	group_remove(catalog, upstream);
 	g_hash_table_remove(catalog->upstreams, upstream->entry.id);
 	catalog->upstreams_version++;
-	peer_remove_unused(catalog, host);
+	catalog_unlist_peer(catalog, host);
 }
 
 /* Let catalog_expire_upstreams look for removals at a time. */
@@ -184,6 +140,52 @@
 	    upstream->entry.service, revision);
 }
 
+/* Add the upstream of a new registration. */
+static void
+add_upstream(struct catalog *catalog, struct upstream_entry *entry,
+    const struct catalog_origin *origin)
+{
+	struct fleet_peer *peer = catalog_peer_for(catalog, entry);
+	struct upstream *upstream = upstream_new(entry, peer);
+
+	fleet_peer_unref(peer);
+	upstream->cold_until_ms = origin->now_ms + upstream->entry.cold_ms;
+	departed_restore(catalog->departed, upstream);
+	g_hash_table_insert(
+	    catalog->upstreams, g_strdup(upstream->entry.id), upstream);
+	catalog->upstreams_version++;
+	group_add(catalog, upstream);
+	take_address(catalog, upstream, origin->position.revision);
+	catalog_update_peer(catalog, upstream);
+	upstream_emit_event(catalog, upstream, origin->position.revision);
+}
+
+/* Update an upstream, which may have started again on another host. */
+static void
+update_upstream(struct catalog *catalog, struct upstream *upstream,
+    struct upstream_entry *entry, const struct catalog_origin *origin)
+{
+	struct in_addr former = upstream->entry.address.sin_addr;
+	bool leaving = departed_covers(catalog->departed, entry);
+
+	group_remove(catalog, upstream);
+	upstream_update(upstream, entry, origin->now_ms);
+	catalog->upstreams_version++;
+	upstream->notice.leaving |= leaving;
+	group_add(catalog, upstream);
+	if (former.s_addr != upstream->entry.address.sin_addr.s_addr) {
+		struct fleet_peer *peer = upstream->peer;
+
+		upstream->peer = catalog_peer_for(catalog, &upstream->entry);
+		fleet_peer_unref(peer);
+	}
+	take_address(catalog, upstream, origin->position.revision);
+	catalog_update_peer(catalog, upstream);
+	if (former.s_addr != upstream->entry.address.sin_addr.s_addr)
+		catalog_unlist_peer(catalog, former);
+	upstream_emit_event(catalog, upstream, origin->position.revision);
+}
+
 /*
  * Add or update an upstream from its registration. A stale registration is
  * reported and ignored; otherwise the entry's strings are taken over.
@@ -194,51 +196,17 @@
 {
 	struct upstream *upstream =
 	    g_hash_table_lookup(catalog->upstreams, entry->id);
-	uint64_t revision = origin->position.revision;
-	int64_t now_ms = origin->now_ms;
-	struct in_addr old_host;
-	bool leaving;
+	bool stale = upstream == NULL
+	    ? departed_covers(catalog->departed, entry)
+	    : !upstream_entry_is_current(upstream, entry);
 
-	if (upstream == NULL && departed_covers(catalog->departed, entry)) {
+	if (stale)
 		catalog_emit_event(catalog, CATALOG_EVENT_REGISTRATION_STALE,
-		    entry->id, entry->service, revision);
-		return;
-	}
-	if (upstream == NULL) {
-		upstream =
-		    upstream_new(entry, peer_get_or_create(catalog, entry));
-		upstream->cold_until_ms = now_ms + upstream->entry.cold_ms;
-		departed_restore(catalog->departed, upstream);
-		g_hash_table_insert(
-		    catalog->upstreams, g_strdup(upstream->entry.id), upstream);
-		catalog->upstreams_version++;
-		group_add(catalog, upstream);
-		take_address(catalog, upstream, revision);
-		upstream_emit_event(catalog, upstream, revision);
-		return;
-	}
-	if (!upstream_entry_is_current(upstream, entry)) {
-		catalog_emit_event(catalog, CATALOG_EVENT_REGISTRATION_STALE,
-		    entry->id, entry->service, revision);
-		return;
-	}
-	old_host = upstream->entry.address.sin_addr;
-	group_remove(catalog, upstream);
-	leaving = departed_covers(catalog->departed, entry);
-	upstream_update(upstream, entry, now_ms);
-	catalog->upstreams_version++;
-	upstream->notice.leaving |= leaving;
-	group_add(catalog, upstream);
-	if (old_host.s_addr != upstream->entry.address.sin_addr.s_addr) {
-		struct fleet_peer *old_peer = upstream->peer;
-
-		upstream->peer = fleet_peer_ref(
-		    peer_get_or_create(catalog, &upstream->entry));
-		fleet_peer_unref(old_peer);
-		peer_remove_unused(catalog, old_host);
-	}
-	take_address(catalog, upstream, revision);
-	upstream_emit_event(catalog, upstream, revision);
+		    entry->id, entry->service, origin->position.revision);
+	else if (upstream == NULL)
+		add_upstream(catalog, entry, origin);
+	else
+		update_upstream(catalog, upstream, entry, origin);
 }
 
 /*
--- a/include/fleet/catalog_private.h
+++ b/include/fleet/catalog_private.h
@@ -26,6 +26,7 @@
 	GHashTable *groups;      /* service to struct upstream_group */
 	GHashTable *peers;       /* host address to struct fleet_peer */
 	GHashTable *zones;       /* name to struct fleet_zone */
+	GHashTable *peer_zones;  /* set of names, in which peers were */
 	struct zone_outages *zone_outages;
 	struct departed *departed;
 };
@@ -37,6 +38,13 @@
     const struct catalog_origin *origin);
 void catalog_unregister_upstream(struct catalog *catalog, const char *id,
     const struct catalog_origin *origin);
+struct fleet_peer *catalog_peer_for(
+    struct catalog *catalog, const struct upstream_entry *entry);
+void catalog_update_peer(
+    struct catalog *catalog, const struct upstream *upstream);
+void catalog_unlist_peer(struct catalog *catalog, struct in_addr host);
+void catalog_update_peers(struct catalog *catalog, bool is_first);
+GHashTable *catalog_peer_table_new(void);
 void catalog_configure_upstreams(struct catalog *catalog, uint64_t revision);
 void catalog_expire_upstreams(struct catalog *catalog, int64_t now_ms);
 
--- a/tests/fleet/test_catalog.c
+++ b/tests/fleet/test_catalog.c
@@ -302,6 +302,49 @@
 	catalog_free(f.catalog);
 }
 
+/*
+ * Entries of another system's services must not be taken for nodes: they would
+ * displace the readers of a zone, and be sent its heartbeats.
+ */
+static void
+test_hosts_of_other_services_are_no_peers(void)
+{
+	struct upstream_entry entry;
+	struct fixture f;
+
+	fixture_init(&f);
+	apply(&f, make_entry("i-1", "10.0.0.1", 1000, 1), false);
+	entry = make_entry("x-1", "10.0.9.1", 1000, 1);
+	g_free(entry.service);
+	entry.service = g_strdup("elsewhere");
+	g_free(entry.zone);
+	entry.zone = g_strdup("far");
+	apply(&f, entry, false);
+	/* Before the first configuration any of them may have it. */
+	CU_ASSERT_EQUAL(g_hash_table_size(catalog_peers(f.catalog)), 2);
+	configure(&f, "orders", 1);
+	CU_ASSERT_EQUAL(g_hash_table_size(catalog_peers(f.catalog)), 1);
+	CU_ASSERT_EQUAL(catalog_zone_count(f.catalog), 1);
+	entry = make_entry("x-2", "10.0.9.2", 1000, 1);
+	g_free(entry.service);
+	entry.service = g_strdup("elsewhere");
+	apply(&f, entry, false);
+	CU_ASSERT_EQUAL(g_hash_table_size(catalog_peers(f.catalog)), 1);
+	/* One at the host of an upstream doesn't cost its peer. */
+	entry = make_entry("x-3", "10.0.0.1", 500, 1);
+	g_free(entry.service);
+	entry.service = g_strdup("elsewhere");
+	apply(&f, entry, false);
+	remove_upstream(&f, "x-3", 0, 0);
+	CU_ASSERT_EQUAL(g_hash_table_size(catalog_peers(f.catalog)), 1);
+	/* Its service may be configured later. */
+	configure(&f, "elsewhere", 2);
+	CU_ASSERT_TRUE(g_hash_table_size(catalog_peers(f.catalog)) >= 2);
+	remove_upstream(&f, "x-1", 0, 0);
+	remove_upstream(&f, "x-2", 0, 0);
+	catalog_free(f.catalog);
+}
+
 /*
  * An upstream that restarts at its address registers before the old
  * registration expires. It replaces the old upstream, and the later expiry must
@@ -427,6 +470,8 @@
 	{ "lookup by address follows changes",
 	    test_lookup_by_address_follows_changes },
 	{ "grace periods end one by one", test_grace_periods_end_one_by_one },
+	{ "hosts of other services are no peers",
+	    test_hosts_of_other_services_are_no_peers },
 	{ "a restart replaces the old upstream",
 	    test_restart_replaces_old_upstream },
 	{ "an older configuration is ignored",
