--- a/fleet/source.c
+++ b/fleet/source.c
@@ -3,6 +3,7 @@
 static const char *const status_names[] = {
 	[SOURCE_OK] = "ok",
 	[SOURCE_COMPACTED] = "compacted",
+	[SOURCE_TOO_LARGE] = "too_large",
 	[SOURCE_BUSY] = "busy",
 	[SOURCE_UNREACHABLE] = "lost",
 	[SOURCE_INVALID] = "invalid",
--- a/include/fleet/source.h
+++ b/include/fleet/source.h
@@ -15,6 +15,7 @@
 enum source_status {
 	SOURCE_OK,
 	SOURCE_COMPACTED,   /* the requested revision is no longer in history */
+	SOURCE_TOO_LARGE,   /* the changes don't fit in one response */
 	SOURCE_BUSY,        /* the platform rejected the call as overloaded */
 	SOURCE_UNREACHABLE, /* no response */
 	SOURCE_INVALID,     /* the response could not be decoded */
--- a/trefoilhill-proxy/follower.c
+++ b/trefoilhill-proxy/follower.c
@@ -197,6 +197,21 @@
 	    is_newer ? follower_change_batch_ms(follower) : READ_INTERVAL_MS);
 }
 
+/*
+ * Handle a response that can't be used. The same changes would be asked for
+ * again, so the next read is a snapshot, whose pages are small.
+ */
+static void
+handle_unusable(struct follower *follower, const struct source_result *result)
+{
+	if (!result->is_snapshot && !follower->snapshot_needed)
+		require_snapshot(follower, "changes_unusable",
+		    source_status_name(result->status));
+	else
+		record_read_failure(
+		    follower, source_status_name(result->status));
+}
+
 static void
 handle_result(void *arg, const struct source_result *result)
 {
@@ -217,9 +232,12 @@
 	case SOURCE_COMPACTED:
 		require_snapshot(follower, "store_compacted", result->detail);
 		break;
+	case SOURCE_TOO_LARGE:
+	case SOURCE_INVALID:
+		handle_unusable(follower, result);
+		break;
 	case SOURCE_BUSY:
 	case SOURCE_UNREACHABLE:
-	case SOURCE_INVALID:
 		record_read_failure(
 		    follower, source_status_name(result->status));
 		break;
