http: gather what can't be sent behind the write in progress

Each piece that the socket didn't accept became a write of its own, of some 250 bytes beside the piece. A caller or an upstream that sends byte by byte what the other side doesn't read could thus take 60 MB for a queue of 256 KB.

Change: one write is in progress at a time; what comes meanwhile is gathered and sent with the next one, also before a close.

Conclusion: a queue costs what is in it, whatever the pieces.

--- a/http/stream.c
+++ b/http/stream.c
@@ -29,6 +29,8 @@
 	http_head_free(stream->head);
 	if (stream->pending != NULL)
 		g_byte_array_free(stream->pending, TRUE);
+	if (stream->gathered != NULL)
+		g_byte_array_free(stream->gathered, TRUE);
 	g_string_free(stream->field_name, TRUE);
 	g_string_free(stream->field_value, TRUE);
 	if (stream->release != NULL)
--- a/http/stream_write.c
+++ b/http/stream_write.c
@@ -1,20 +1,48 @@
-#include <string.h>
-
 #include "http/stream_private.h"
 
+/* Bytes that the socket didn't accept at once; at most one is in progress. */
 struct write_request {
 	uv_write_t request; /* first */
-	char *bytes;
+	GByteArray *bytes;
 };
 
+static void handle_written(uv_write_t *request, int status);
+
+/* Let libuv send bytes, of which it takes ownership. */
+static void
+start_write(struct http_stream *stream, GByteArray *bytes)
+{
+	struct write_request *write = g_new0(struct write_request, 1);
+	uv_buf_t buffer = uv_buf_init((char *)bytes->data, bytes->len);
+
+	write->bytes = bytes;
+	if (uv_write(&write->request, (uv_stream_t *)&stream->tcp, &buffer, 1,
+		handle_written) == 0) {
+		stream->writing = true;
+		return;
+	}
+	/* The connection is broken; the read side reports it. */
+	g_byte_array_free(bytes, TRUE);
+	g_free(write);
+}
+
+/* Send what has gathered behind the write in progress. */
+static void
+write_gathered(struct http_stream *stream)
+{
+	if (stream->gathered != NULL)
+		start_write(stream, g_steal_pointer(&stream->gathered));
+}
+
 static void
 handle_written(uv_write_t *request, int status)
 {
 	struct write_request *write = (struct write_request *)request;
 	struct http_stream *stream = (struct http_stream *)request->handle;
 
-	g_free(write->bytes);
+	g_byte_array_free(write->bytes, TRUE);
 	g_free(write);
+	stream->writing = false;
 	if (stream->closing)
 		return;
 	if (status != 0) {
@@ -22,6 +50,7 @@
 		    status == UV_ETIMEDOUT ? HTTP_END_TIMEOUT : HTTP_END_RESET);
 		return;
 	}
+	write_gathered(stream);
 	if (stream->above_high_mark &&
 	    http_stream_queued_bytes(stream) < HTTP_WRITE_LOW_BYTES) {
 		stream->above_high_mark = false;
@@ -36,35 +65,38 @@
 size_t
 http_stream_queued_bytes(const struct http_stream *stream)
 {
-	return uv_stream_get_write_queue_size(
-	    (const uv_stream_t *)&stream->tcp);
+	size_t gathered = stream->gathered == NULL ? 0 : stream->gathered->len;
+
+	return gathered +
+	    uv_stream_get_write_queue_size((const uv_stream_t *)&stream->tcp);
 }
 
-/* Queue a copy of first and second without the sent bytes at their start. */
+/*
+ * Keep a copy of first and second without the sent bytes at their start. Those
+ * behind a write in progress are gathered: a write each would cost many times
+ * the bytes of small ones.
+ */
 static void
 queue_unsent(struct http_stream *stream, struct str first, struct str second,
     size_t sent)
 {
-	struct write_request *write = g_new0(struct write_request, 1);
-	size_t from_first = sent < first.len ? first.len - sent : 0;
-	size_t skip = sent > first.len ? sent - first.len : 0;
-	size_t len = from_first + second.len - skip;
-	uv_buf_t buffer;
-
-	write->bytes = g_malloc(len);
-	if (from_first > 0)
-		memcpy(write->bytes, first.ptr + sent, from_first);
-	if (second.ptr != NULL)
-		memcpy(write->bytes + from_first, second.ptr + skip,
-		    second.len - skip);
-	buffer = uv_buf_init(write->bytes, (unsigned)len);
-	if (uv_write(&write->request, (uv_stream_t *)&stream->tcp, &buffer, 1,
-		handle_written) != 0) {
-		/* The connection is broken; the read side reports it. */
-		g_free(write->bytes);
-		g_free(write);
-		return;
-	}
+	size_t skip_first = MIN(sent, first.len);
+	size_t skip_second = sent - skip_first;
+	GByteArray *bytes = stream->gathered;
+
+	if (bytes == NULL)
+		bytes = g_byte_array_new();
+	if (first.len > skip_first)
+		g_byte_array_append(bytes,
+		    (const guint8 *)first.ptr + skip_first,
+		    (guint)(first.len - skip_first));
+	if (second.len > skip_second)
+		g_byte_array_append(bytes,
+		    (const guint8 *)second.ptr + skip_second,
+		    (guint)(second.len - skip_second));
+	stream->gathered = bytes;
+	if (!stream->writing)
+		write_gathered(stream);
 	if (http_stream_queued_bytes(stream) > HTTP_WRITE_HIGH_BYTES)
 		stream->above_high_mark = true;
 }
@@ -123,6 +155,7 @@
 	if (stream->closing)
 		return;
 	http_stream_discard(stream);
+	write_gathered(stream);
 	request = g_new0(uv_shutdown_t, 1);
 	if (uv_shutdown(
 		request, (uv_stream_t *)&stream->tcp, handle_finished) != 0)
@@ -161,6 +194,7 @@
 		uv_close((uv_handle_t *)&stream->tcp, stream_handle_closed);
 		return;
 	}
+	write_gathered(stream);
 	request = g_new0(uv_shutdown_t, 1);
 	if (uv_shutdown(
 		request, (uv_stream_t *)&stream->tcp, handle_shutdown) != 0) {
--- a/include/http/stream.h
+++ b/include/http/stream.h
@@ -77,6 +77,7 @@
 	uint32_t head_bytes;
 	uint32_t interim_count; /* of 1xx responses to the current request */
 	GByteArray *pending;    /* received after this message, or NULL */
+	GByteArray *gathered;   /* to be sent after the write in progress */
 	GString *field_name;    /* header field being parsed */
 	GString *field_value;
 	bool in_value;
@@ -92,6 +93,7 @@
 	bool reading;
 	bool closing;
 	bool parsing;
+	bool writing;    /* libuv has bytes to send */
 	bool delivering; /* in handle_message */
 	bool discarding; /* drops what it receives */
 	bool above_high_mark;
--- a/tests/http/test_stream.c
+++ b/tests/http/test_stream.c
@@ -1,5 +1,7 @@
 #include <arpa/inet.h>
+#include <errno.h>
 #include <glib.h>
+#include <malloc.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -252,6 +254,83 @@
 	g_string_free(text, TRUE);
 }
 
+/*
+ * A peer that sends byte by byte what another doesn't read must not cost many
+ * times those bytes.
+ */
+static void
+test_small_writes_take_no_more_memory(void)
+{
+	enum {
+		FILL_BYTES = 64 << 20, /* more than the socket's buffers hold */
+		SMALL_WRITES = 50000,
+		MEMORY_MAX = 16 * SMALL_WRITES,
+	};
+	struct fixture f;
+	char *fill = g_malloc0(FILL_BYTES);
+	size_t before, queued;
+
+	fixture_init(&f);
+	http_stream_write(f.stream, str_make(fill, FILL_BYTES));
+	g_free(fill);
+	queued = http_stream_queued_bytes(f.stream);
+	CU_ASSERT_TRUE(queued > 0);
+	before = mallinfo2().uordblks;
+	for (int i = 0; i < SMALL_WRITES; i++)
+		http_stream_write(f.stream, str_from("x"));
+	CU_ASSERT_TRUE(mallinfo2().uordblks - before < MEMORY_MAX);
+	CU_ASSERT_EQUAL(
+	    http_stream_queued_bytes(f.stream), queued + SMALL_WRITES);
+	fixture_clear(&f);
+}
+
+/* What is written small or large, and then closed, arrives whole and in order.
+ */
+static void
+test_writes_arrive_in_order(void)
+{
+	enum {
+		LARGE_BYTES = 12 << 20,
+		WRITES = 300,
+	};
+	struct fixture f;
+	GString *sent = g_string_new(NULL);
+	GString *received = g_string_new(NULL);
+	char *large = g_strnfill(LARGE_BYTES, 'l');
+	char buffer[65536];
+	ssize_t count = 1;
+
+	fixture_init(&f);
+	http_stream_write(f.stream, str_make(large, LARGE_BYTES));
+	g_string_append_len(sent, large, LARGE_BYTES);
+	for (int i = 0; i < WRITES; i++) {
+		char *text = g_strdup_printf("%d,", i);
+
+		http_stream_write_pair(f.stream, str_from(text), str_from(";"));
+		g_string_append_printf(sent, "%s;", text);
+		g_free(text);
+		if (i == WRITES / 2 && read(f.raw, buffer, 4096) > 0)
+			g_string_append_len(received, buffer, 4096);
+		uv_run(&f.loop, UV_RUN_NOWAIT);
+	}
+	http_stream_close(f.stream);
+	f.stream = NULL;
+	while (count > 0) {
+		uv_run(&f.loop, UV_RUN_NOWAIT);
+		count = recv(f.raw, buffer, sizeof(buffer), MSG_DONTWAIT);
+		if (count > 0)
+			g_string_append_len(received, buffer, count);
+		else if (count < 0 && errno == EAGAIN)
+			count = 1;
+	}
+	CU_ASSERT_EQUAL(received->len, sent->len);
+	CU_ASSERT_TRUE(g_string_equal(received, sent));
+	g_string_free(sent, TRUE);
+	g_string_free(received, TRUE);
+	g_free(large);
+	fixture_clear(&f);
+}
+
 /* Replace the fixture's stream by one of a pool, which is returned. */
 static struct http_pool *
 fixture_use_pool(struct fixture *f)
@@ -338,6 +417,9 @@
 	{ "bytes that are not HTTP", test_bytes_that_are_not_http },
 	{ "a large head is refused", test_large_head_is_refused },
 	{ "interim responses are bounded", test_interim_responses_are_bounded },
+	{ "small writes take no more memory",
+	    test_small_writes_take_no_more_memory },
+	{ "writes arrive in order", test_writes_arrive_in_order },
 	{ "a connection outlives its pool",
 	    test_a_connection_outlives_its_pool },
 	{ "the pool drops a connection with late bytes",
