proxy, tests: split what has grown, and share what tests repeat

Change: the body of a request is in exchange_body.c, what others ask of the copy in follower_state.c, the messages in odd_messages.c, the counter in counted_json.c, the lines in the soak's Upstream. Functions are moved as they are.

Conclusion: no behaviour changes.

--- a/bench/json_memory.c
+++ b/bench/json_memory.c
@@ -1,9 +1,9 @@
 #include <glib.h>
-#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 
 #include "common/json_parse.h"
+#include "counted_json.h"
 
 /*
  * Memory that JSON of 1 MB takes while it is parsed, as a multiple of its size:
@@ -13,26 +13,6 @@
 	TEXT_BYTES = 1 << 20,
 };
 
-static size_t allocated, peak;
-
-static void *
-counting_malloc(size_t size)
-{
-	void *ptr = malloc(size);
-
-	allocated += malloc_usable_size(ptr) + sizeof(size_t);
-	peak = MAX(peak, allocated);
-	return ptr;
-}
-
-static void
-counting_free(void *ptr)
-{
-	if (ptr != NULL)
-		allocated -= malloc_usable_size(ptr) + sizeof(size_t);
-	free(ptr);
-}
-
 static const struct {
 	const char *name;
 	const char *entry; /* with a number; an element without a name if odd */
@@ -75,16 +55,16 @@
 int
 main(void)
 {
-	json_set_alloc_funcs(counting_malloc, counting_free);
+	counted_json_init();
 	printf("%-24s %9s %9s\n", "1 MB of", "measured", "by sum");
 	for (size_t i = 0; i < G_N_ELEMENTS(shapes); i++) {
 		GString *text = make_text(shapes[i].entry, shapes[i].is_member);
 		struct str view = str_make(text->str, text->len);
 
-		peak = allocated;
+		counted_json_reset_peak();
 		json_decref(json_loadb(text->str, text->len, 0, NULL));
 		printf("%-24s %8.1fx %8.1fx\n", shapes[i].name,
-		    (double)peak / (double)text->len,
+		    (double)counted_json_peak / (double)text->len,
 		    (double)json_memory_bytes(view) / (double)text->len);
 		g_string_free(text, TRUE);
 	}
--- a/tests/common/test_json_parse.c
+++ b/tests/common/test_json_parse.c
@@ -1,10 +1,10 @@
 #include <glib.h>
-#include <malloc.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "common/json_parse.h"
 #include "common/rng.h"
+#include "counted_json.h"
 #include "harness.h"
 
 /*
@@ -19,27 +19,6 @@
 	TABLE_BYTES = 1 << 20,
 };
 
-static size_t allocated, peak;
-
-static void *
-counting_malloc(size_t size)
-{
-	void *ptr = malloc(size);
-
-	allocated += malloc_usable_size(ptr) + sizeof(size_t);
-	peak = MAX(peak, allocated);
-	return ptr;
-}
-
-static void
-counting_free(void *ptr)
-{
-	if (ptr == NULL)
-		return;
-	allocated -= malloc_usable_size(ptr) + sizeof(size_t);
-	free(ptr);
-}
-
 static void
 append_string(GString *text, struct rng *rng)
 {
@@ -96,10 +75,10 @@
 static void
 check_bound(struct str text)
 {
-	peak = allocated;
+	counted_json_reset_peak();
 	json_decref(json_loadb(text.ptr, text.len, JSON_DECODE_ANY, NULL));
-	CU_ASSERT_TRUE(peak <= json_memory_bytes(text));
-	CU_ASSERT_EQUAL(allocated, 0);
+	CU_ASSERT_TRUE(counted_json_peak <= json_memory_bytes(text));
+	CU_ASSERT_EQUAL(counted_json_bytes, 0);
 }
 
 static void
@@ -179,10 +158,10 @@
 		GString *text = make_table("[", entries[i], "]");
 		json_error_t error;
 
-		peak = allocated;
+		counted_json_reset_peak();
 		CU_ASSERT_PTR_NULL(
 		    json_parse(str_make(text->str, text->len), 0, &error));
-		CU_ASSERT_EQUAL(peak, 0);
+		CU_ASSERT_EQUAL(counted_json_peak, 0);
 		CU_ASSERT_EQUAL(
 		    json_error_code(&error), json_error_out_of_memory);
 		CU_ASSERT_PTR_NOT_NULL(strstr(error.text, "in memory"));
@@ -213,6 +192,6 @@
 int
 main(void)
 {
-	json_set_alloc_funcs(counting_malloc, counting_free);
+	counted_json_init();
 	return harness_run("json parse", cases);
 }
--- a/tests/platform/test_item_memory.c
+++ b/tests/platform/test_item_memory.c
@@ -1,9 +1,9 @@
 #include <jansson.h>
-#include <malloc.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "fleet/source.h"
+#include "counted_json.h"
 #include "harness.h"
 #include "platform/codec.h"
 #include "platform/item_page.h"
@@ -20,25 +20,6 @@
 	KEPT_BYTES_MAX = 64 * 1024,
 };
 
-static size_t allocated, peak;
-
-static void *
-counting_malloc(size_t size)
-{
-	void *ptr = malloc(size);
-
-	allocated += malloc_usable_size(ptr);
-	peak = MAX(peak, allocated);
-	return ptr;
-}
-
-static void
-counting_free(void *ptr)
-{
-	allocated -= malloc_usable_size(ptr);
-	free(ptr);
-}
-
 /* What is repeated in a JSON list to fill a value. */
 static const char *const elements[] = {
 	"{}",
@@ -105,16 +86,16 @@
 	GBytes *value = g_bytes_new_static(text, len);
 	struct catalog_change change;
 
-	peak = allocated;
+	counted_json_reset_peak();
 	platform_decode_item(key, value, NULL, &change);
 	CU_ASSERT_EQUAL(change.kind, CATALOG_INVALID);
-	if (peak > memory_max(len))
-		printf(
-		    "%s with %s: %zu bytes for %zu\n", key, element, peak, len);
-	CU_ASSERT_TRUE(peak <= memory_max(len));
+	if (counted_json_peak > memory_max(len))
+		printf("%s with %s: %zu bytes for %zu\n", key, element,
+		    counted_json_peak, len);
+	CU_ASSERT_TRUE(counted_json_peak <= memory_max(len));
 	catalog_change_clear(&change);
 	g_bytes_unref(value);
-	CU_ASSERT_EQUAL(allocated, 0);
+	CU_ASSERT_EQUAL(counted_json_bytes, 0);
 }
 
 static void
@@ -153,10 +134,11 @@
 			    g_ptr_array_new_with_free_func(replica_item_free);
 			struct item_page page;
 
-			peak = allocated;
+			counted_json_reset_peak();
 			CU_ASSERT_TRUE(item_page_read(
 			    str_from(text), "items", items, &page, NULL));
-			CU_ASSERT_TRUE(peak <= memory_max(strlen(text)));
+			CU_ASSERT_TRUE(
+			    counted_json_peak <= memory_max(strlen(text)));
 			item_page_clear(&page);
 			g_ptr_array_unref(items);
 			g_free(text);
@@ -219,6 +201,6 @@
 int
 main(void)
 {
-	json_set_alloc_funcs(counting_malloc, counting_free);
+	counted_json_init();
 	return harness_run("item memory", cases);
 }
--- a/tests/soak/test_odd_answers.py
+++ b/tests/soak/test_odd_answers.py
@@ -72,14 +72,10 @@
         await writer.drain()
 
     async def serve_one(self, reader, writer):
-        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-        lines = head.split("\r\n")
-        fields = {name.lower(): value.strip() for name, _, value in
-                  (line.partition(":") for line in lines[1:])}
+        target, fields = await self.read_head(reader)
         request = fields.get("x-attempt-id", "")
-        if lines[0].split(" ")[1] == HEALTH_PATH:
-            return await self.reply(writer, 200, b"", "",
-                                    f"X-Instance-Id: {self.id}\r\n")
+        if target == HEALTH_PATH:
+            return await self.reply_health(writer)
         moment, odd = "", self.rng.random() < ODD_SHARE
         if odd:
             moment = self.rng.choice(MOMENTS)
--- a/tests/soak/test_stop_answers.py
+++ b/tests/soak/test_stop_answers.py
@@ -23,7 +23,7 @@
 from callers import Callers  # noqa: E402
 from mesh import CALLER_PORT, Mesh  # noqa: E402
 from scenario import run_scenario  # noqa: E402
-from upstream import Upstream, body_for  # noqa: E402
+from upstream import HEALTH_PATH, Upstream, body_for  # noqa: E402
 
 GRACE_MS = 6000
 SHORTER_GRACE_MS = 3000
@@ -36,20 +36,15 @@
     """Takes the milliseconds and sends the bytes that the path says."""
 
     async def serve_one(self, reader, writer):
-        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-        lines = head.split("\r\n")
-        fields = {name.lower(): value.strip() for name, _, value in
-                  (line.partition(":") for line in lines[1:])}
+        target, fields = await self.read_head(reader)
         request = fields.get("x-attempt-id", "")
         await reader.readexactly(int(fields.get("content-length", "0")))
-        parts = lines[0].split(" ")[1].split("/")
-        if len(parts) != 4:
-            return await self.reply(writer, 200, b"", "",
-                                    f"X-Instance-Id: {self.id}\r\n")
+        if target == HEALTH_PATH:
+            return await self.reply_health(writer)
+        work_ms, size = map(int, target.split("/")[2:4])
         self.record.add_run(request, asyncio.get_running_loop().time(), self)
-        await asyncio.sleep(int(parts[2]) / 1000)
-        return await self.reply(writer, 200,
-                                body_for(request, int(parts[3])), request)
+        await asyncio.sleep(work_ms / 1000)
+        return await self.reply(writer, 200, body_for(request, size), request)
 
 
 def request_text(kind, work_ms, size, request, deadline_ms=TIMEOUT_MS):
--- a/tests/soak/test_stop_grace.py
+++ b/tests/soak/test_stop_grace.py
@@ -24,7 +24,7 @@
 from callers import NOT_EXECUTED_STATUSES, Callers  # noqa: E402
 from mesh import CALLER_PORT, GRACE_MS  # noqa: E402
 from scenario import run_mesh_scenario  # noqa: E402
-from upstream import Upstream  # noqa: E402
+from upstream import HEALTH_PATH, Upstream  # noqa: E402
 
 SEED = int(sys.argv[2]) if len(sys.argv) > 2 else 1
 ROUNDS = int(sys.argv[3]) if len(sys.argv) > 3 else 4
@@ -44,19 +44,14 @@
     ends = {}  # request: when its last run ended
 
     async def serve_one(self, reader, writer):
-        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-        lines = head.split("\r\n")
-        fields = {name.lower(): value.strip() for name, _, value in
-                  (line.partition(":") for line in lines[1:])}
+        target, fields = await self.read_head(reader)
         request = fields.get("x-attempt-id", "")
         await reader.readexactly(int(fields.get("content-length", "0")))
-        path = lines[0].split(" ")[1]
-        if not path.rpartition("/")[2].isdigit():
-            return await self.reply(writer, 200, b"", "",
-                                    f"X-Instance-Id: {self.id}\r\n")
+        if target == HEALTH_PATH:
+            return await self.reply_health(writer)
         loop = asyncio.get_running_loop()
         self.record.add_run(request, loop.time(), self)
-        work_s = int(path.rpartition("/")[2]) / 1000
+        work_s = int(target.rpartition("/")[2]) / 1000
         left_s = int(fields.get("x-deadline", "9000")) / 1000
         await asyncio.sleep(min(work_s, left_s))
         VaryingUpstream.ends[request] = loop.time()
--- a/tests/soak/upstream.py
+++ b/tests/soak/upstream.py
@@ -87,6 +87,21 @@
                 "status": {"state": state, "seq": sequence,
                            "coldRemainingMs": cold_ms}}
 
+    @staticmethod
+    async def read_head(reader):
+        """Return the target of a request and its fields by name."""
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        lines = head.split("\r\n")
+        return lines[0].split(" ", 2)[1], {
+            name.lower(): value.strip() for name, _, value in
+            (line.partition(":") for line in lines[1:])}
+
+    async def reply_health(self, writer):
+        """Answer a health check of an upstream that is neither cold nor
+        leaving."""
+        return await self.reply(writer, 200, b"", "",
+                                f"X-Instance-Id: {self.id}\r\n")
+
     async def serve(self, reader, writer):
         self.writers.add(writer)
         try:
--- /dev/null
+++ b/trefoilhill-proxy/exchange_body.c
@@ -0,0 +1,155 @@
+#include "trefoilhill-proxy/exchange.h"
+#include "trefoilhill-proxy/heartbeat.h"
+#include "trefoilhill-proxy/loop_lag.h"
+
+/* The body of a request, on its way from the caller to the attempts. */
+
+enum {
+	/* Larger request bodies are streamed. */
+	BODY_BUFFER_BYTES = REQUEST_KEY_BODY_BYTES,
+	/* Reading from the caller pauses above this. */
+	BODY_HIGH_WATER_BYTES = 256 * 1024,
+	HEARTBEAT_BODY_MAX = 16 * 1024 * 1024,
+};
+
+/*
+ * Tell whether the request can be sent as a whole: nothing of its body has been
+ * dropped.
+ */
+bool
+exchange_is_resendable(const struct exchange *exchange)
+{
+	return exchange->body_dropped == 0;
+}
+
+/*
+ * Send more of the request body on all attempts, and drop what all of them have
+ * sent if the body is too large to buffer. Resumes reading from the caller once
+ * there is room.
+ */
+void
+exchange_push_body(struct exchange *exchange)
+{
+	uint64_t min_sent = UINT64_MAX;
+	uint64_t end = exchange->body_dropped + exchange->body->len;
+
+	for (size_t i = 0; i < EXCHANGE_ATTEMPTS_MAX; i++) {
+		struct attempt *attempt = exchange->attempts[i];
+
+		if (attempt == NULL)
+			continue;
+		attempt_push_body(attempt);
+		min_sent = MIN(min_sent, attempt->body_sent);
+	}
+	/*
+	 * A large body makes room for the rest of it, instead of being kept for
+	 * a retry. One that is here as a whole needs no more room.
+	 */
+	if (min_sent != UINT64_MAX && end > BODY_BUFFER_BYTES &&
+	    !exchange->body_complete && min_sent > exchange->body_dropped) {
+		g_byte_array_remove_range(exchange->body, 0,
+		    (guint)(min_sent - exchange->body_dropped));
+		exchange->body_dropped = min_sent;
+	}
+	if (exchange->body->len <= BODY_HIGH_WATER_BYTES &&
+	    exchange->caller != NULL && exchange->caller->receiving == exchange)
+		http_stream_resume(exchange->caller->stream);
+}
+
+static bool
+is_heartbeat(const struct exchange *exchange)
+{
+	return exchange->origin == CALLER_PEER &&
+	    heartbeat_is_target(
+		http_head_span(exchange->head, exchange->head->target));
+}
+
+/* The largest body, which for a peer's request its own node has checked. */
+static uint64_t
+body_max_bytes(const struct exchange *exchange)
+{
+	if (is_heartbeat(exchange))
+		return HEARTBEAT_BODY_MAX;
+	return exchange->config == NULL
+	    ? UINT64_MAX
+	    : exchange->config->limits.body_max_bytes;
+}
+
+/*
+ * Handle a part of the request body.
+ */
+void
+exchange_append_body(struct exchange *exchange, struct str bytes)
+{
+	uint64_t total;
+
+	g_byte_array_append(
+	    exchange->body, (const guint8 *)bytes.ptr, (guint)bytes.len);
+	total = exchange->body_dropped + exchange->body->len;
+	if (total > body_max_bytes(exchange)) {
+		exchange_cancel_attempts(exchange, NULL);
+		if (exchange->committed)
+			return;
+		exchange_respond(exchange, 413, "body_too_large", false);
+		return;
+	}
+	if (total > BODY_BUFFER_BYTES && exchange->attempt_count == 0 &&
+	    !is_heartbeat(exchange))
+		exchange_dispatch(exchange);
+	if (exchange->ended || exchange->response_complete)
+		return;
+	exchange_push_body(exchange);
+	if (exchange->body->len > BODY_HIGH_WATER_BYTES &&
+	    exchange->caller != NULL &&
+	    (exchange->attempt_count > 0 || exchange->waiting))
+		http_stream_pause(exchange->caller->stream);
+}
+
+/*
+ * Handle the end of the request.
+ */
+void
+exchange_end_body(struct exchange *exchange)
+{
+	GBytes *response;
+
+	exchange->body_complete = true;
+	exchange->confirmed = true;
+	if (exchange->attempt_count > 0) {
+		for (size_t i = 0; i < EXCHANGE_ATTEMPTS_MAX; i++) {
+			if (exchange->attempts[i] != NULL)
+				attempt_confirm(exchange->attempts[i]);
+		}
+		if (!exchange->ended)
+			exchange_push_body(exchange);
+		return;
+	}
+	if (!exchange->has_length) {
+		exchange->has_length = true;
+		exchange->length = exchange->body->len;
+	}
+	if (!is_heartbeat(exchange)) {
+		exchange_dispatch(exchange);
+		return;
+	}
+	response =
+	    heartbeat_handle_request(exchange->proxy->heartbeat, exchange->head,
+		str_make(exchange->body->data, exchange->body->len));
+	if (response == NULL) {
+		exchange_respond(exchange, 400, "bad_heartbeat", false);
+		return;
+	}
+	g_string_printf(exchange->response_head,
+	    "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n",
+	    g_bytes_get_size(response));
+	hop_write_lag(exchange->response_head,
+	    loop_lag_expected_ms(exchange->proxy->loop_lag));
+	g_string_append(exchange->response_head, "\r\n");
+	http_stream_write_pair(exchange->caller->stream,
+	    str_make(
+		exchange->response_head->str, exchange->response_head->len),
+	    str_make(
+		g_bytes_get_data(response, NULL), g_bytes_get_size(response)));
+	g_bytes_unref(response);
+	caller_finish_response(exchange->caller);
+}
--- a/trefoilhill-proxy/follower.c
+++ b/trefoilhill-proxy/follower.c
@@ -300,15 +300,6 @@
 	follower_read_next(follower);
 }
 
-/*
- * Return the replica.
- */
-struct replica *
-follower_replica(struct follower *follower)
-{
-	return follower->replica;
-}
-
 static void
 handle_watch_lag(uv_timer_t *timer)
 {
@@ -362,47 +353,3 @@
 		catalog_end_grace(follower->proxy->catalog, now_ms);
 	}
 }
-
-/*
- * Return the time since the store confirmed the copy, to this node or to a peer
- * that reported it; -1 if it never did.
- */
-int64_t
-follower_age_ms(const struct follower *follower)
-{
-	if (follower->outage.confirmed_ms == 0)
-		return -1;
-	return proxy_now_ms(follower->proxy) - follower->outage.confirmed_ms;
-}
-
-/*
- * Tell whether the configuration in force is outdated, as a newer one is being
- * decoded.
- */
-bool
-follower_has_pending_config(const struct follower *follower)
-{
-	return config_slices_is_pending(follower->config_slices);
-}
-
-/*
- * Return how much longer removed registrations may be restored, as they may
- * have expired during an outage of the store; 0 if they are final.
- */
-int64_t
-follower_removal_grace_ms(const struct follower *follower)
-{
-	return store_outage_grace_ms(
-	    &follower->outage, proxy_now_ms(follower->proxy));
-}
-
-/*
- * Return for how long the copy has been confirmed without an outage of the
- * store.
- */
-int64_t
-follower_steady_ms(const struct follower *follower)
-{
-	return store_outage_steady_ms(
-	    &follower->outage, proxy_now_ms(follower->proxy));
-}
