caller: wait for unsent bytes of a connection that is being closed

Callers that read slowly lost the end of an answer when the node stopped: it was complete at the node, and its connection was to be closed.

Cause: a connection that is being closed was unregistered at once, so that a stopping process without other work ended 2.5 s after its signal, with up to 256 KB still to be sent.

Change: a connection with unsent bytes stays registered until they are sent, as those of callers that pipeline do already.

--- a/tests/soak/test_stop_answers.py
+++ b/tests/soak/test_stop_answers.py
@@ -29,6 +29,8 @@
 SHORTER_GRACE_MS = 3000
 LARGE_BYTES = 8 * 1000 * 1000  # more than the kernel's buffers hold
 READ_BYTES_PER_S = 2000 * 1000
+UNSENT_BYTES = 200 * 1024  # that the node has to hold itself
+SLOW_S = 3.2  # longer than an idle node waits
 TIMEOUT_MS = 9000  # of all routes
 
 
@@ -71,10 +73,7 @@
 async def read_slowly(kind, request):
     """Return whether the whole answer came."""
     loop = asyncio.get_running_loop()
-    connection = socket.socket()
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-    connection.setblocking(False)
-    await loop.sock_connect(connection, ("127.2.1.1", CALLER_PORT))
+    connection = await connect_small()
     await loop.sock_sendall(connection,
                             request_text(kind, 20, LARGE_BYTES, request))
     wanted = body_for(request, LARGE_BYTES)
@@ -154,6 +153,67 @@
     return None
 
 
+def unsent_bytes(client_port):
+    """Return what the kernel holds of an answer, to be sent or read."""
+    held = 0
+    for line in open("/proc/net/tcp", encoding="ascii").readlines()[1:]:
+        fields = line.split()
+        ports = [int(address.split(":")[1], 16) for address in fields[1:3]]
+        sent, received = (int(queue, 16) for queue in fields[4].split(":"))
+        if ports == [CALLER_PORT, client_port]:
+            held += sent
+        elif ports == [client_port, CALLER_PORT]:
+            held += received
+    return held
+
+
+async def connect_small():
+    """Return a connection that takes little before it is read."""
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    connection.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(
+        connection, ("127.2.1.1", CALLER_PORT))
+    return connection
+
+
+async def stop_unread(deployment):
+    """Stop a node that holds the rest of an answer, which its caller reads
+    slowly, but within the grace period."""
+    loop = asyncio.get_running_loop()
+    probe = await connect_small()
+    await loop.sock_sendall(probe, request_text("get", 5, LARGE_BYTES, "probe"))
+    await asyncio.sleep(1)
+    size = unsent_bytes(probe.getsockname()[1]) + UNSENT_BYTES
+    probe.close()
+    await asyncio.sleep(0.3)
+    deployment.stop()
+    await asyncio.sleep(0.1)
+    connection = await connect_small()
+    await loop.sock_sendall(connection,
+                            request_text("get", 5, size, "unread", 4500))
+    received = b""
+    until = loop.time() + SLOW_S
+    try:
+        while loop.time() < until:
+            received += await loop.sock_recv(connection, 8192)
+            await asyncio.sleep(0.25)
+        while True:
+            part = await asyncio.wait_for(
+                loop.sock_recv(connection, 1 << 20), 3)
+            if not part:
+                break
+            received += part
+    except (OSError, asyncio.TimeoutError):
+        pass
+    connection.close()
+    missing = len(body_for("unread", size)) - len(
+        received.partition(b"\r\n\r\n")[2])
+    if missing:
+        return f"{missing} bytes of an answer of {size} are lost"
+    return None
+
+
 async def shorten_grace(deployment):
     deployment.stop()
     await asyncio.sleep(0.2)
@@ -187,6 +247,7 @@
     await deployment.start()
     for step in (lambda: stop_slow_reader(deployment, "get"),
                  lambda: stop_slow_reader(deployment, "bulk"),
+                 lambda: stop_unread(deployment),
                  lambda: shorten_grace(deployment),
                  lambda: outlast(deployment)):
         found = await step()
@@ -196,7 +257,7 @@
             wrong.append(found)
         await deployment.restart()
     await deployment.host.stop_node(signal.SIGKILL)
-    print(f"4 stops: {wrong or 'passed'}")
+    print(f"5 stops: {wrong or 'passed'}")
     return not wrong
 
 
--- a/trefoilhill-proxy/caller.c
+++ b/trefoilhill-proxy/caller.c
@@ -46,9 +46,21 @@
 		caller_close(caller);
 }
 
+/* May the caller still be sending requests? */
+static bool
+may_send_more(const struct caller *caller)
+{
+	const struct http_stream *stream = caller->stream;
+
+	return caller->pipelined ||
+	    (stream->pending != NULL && stream->pending->len > 0);
+}
+
 /*
  * Answer no more requests. A caller that pipelines may be sending others, and
- * gets time to read the responses: a close with unread input is a reset.
+ * gets time to read the responses: a close with unread input is a reset. A
+ * connection with unsent bytes stays registered, so that a process that stops
+ * waits for them.
  */
 static void
 caller_finish(struct caller *caller)
@@ -57,8 +69,7 @@
 
 	caller_abandon_exchanges(caller);
 	if (caller->finishing || stream->eof ||
-	    (!caller->pipelined &&
-		(stream->pending == NULL || stream->pending->len == 0))) {
+	    (!may_send_more(caller) && http_stream_queued_bytes(stream) == 0)) {
 		caller_close(caller);
 		return;
 	}
