--- a/http/syntax.c
+++ b/http/syntax.c
@@ -26,7 +26,7 @@
 	[HTTP_DEFECT_FIELD_VALUE] = "field_value",
 	[HTTP_DEFECT_CODING] = "transfer_coding",
 	[HTTP_DEFECT_LENGTH] = "content_length",
-	[HTTP_DEFECT_BODY] = "body_without_place",
+	[HTTP_DEFECT_BODY] = "unexpected_body",
 	[HTTP_DEFECT_CHUNK] = "chunk",
 };
 
@@ -214,8 +214,9 @@
 	    HTTP_DEFECT_CHUNK);
 }
 
+/* A character of a head, or of the trailer of a chunked body. */
 static void
-accept_char(struct http_syntax *syntax, char c)
+accept_head_char(struct http_syntax *syntax, char c)
 {
 	switch (syntax->state) {
 	case SYNTAX_START:
@@ -255,6 +256,16 @@
 		enter_if(
 		    syntax, c == '\n', SYNTAX_DONE, HTTP_DEFECT_FIELD_NAME);
 		break;
+	default:
+		break;
+	}
+}
+
+/* A character of a chunked body beside its data. */
+static void
+accept_chunk_char(struct http_syntax *syntax, char c)
+{
+	switch (syntax->state) {
 	case SYNTAX_CHUNK_SIZE:
 		accept_chunk_size(syntax, c);
 		break;
@@ -271,9 +282,7 @@
 		enter_if(
 		    syntax, c == '\n', SYNTAX_CHUNK_SIZE, HTTP_DEFECT_CHUNK);
 		break;
-	case SYNTAX_CHUNK_DATA:
-	case SYNTAX_OTHER_BODY:
-	case SYNTAX_DONE:
+	default:
 		break;
 	}
 }
@@ -306,7 +315,10 @@
 			at += accept_chunk_data(syntax, bytes.len - at);
 			continue;
 		}
-		accept_char(syntax, bytes.ptr[at]);
+		if (syntax->state < SYNTAX_OTHER_BODY)
+			accept_head_char(syntax, bytes.ptr[at]);
+		else
+			accept_chunk_char(syntax, bytes.ptr[at]);
 		if (syntax->defect == HTTP_DEFECT_NONE)
 			at++;
 	}
--- a/include/http/syntax.h
+++ b/include/http/syntax.h
@@ -9,8 +9,9 @@
 
 /*
  * Strict syntax of HTTP/1.1 messages (RFC 9112), checked before the parser,
- * which is lenient, sees the bytes. What the RFC lets a recipient tolerate is
- * accepted in one place only: a line of a head may end with LF alone (2.2).
+ * which is lenient, sees the bytes. Of what the RFC lets a recipient tolerate,
+ * two things are accepted (2.2): empty lines before a request, and a line of a
+ * head that ends with LF alone.
  */
 
 enum http_defect {
@@ -32,6 +33,7 @@
 };
 
 enum http_syntax_state {
+	/* Of a head; from LINE_END on also of a trailer. */
 	SYNTAX_START,
 	SYNTAX_METHOD,
 	SYNTAX_TARGET,
@@ -43,6 +45,7 @@
 	SYNTAX_NAME,
 	SYNTAX_VALUE,
 	SYNTAX_HEAD_END, /* LF of the empty line */
+	/* Of a body, and behind it. */
 	SYNTAX_OTHER_BODY,
 	SYNTAX_CHUNK_SIZE,
 	SYNTAX_CHUNK_EXTENSION,
