--- a/tests/soak/mesh.py
+++ b/tests/soak/mesh.py
@@ -47,6 +47,12 @@
 """
 
 
+def prepare_node():
+    """Called in the process of each node before its program runs. Signals that
+    are sent until then wait."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGHUP))
+
+
 class Host:
     def __init__(self, mesh, number):
         self.mesh = mesh
@@ -87,14 +93,16 @@
             n=self.number, zone=self.zone, service=self.service,
             caller=CALLER_PORT, mesh=MESH_PORT, ready=READY_PORT,
             app=APP_PORT, grace=GRACE_MS, store=":".join(map(str, STORE))))
-        log = open(self.mesh.directory / f"node-{self.number}.log", "ab")
-        # Signals that are sent before the program runs wait until it does.
+        log = self.open_log()
         self.process = await asyncio.create_subprocess_exec(
             self.mesh.program, "--config", str(path), stdout=log, stderr=log,
-            preexec_fn=lambda: signal.pthread_sigmask(
-                signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGHUP)))
+            preexec_fn=prepare_node)
         log.close()
 
+    def open_log(self):
+        """Return what the node writes its log to."""
+        return open(self.mesh.directory / f"node-{self.number}.log", "ab")
+
     def send_signal(self, number):
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
