http: process a bounded share of each connection's input at a time

Callers saw their node end, out of memory, when others sent many requests ahead and didn't read.

Cause: one read may hold thousands of requests, and libuv reads on while there is more. All of them were processed in one iteration of the loop, and what has ended is freed only after it. Besides, each pending request copied all bytes behind it.

Change: input is processed in turns (account/turns): in an iteration, 64 requests of callers and as many of nodes, one for each connection in order. A connection without a turn isn't read, or keeps what has been read, at most 64 KB, parsed in place. Streams belong to http_connections, of a class.

Conclusion: what one connection can make the process hold no longer depends on how much it sends at once.

--- a/account/turns.c
+++ b/account/turns.c
@@ -34,17 +34,26 @@
 		turns->classes[i].left = turns_each[i];
 }
 
+/*
+ * Tell whether a turn is left, for which no other waits.
+ */
+bool
+turns_is_free(const struct turns *turns, enum connection_class class)
+{
+	const struct turns_class *own = &turns->classes[class];
+
+	return own->left > 0 && own->waiting.length == 0;
+}
+
 /*
  * Take a turn immediately, unless others wait.
  */
 bool
 turns_take(struct turns *turns, enum connection_class class)
 {
-	struct turns_class *own = &turns->classes[class];
-
-	if (own->left == 0 || !g_queue_is_empty(&own->waiting))
+	if (!turns_is_free(turns, class))
 		return false;
-	own->left--;
+	turns->classes[class].left--;
 	return true;
 }
 
--- /dev/null
+++ b/http/connections.c
@@ -0,0 +1,132 @@
+#include "account/turns.h"
+#include "http/connections.h"
+#include "http/stream_private.h"
+
+struct http_connections {
+	uv_loop_t *loop;
+	struct turns turns;
+	uv_prepare_t begin; /* of an iteration's input */
+	uv_idle_t waiting;  /* active while a connection waits for a turn */
+	uint32_t open_handles;
+};
+
+/* Only keeps the loop from blocking. */
+static void
+handle_waiting(uv_idle_t *idle)
+{
+}
+
+/* Serve those that wait for a turn, before more input is read. */
+static void
+handle_begin(uv_prepare_t *prepare)
+{
+	struct http_connections *connections = prepare->data;
+	struct turns *turns = &connections->turns;
+	GList *link;
+
+	turns_begin(turns);
+	for (size_t i = 0; i < CONNECTION_CLASSES; i++) {
+		while ((link = turns_next(turns, i)) != NULL)
+			stream_take_turn(link->data);
+	}
+	if (!turns_any_waits(turns))
+		uv_idle_stop(&connections->waiting);
+}
+
+/*
+ * Return a set without connections. The caller frees it with
+ * http_connections_free.
+ */
+struct http_connections *
+http_connections_new(uv_loop_t *loop)
+{
+	struct http_connections *connections =
+	    g_new0(struct http_connections, 1);
+
+	connections->loop = loop;
+	turns_init(&connections->turns);
+	uv_prepare_init(loop, &connections->begin);
+	uv_idle_init(loop, &connections->waiting);
+	connections->open_handles = 2;
+	connections->begin.data = connections->waiting.data = connections;
+	uv_prepare_start(&connections->begin, handle_begin);
+	uv_unref((uv_handle_t *)&connections->begin);
+	return connections;
+}
+
+static void
+handle_closed(uv_handle_t *handle)
+{
+	struct http_connections *connections = handle->data;
+
+	if (--connections->open_handles == 0)
+		g_free(connections);
+}
+
+/*
+ * Free a set without connections, once the loop runs again. NULL is allowed.
+ */
+void
+http_connections_free(struct http_connections *connections)
+{
+	if (connections == NULL)
+		return;
+	uv_close((uv_handle_t *)&connections->begin, handle_closed);
+	uv_close((uv_handle_t *)&connections->waiting, handle_closed);
+}
+
+/*
+ * Return the event loop of the connections.
+ */
+uv_loop_t *
+http_connections_loop(const struct http_connections *connections)
+{
+	return connections->loop;
+}
+
+/*
+ * Tell whether input may be processed immediately.
+ */
+bool
+http_connections_has_turn(
+    const struct http_connections *connections, enum connection_class class)
+{
+	return turns_is_free(&connections->turns, class);
+}
+
+/*
+ * Take a turn to process input; false if there is none.
+ */
+bool
+http_connections_take_turn(
+    struct http_connections *connections, enum connection_class class)
+{
+	return turns_take(&connections->turns, class);
+}
+
+/*
+ * Let a connection wait for a turn. Does nothing if it does already.
+ */
+void
+http_connections_wait(struct http_stream *stream)
+{
+	struct http_connections *connections = stream->connections;
+
+	if (stream->waits_for_turn || stream->closing)
+		return;
+	stream->waits_for_turn = true;
+	turns_wait(&connections->turns, stream->class, &stream->turn_link);
+	uv_idle_start(&connections->waiting, handle_waiting);
+}
+
+/*
+ * A connection waits no more.
+ */
+void
+http_connections_cancel(struct http_stream *stream)
+{
+	if (stream->waits_for_turn)
+		turns_cancel(&stream->connections->turns, stream->class,
+		    &stream->turn_link);
+	stream->waits_for_turn = false;
+}
--- a/http/listener.c
+++ b/http/listener.c
@@ -10,6 +10,8 @@
 
 struct http_listener {
 	uv_tcp_t tcp; /* first */
+	struct http_connections *connections;
+	enum connection_class class;
 	http_accept_fn accept;
 	void *arg;
 };
@@ -51,7 +53,8 @@
 		    "cannot accept a connection: %s", uv_strerror(status));
 		return;
 	}
-	stream = http_stream_new(server->loop, HTTP_SIDE_SERVER, NULL, NULL);
+	stream = http_stream_new(listener->connections, listener->class,
+	    HTTP_SIDE_SERVER, NULL, NULL);
 	if (uv_accept(server, (uv_stream_t *)&stream->tcp) != 0) {
 		http_stream_abort(stream);
 		return;
@@ -65,7 +68,8 @@
  * be bound.
  */
 struct http_listener *
-http_listener_new(uv_loop_t *loop, struct str address, http_accept_fn accept,
+http_listener_new(struct http_connections *connections,
+    enum connection_class class, struct str address, http_accept_fn accept,
     void *arg, GError **error)
 {
 	struct http_listener *listener;
@@ -78,9 +82,11 @@
 		return NULL;
 	}
 	listener = g_new0(struct http_listener, 1);
+	listener->connections = connections;
+	listener->class = class;
 	listener->accept = accept;
 	listener->arg = arg;
-	uv_tcp_init(loop, &listener->tcp);
+	uv_tcp_init(http_connections_loop(connections), &listener->tcp);
 	status =
 	    uv_tcp_bind(&listener->tcp, (const struct sockaddr *)&bind_to, 0);
 	if (status == 0)
--- a/http/pool.c
+++ b/http/pool.c
@@ -20,6 +20,7 @@
 	uint32_t refs; /* of its owner, and of all its open connections */
 	bool closed;   /* the owner has freed it */
 	uv_loop_t *loop;
+	struct http_connections *connections;
 	struct http_pool_settings settings;
 	GArray *idle; /* struct idle_stream, oldest first */
 	uv_timer_t *sweep_timer;
@@ -122,12 +123,15 @@
  * Return a pool without connections. The caller frees it with http_pool_free.
  */
 struct http_pool *
-http_pool_new(uv_loop_t *loop, const struct http_pool_settings *settings)
+http_pool_new(struct http_connections *connections,
+    const struct http_pool_settings *settings)
 {
+	uv_loop_t *loop = http_connections_loop(connections);
 	struct http_pool *pool = g_new0(struct http_pool, 1);
 
 	pool->refs = 1;
 	pool->loop = loop;
+	pool->connections = connections;
 	pool->settings = *settings;
 	pool->idle = g_array_new(FALSE, FALSE, sizeof(struct idle_stream));
 	pool->sweep_timer = g_new0(uv_timer_t, 1);
@@ -215,8 +219,8 @@
 http_pool_connect(
     struct http_pool *pool, const struct http_stream_ops *ops, void *owner)
 {
-	struct http_stream *stream =
-	    http_stream_new(pool->loop, HTTP_SIDE_CLIENT, ops, owner);
+	struct http_stream *stream = http_stream_new(pool->connections,
+	    pool->settings.class, HTTP_SIDE_CLIENT, ops, owner);
 
 	pool->refs++;
 	stream->release = pool_unref;
@@ -271,7 +275,7 @@
 	if (stream->closing)
 		return;
 	if (pool->closed || !stream->keep_alive || stream->eof ||
-	    stream->pending != NULL || idle_ms == 0 ||
+	    http_stream_has_pending(stream) || idle_ms == 0 ||
 	    http_stream_queued_bytes(stream) > 0 ||
 	    pool->idle->len >= pool->settings.idle_max) {
 		http_stream_close(stream);
--- a/http/stream.c
+++ b/http/stream.c
@@ -27,8 +27,7 @@
 	struct http_stream *stream = (struct http_stream *)handle;
 
 	http_head_free(stream->head);
-	if (stream->pending != NULL)
-		g_byte_array_free(stream->pending, TRUE);
+	account_buffer_release(&stream->pending);
 	if (stream->gathered != NULL)
 		g_byte_array_free(stream->gathered, TRUE);
 	g_string_free(stream->field_name, TRUE);
@@ -38,6 +37,16 @@
 	g_free(stream);
 }
 
+/*
+ * The stream processes no more input and makes no more callbacks.
+ */
+void
+stream_set_closing(struct http_stream *stream)
+{
+	stream->closing = true;
+	http_connections_cancel(stream);
+}
+
 /*
  * Close immediately with a TCP reset. The stream must not be used afterwards.
  */
@@ -46,7 +55,7 @@
 {
 	if (stream->closing)
 		return;
-	stream->closing = true;
+	stream_set_closing(stream);
 	if (uv_is_closing((uv_handle_t *)&stream->tcp))
 		return;
 	if (uv_tcp_close_reset(&stream->tcp, stream_handle_closed) != 0)
@@ -63,38 +72,50 @@
 		stream->ops->handle_end(stream, reason);
 }
 
-static void
-handle_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+/*
+ * Return how many bytes may be read at once; 0 if the stream has to wait for a
+ * turn to parse them. Until then they stay in the socket.
+ */
+static unsigned
+read_max(const struct http_stream *stream)
 {
-	const struct http_stream *stream = (struct http_stream *)handle;
 	unsigned len = READ_BUFFER_BYTES;
 
 	if (stream->read_max_bytes > 0)
 		len = MIN(len, stream->read_max_bytes);
-	*buffer = uv_buf_init(read_buffer, len);
+	if (stream->side == HTTP_SIDE_CLIENT || stream->discarding ||
+	    stream->closing)
+		return len;
+	if (!stream->message_done && !stream->has_turn &&
+	    !http_connections_has_turn(stream->connections, stream->class))
+		return 0;
+	return MIN(len,
+	    HTTP_PENDING_MAX_BYTES -
+		(unsigned)account_buffer_len(&stream->pending));
+}
+
+static void
+handle_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+	*buffer = uv_buf_init(read_buffer, read_max((void *)handle));
 }
 
 /*
- * Store bytes for the next message; false above HTTP_PENDING_MAX_BYTES.
+ * Store bytes that are not parsed yet.
  */
-bool
+void
 stream_pending_add(struct http_stream *stream, const char *bytes, size_t len)
 {
-	if (stream->pending == NULL)
-		stream->pending = g_byte_array_new();
-	g_byte_array_append(stream->pending, (const guint8 *)bytes, (guint)len);
-	return stream->pending->len <= HTTP_PENDING_MAX_BYTES;
+	account_buffer_append(&stream->pending, str_make(bytes, len));
 }
 
 /*
- * Stop reading.
+ * Tell whether bytes have been received that are not parsed yet.
  */
-void
-stream_read_stop(struct http_stream *stream)
+bool
+http_stream_has_pending(const struct http_stream *stream)
 {
-	if (stream->reading)
-		uv_read_stop((uv_stream_t *)&stream->tcp);
-	stream->reading = false;
+	return account_buffer_len(&stream->pending) > 0;
 }
 
 /*
@@ -119,7 +140,7 @@
 	bool orderly = status == UV_EOF && is_orderly_close(stream);
 
 	stream->eof = true;
-	stream_read_stop(stream);
+	stream_update_reading(stream);
 	/* A body without a length ends when the connection is closed. */
 	if (orderly && stream->side == HTTP_SIDE_CLIENT && stream->head_done &&
 	    !stream->message_done) {
@@ -134,6 +155,35 @@
 		    stream, orderly ? HTTP_END_EOF : HTTP_END_RESET);
 }
 
+/*
+ * Handle received bytes: parse them, or keep them if they are behind others or
+ * behind a message that the owner is not done with.
+ */
+void
+stream_receive(struct http_stream *stream, const char *bytes, size_t len)
+{
+	if (stream->discarding)
+		return;
+	if (!stream->message_done && !http_stream_has_pending(stream)) {
+		stream_parse(stream, bytes, len);
+		return;
+	}
+	stream_pending_add(stream, bytes, len);
+	stream_update_reading(stream);
+	/* To a client, these are bytes it has not requested. */
+	if (stream->side == HTTP_SIDE_CLIENT && stream->message_done)
+		stream_report_end(stream, HTTP_END_MALFORMED);
+}
+
+/* Read no more until it is the stream's turn. */
+static void
+block_reading(struct http_stream *stream)
+{
+	stream->blocked = true;
+	stream_update_reading(stream);
+	http_connections_wait(stream);
+}
+
 static void
 handle_read(uv_stream_t *tcp, ssize_t count, const uv_buf_t *buffer)
 {
@@ -141,21 +191,44 @@
 
 	if (count == 0 || stream->closing)
 		return;
+	if (count == UV_ENOBUFS) {
+		block_reading(stream);
+		return;
+	}
 	if (count < 0) {
 		stream_handle_eof(stream, count);
 		return;
 	}
-	if (stream->discarding)
+	stream_receive(stream, buffer->base, (size_t)count);
+}
+
+static bool
+may_read(const struct http_stream *stream)
+{
+	if (stream->closing || stream->eof || !stream->connected ||
+	    stream->paused || stream->blocked)
+		return false;
+	return stream->discarding ||
+	    account_buffer_len(&stream->pending) < HTTP_PENDING_MAX_BYTES;
+}
+
+/*
+ * Start or stop reading.
+ */
+void
+stream_update_reading(struct http_stream *stream)
+{
+	uv_stream_t *tcp = (uv_stream_t *)&stream->tcp;
+
+	if (may_read(stream) == stream->reading)
 		return;
-	if (stream->message_done || stream->parsing) {
-		/* To a client, these are bytes it has not requested. */
-		if (!stream_pending_add(stream, buffer->base, (size_t)count))
-			stream_read_stop(stream);
-		if (stream->side == HTTP_SIDE_CLIENT && stream->message_done)
-			stream_report_end(stream, HTTP_END_MALFORMED);
+	if (!stream->reading) {
+		stream->reading =
+		    uv_read_start(tcp, handle_alloc, handle_read) == 0;
 		return;
 	}
-	stream_parse(stream, buffer->base, (size_t)count);
+	uv_read_stop(tcp);
+	stream->reading = false;
 }
 
 /*
@@ -218,7 +291,9 @@
 void
 http_stream_pause(struct http_stream *stream)
 {
-	stream_read_stop(stream);
+	stream->paused = true;
+	if (!stream->closing)
+		stream_update_reading(stream);
 }
 
 /*
@@ -227,12 +302,13 @@
 void
 http_stream_resume(struct http_stream *stream)
 {
-	if (stream->closing || stream->reading || stream->eof ||
-	    !stream->connected)
+	stream->paused = false;
+	if (stream->closing)
 		return;
-	if (uv_read_start(
-		(uv_stream_t *)&stream->tcp, handle_alloc, handle_read) == 0)
-		stream->reading = true;
+	stream_update_reading(stream);
+	if (stream->side == HTTP_SIDE_SERVER && !stream->message_done &&
+	    !stream->parsing && http_stream_has_pending(stream))
+		http_connections_wait(stream);
 }
 
 /*
@@ -243,8 +319,10 @@
 {
 	stream->discarding = true;
 	stream->message_done = true;
-	if (stream->pending != NULL)
-		g_byte_array_set_size(stream->pending, 0);
+	account_buffer_consume(
+	    &stream->pending, account_buffer_len(&stream->pending));
+	stream->blocked = false;
+	http_connections_cancel(stream);
 	http_stream_resume(stream);
 }
 
@@ -286,12 +364,16 @@
  * http_stream_close or http_stream_abort, which free it later.
  */
 struct http_stream *
-http_stream_new(uv_loop_t *loop, enum http_side side,
+http_stream_new(struct http_connections *connections,
+    enum connection_class class, enum http_side side,
     const struct http_stream_ops *ops, void *owner)
 {
 	struct http_stream *stream = g_new0(struct http_stream, 1);
 
-	uv_tcp_init(loop, &stream->tcp);
+	uv_tcp_init(http_connections_loop(connections), &stream->tcp);
+	stream->connections = connections;
+	stream->class = class;
+	stream->turn_link.data = stream;
 	stream->ops = ops;
 	stream->owner = owner;
 	stream->side = side;
--- a/http/stream_parse.c
+++ b/http/stream_parse.c
@@ -218,7 +218,7 @@
 static void
 handle_parse_error(struct http_stream *stream)
 {
-	stream_read_stop(stream);
+	http_stream_pause(stream);
 	stream_report_end(stream,
 	    stream->head_bytes > stream->head_max_bytes ||
 		    HTTP_PARSER_ERRNO(&stream->parser) == HPE_HEADER_OVERFLOW
@@ -251,14 +251,17 @@
 	return at;
 }
 
-/* Parse bytes up to the end of the message. */
+/*
+ * Parse bytes up to the end of the message. They are those that are pending, or
+ * have just been received; what of these is behind the message gets pending.
+ */
 static void
-parse_message(struct http_stream *stream, const char *bytes, size_t len)
+parse_message(struct http_stream *stream, struct str bytes, bool are_pending)
 {
 	enum http_errno error;
 	size_t used;
 
-	if (!stream->message_begun && len > 0) {
+	if (!stream->message_begun && bytes.len > 0) {
 		stream->message_begun = true;
 		if (stream->ops->handle_first_byte != NULL)
 			stream->ops->handle_first_byte(stream);
@@ -266,7 +269,7 @@
 			return;
 	}
 	stream->parsing = true;
-	used = parse_parts(stream, bytes, len);
+	used = parse_parts(stream, bytes.ptr, bytes.len);
 	stream->parsing = false;
 	if (stream->closing || stream->discarding)
 		return;
@@ -274,36 +277,55 @@
 	if (stream->message_done) {
 		/* used includes the last byte of the message. */
 		http_parser_pause(&stream->parser, 0);
-		if (used < len &&
-		    !stream_pending_add(stream, bytes + used, len - used))
-			stream_read_stop(stream);
+		if (are_pending)
+			account_buffer_consume(&stream->pending, used);
+		else
+			stream_pending_add(
+			    stream, bytes.ptr + used, bytes.len - used);
 		stream->delivering = true;
 		stream->ops->handle_message(stream);
 		stream->delivering = false;
 		return;
 	}
-	if (error != HPE_OK || (len > 0 && used < len))
+	if (are_pending)
+		account_buffer_consume(&stream->pending, used);
+	if (error != HPE_OK || (bytes.len > 0 && used < bytes.len))
 		handle_parse_error(stream);
 	else if (stream->head_done && stream->ops->handle_body_pause != NULL)
 		stream->ops->handle_body_pause(stream);
 }
 
+/* Take a turn to parse a message or a piece of one; false if there is none. */
+static bool
+take_turn(struct http_stream *stream)
+{
+	bool has_turn = stream->has_turn;
+
+	stream->has_turn = false;
+	return has_turn ||
+	    http_connections_take_turn(stream->connections, stream->class);
+}
+
 /*
- * Parse the pending messages of a caller until one is not followed by
- * http_stream_next. A loop, since a recursion would be as deep as the number of
+ * Parse pending messages until one is not followed by http_stream_next, or no
+ * turn is left. A loop, since a recursion would be as deep as the number of
  * pipelined requests.
  */
 static void
 parse_pending(struct http_stream *stream)
 {
-	while (!stream->closing && !stream->message_done &&
-	    stream->pending != NULL) {
-		GByteArray *pending = g_steal_pointer(&stream->pending);
-
+	while (!stream->closing && !stream->message_done && !stream->paused &&
+	    http_stream_has_pending(stream)) {
+		if (stream->side == HTTP_SIDE_SERVER && !take_turn(stream)) {
+			http_connections_wait(stream);
+			break;
+		}
 		parse_message(
-		    stream, (const char *)pending->data, pending->len);
-		g_byte_array_free(pending, TRUE);
+		    stream, account_buffer_view(&stream->pending), true);
 	}
+	account_buffer_trim(&stream->pending);
+	if (!stream->closing)
+		stream_update_reading(stream);
 }
 
 /*
@@ -313,11 +335,29 @@
 void
 stream_parse(struct http_stream *stream, const char *bytes, size_t len)
 {
-	parse_message(stream, bytes, len);
+	if (stream->side == HTTP_SIDE_SERVER && !take_turn(stream)) {
+		stream_pending_add(stream, bytes, len);
+		http_connections_wait(stream);
+		return;
+	}
+	parse_message(stream, str_make(bytes, len), false);
 	if (stream->side == HTTP_SIDE_SERVER)
 		parse_pending(stream);
 }
 
+/*
+ * It is the stream's turn to process input: what is pending, or else what can
+ * be read.
+ */
+void
+stream_take_turn(struct http_stream *stream)
+{
+	stream->waits_for_turn = false;
+	stream->has_turn = true;
+	stream->blocked = false;
+	parse_pending(stream);
+}
+
 /*
  * Get ready to parse the next message.
  */
@@ -348,8 +388,6 @@
 void
 http_stream_next(struct http_stream *stream)
 {
-	GByteArray *pending;
-
 	if (stream->closing)
 		return;
 	stream->message_done = false;
@@ -358,15 +396,8 @@
 	stream->skip_body = false;
 	stream->interim_count = 0;
 	stream_begin_message(stream);
-	http_stream_resume(stream);
-	if (stream->side == HTTP_SIDE_SERVER) {
-		if (!stream->delivering)
-			parse_pending(stream);
-		return;
-	}
-	pending = g_steal_pointer(&stream->pending);
-	if (pending == NULL)
-		return;
-	stream_parse(stream, (const char *)pending->data, pending->len);
-	g_byte_array_free(pending, TRUE);
+	stream->paused = false;
+	stream_update_reading(stream);
+	if (!stream->delivering || stream->side == HTTP_SIDE_CLIENT)
+		parse_pending(stream);
 }
--- a/http/stream_write.c
+++ b/http/stream_write.c
@@ -183,13 +183,13 @@
 
 	if (stream->closing)
 		return;
-	stream->closing = true;
+	stream_set_closing(stream);
 	/*
 	 * Unread bytes would turn the close into a reset, which may cost a
 	 * caller its response.
 	 */
 	if (stream->side == HTTP_SIDE_CLIENT)
-		stream_read_stop(stream);
+		stream_update_reading(stream);
 	if (http_stream_queued_bytes(stream) == 0) {
 		uv_close((uv_handle_t *)&stream->tcp, stream_handle_closed);
 		return;
--- a/include/account/turns.h
+++ b/include/account/turns.h
@@ -24,6 +24,8 @@
 void turns_init(struct turns *turns);
 /* An iteration begins. */
 void turns_begin(struct turns *turns);
+/* Could turns_take be successful? */
+bool turns_is_free(const struct turns *turns, enum connection_class class);
 /*
  * Take a turn immediately; false if none is left, or if others of the class
  * wait for theirs.
--- a/include/http/listener.h
+++ b/include/http/listener.h
@@ -18,8 +18,9 @@
 
 GQuark http_listen_error_quark(void);
 bool http_address_parse(struct str text, struct sockaddr_in *address);
-struct http_listener *http_listener_new(uv_loop_t *loop, struct str address,
-    http_accept_fn accept, void *arg, GError **error);
+struct http_listener *http_listener_new(struct http_connections *connections,
+    enum connection_class class, struct str address, http_accept_fn accept,
+    void *arg, GError **error);
 /* Stop accepting and free the listener. NULL is allowed. */
 void http_listener_close(struct http_listener *listener);
 
--- a/include/http/pool.h
+++ b/include/http/pool.h
@@ -10,6 +10,7 @@
 struct http_pool;
 
 struct http_pool_settings {
+	enum connection_class class;
 	struct sockaddr_in address;
 	uint32_t idle_max;        /* limit on idle connections */
 	uint32_t idle_default_ms; /* without a Keep-Alive timeout of the peer */
@@ -17,8 +18,8 @@
 	uint32_t unacknowledged_ms; /* as in struct http_stream; 0: default */
 };
 
-struct http_pool *http_pool_new(
-    uv_loop_t *loop, const struct http_pool_settings *settings);
+struct http_pool *http_pool_new(struct http_connections *connections,
+    const struct http_pool_settings *settings);
 /*
  * Closes idle connections; streams in use stay open, and may still be returned.
  * NULL is allowed.
--- a/include/http/stream.h
+++ b/include/http/stream.h
@@ -4,6 +4,8 @@
 #include <http_parser.h>
 #include <uv.h>
 
+#include "account/buffer.h"
+#include "http/connections.h"
 #include "http/head.h"
 #include "http/syntax.h"
 
@@ -64,6 +66,9 @@
 	const struct http_stream_ops *ops;
 	void *owner; /* context for ops */
 	enum http_side side;
+	struct http_connections *connections;
+	enum connection_class class;
+	GList turn_link;
 	/*
 	 * TCP_USER_TIMEOUT: the connection is lost when data stays
 	 * unacknowledged for so long. Set before it is connected.
@@ -76,9 +81,9 @@
 	uint32_t read_max_bytes; /* at once; 0: unlimited */
 	uint32_t head_bytes;
 	uint32_t interim_count; /* of 1xx responses to the current request */
-	GByteArray *pending;    /* received after this message, or NULL */
-	GByteArray *gathered;   /* to be sent after the write in progress */
-	GString *field_name;    /* header field being parsed */
+	struct account_buffer pending; /* received and not parsed */
+	GByteArray *gathered; /* to be sent after the write in progress */
+	GString *field_name;  /* header field being parsed */
 	GString *field_value;
 	bool in_value;
 	bool connected;
@@ -91,6 +96,10 @@
 	bool keep_alive; /* after this message */
 	bool eof;
 	bool reading;
+	bool paused;         /* by the owner */
+	bool blocked;        /* doesn't read until its turn */
+	bool waits_for_turn; /* to process input */
+	bool has_turn;       /* to process input */
 	bool closing;
 	bool parsing;
 	bool writing;    /* libuv has bytes to send */
@@ -104,7 +113,8 @@
 };
 
 /* Create a stream for an accepted or an outgoing connection. */
-struct http_stream *http_stream_new(uv_loop_t *loop, enum http_side side,
+struct http_stream *http_stream_new(struct http_connections *connections,
+    enum connection_class class, enum http_side side,
     const struct http_stream_ops *ops, void *owner);
 /* Connect; handle_connect or handle_end follows. False: no socket. */
 bool http_stream_connect(
@@ -121,6 +131,8 @@
  * noticed. What is received is dropped.
  */
 void http_stream_discard(struct http_stream *stream);
+/* Are there received bytes behind the message? */
+bool http_stream_has_pending(const struct http_stream *stream);
 /* Has the peer closed the connection, also while reading is paused? */
 bool http_stream_is_peer_gone(const struct http_stream *stream);
 /* Send bytes; what the socket doesn't accept immediately is copied. */
--- a/include/http/stream_private.h
+++ b/include/http/stream_private.h
@@ -5,16 +5,23 @@
 
 /* Stream internals, shared by http/stream*.c. */
 
+/* Handle bytes that have been read. */
+void stream_receive(struct http_stream *stream, const char *bytes, size_t len);
 /* Parse bytes; len 0 means end of stream. May close the stream. */
 void stream_parse(struct http_stream *stream, const char *bytes, size_t len);
 /* Get ready to parse the next message. */
 void stream_begin_message(struct http_stream *stream);
 /* Report to the owner that the stream is unusable. */
 void stream_report_end(struct http_stream *stream, enum http_end_reason reason);
-/* Store unparsed bytes; false above HTTP_PENDING_MAX_BYTES. */
-bool stream_pending_add(
+/* Process no more input, and make no more callbacks. */
+void stream_set_closing(struct http_stream *stream);
+/* Store bytes that are not parsed yet. */
+void stream_pending_add(
     struct http_stream *stream, const char *bytes, size_t len);
-void stream_read_stop(struct http_stream *stream);
+/* Start or stop reading, as the state of the stream says. */
+void stream_update_reading(struct http_stream *stream);
+/* Process input that has waited for a turn. */
+void stream_take_turn(struct http_stream *stream);
 /* uv_close callback: frees the stream. */
 void stream_handle_closed(uv_handle_t *handle);
 
--- a/include/trefoilhill-proxy/proxy.h
+++ b/include/trefoilhill-proxy/proxy.h
@@ -34,6 +34,7 @@
 	struct clock *clock;
 	struct rng *rng;
 	struct json_log *log;
+	struct http_connections *connections;
 	struct catalog *catalog;
 	struct follower *follower;
 	struct heartbeat *heartbeat;
--- a/tests/http/test_odd_messages.c
+++ b/tests/http/test_odd_messages.c
@@ -17,6 +17,7 @@
 
 struct fixture {
 	uv_loop_t loop;
+	struct http_connections *connections;
 	struct http_stream *stream;
 	GString *log;
 	bool in_body;
@@ -94,7 +95,9 @@
 {
 	*f = (struct fixture){ .log = g_string_new(NULL) };
 	uv_loop_init(&f->loop);
-	f->stream = http_stream_new(&f->loop, side, &ops, f);
+	f->connections = http_connections_new(&f->loop);
+	f->stream =
+	    http_stream_new(f->connections, CONNECTION_CALLER, side, &ops, f);
 }
 
 static void
@@ -102,6 +105,7 @@
 {
 	if (f->stream != NULL)
 		http_stream_abort(f->stream);
+	http_connections_free(f->connections);
 	uv_run(&f->loop, UV_RUN_DEFAULT);
 	uv_loop_close(&f->loop);
 	g_string_free(f->log, TRUE);
--- a/tests/http/test_stream.c
+++ b/tests/http/test_stream.c
@@ -16,6 +16,7 @@
 /* A client stream under test, and the socket of its peer. */
 struct fixture {
 	uv_loop_t loop;
+	struct http_connections *connections;
 	int listener;
 	int raw;
 	struct sockaddr_in address;
@@ -100,7 +101,9 @@
 	CU_ASSERT_EQUAL_FATAL(bind(f->listener, (void *)&f->address, len), 0);
 	CU_ASSERT_EQUAL_FATAL(listen(f->listener, 8), 0);
 	getsockname(f->listener, (void *)&f->address, &len);
-	f->stream = http_stream_new(&f->loop, HTTP_SIDE_CLIENT, &ops, f);
+	f->connections = http_connections_new(&f->loop);
+	f->stream = http_stream_new(
+	    f->connections, CONNECTION_UPSTREAM, HTTP_SIDE_CLIENT, &ops, f);
 	CU_ASSERT_TRUE_FATAL(http_stream_connect(f->stream, &f->address));
 	f->raw = accept(f->listener, NULL, NULL);
 	while (!f->stream->connected)
@@ -115,6 +118,7 @@
 	close(f->listener);
 	if (f->raw >= 0)
 		close(f->raw);
+	http_connections_free(f->connections);
 	while (uv_run(&f->loop, UV_RUN_NOWAIT) != 0)
 		;
 	uv_loop_close(&f->loop);
@@ -336,12 +340,13 @@
 fixture_use_pool(struct fixture *f)
 {
 	struct http_pool_settings settings = {
+		.class = CONNECTION_UPSTREAM,
 		.address = f->address,
 		.idle_max = 4,
 		.idle_default_ms = 10000,
 		.idle_max_ms = 10000,
 	};
-	struct http_pool *pool = http_pool_new(&f->loop, &settings);
+	struct http_pool *pool = http_pool_new(f->connections, &settings);
 
 	http_stream_abort(f->stream);
 	close(f->raw);
--- a/tests/proxy/test_pipeline.c
+++ b/tests/proxy/test_pipeline.c
@@ -290,34 +290,43 @@
 	}
 }
 
+/* Let a stream process what is pending, and its reader go on. */
+static void
+finish(uv_loop_t *loop, struct reader *reader, struct http_stream *stream)
+{
+	while (!reader->ended && (reader->waits || stream->waits_for_turn)) {
+		if (reader->waits) {
+			reader->waits = false;
+			http_stream_next(stream);
+		}
+		uv_run(loop, UV_RUN_NOWAIT);
+	}
+}
+
 /* Pass text in random pieces to a stream, as its reads would. */
 static void
 feed(uv_loop_t *loop, struct reader *reader, const GString *text)
 {
-	struct http_stream *stream =
-	    http_stream_new(loop, HTTP_SIDE_SERVER, &ops, reader);
+	struct http_connections *connections = http_connections_new(loop);
+	struct http_stream *stream = http_stream_new(
+	    connections, CONNECTION_CALLER, HTTP_SIDE_SERVER, &ops, reader);
 	size_t at = 0;
 
 	while (at < text->len && !reader->ended) {
 		size_t len = 1 + rng_below(reader->rng, text->len - at);
 
-		if (stream->message_done) {
-			CU_ASSERT_TRUE(
-			    stream_pending_add(stream, text->str + at, len));
-		} else {
-			stream_parse(stream, text->str + at, len);
-		}
+		stream_receive(stream, text->str + at, len);
+		CU_ASSERT_TRUE(account_buffer_len(&stream->pending) <=
+		    HTTP_PENDING_MAX_BYTES);
 		at += len;
 		if (!reader->waits || rng_below(reader->rng, 2) == 0)
 			continue;
 		reader->waits = false;
 		http_stream_next(stream);
 	}
-	while (reader->waits && !reader->ended) {
-		reader->waits = false;
-		http_stream_next(stream);
-	}
+	finish(loop, reader, stream);
 	http_stream_close(stream);
+	http_connections_free(connections);
 	uv_run(loop, UV_RUN_DEFAULT);
 }
 
--- a/trefoilhill-proxy/attempt.c
+++ b/trefoilhill-proxy/attempt.c
@@ -341,6 +341,7 @@
 {
 	struct fleet_peer *peer = attempt->peer;
 	struct http_pool_settings settings = {
+		.class = CONNECTION_UPSTREAM,
 		.address = attempt->proxy->mesh_address,
 		.idle_max = PEER_IDLE_CONNECTIONS_MAX,
 		.idle_default_ms = PEER_IDLE_MS,
@@ -350,7 +351,8 @@
 
 	settings.address.sin_addr = peer->host;
 	if (peer->pool == NULL)
-		peer->pool = http_pool_new(attempt->proxy->loop, &settings);
+		peer->pool =
+		    http_pool_new(attempt->proxy->connections, &settings);
 	return peer->pool;
 }
 
--- a/trefoilhill-proxy/caller.c
+++ b/trefoilhill-proxy/caller.c
@@ -52,8 +52,7 @@
 {
 	const struct http_stream *stream = caller->stream;
 
-	return caller->pipelined ||
-	    (stream->pending != NULL && stream->pending->len > 0);
+	return caller->pipelined || http_stream_has_pending(stream);
 }
 
 /*
--- a/trefoilhill-proxy/gate.c
+++ b/trefoilhill-proxy/gate.c
@@ -31,6 +31,7 @@
 		.pause_max_ms = PAUSE_MAX_MS,
 	};
 	struct http_pool_settings pool = {
+		.class = CONNECTION_UPSTREAM,
 		.idle_max = IDLE_CONNECTIONS_MAX,
 		.idle_default_ms = IDLE_DEFAULT_MS,
 		.idle_max_ms = IDLE_MAX_MS,
@@ -49,7 +50,7 @@
 	gate->proxy = proxy;
 	gate->address = pool.address;
 	gate->admission = admission_new(&bounds);
-	gate->pool = http_pool_new(proxy->loop, &pool);
+	gate->pool = http_pool_new(proxy->connections, &pool);
 	gate->crash_watch = crash_watch_new(proxy);
 	ops.arg = gate;
 	gate->probe = instance_probe_new(proxy, gate->pool, &ops);
--- a/trefoilhill-proxy/heartbeat.c
+++ b/trefoilhill-proxy/heartbeat.c
@@ -81,6 +81,7 @@
 	void *key = GUINT_TO_POINTER(host.s_addr);
 	struct http_pool *pool = g_hash_table_lookup(heartbeat->pools, key);
 	struct http_pool_settings settings = {
+		.class = CONNECTION_CONTROL,
 		.address = heartbeat->proxy->mesh_address,
 		.idle_max = 1,
 		.idle_default_ms = IDLE_TIMEOUT_MS,
@@ -90,7 +91,7 @@
 	if (pool != NULL)
 		return pool;
 	settings.address.sin_addr = host;
-	pool = http_pool_new(heartbeat->proxy->loop, &settings);
+	pool = http_pool_new(heartbeat->proxy->connections, &settings);
 	g_hash_table_insert(heartbeat->pools, key, pool);
 	return pool;
 }
--- a/trefoilhill-proxy/ops_listener.c
+++ b/trefoilhill-proxy/ops_listener.c
@@ -91,14 +91,15 @@
 	struct str metrics = proxy->settings->node.metrics_listen;
 
 	listener->proxy = proxy;
-	listener->listener = http_listener_new(proxy->loop,
-	    proxy->settings->node.operator_listen, handle_accept, proxy, error);
+	listener->listener = http_listener_new(proxy->connections,
+	    CONNECTION_OPERATOR, proxy->settings->node.operator_listen,
+	    handle_accept, proxy, error);
 	if (listener->listener == NULL)
 		goto fail;
 	if (metrics.len == 0)
 		return listener;
-	listener->metrics_listener = http_listener_new(
-	    proxy->loop, metrics, handle_accept, proxy, error);
+	listener->metrics_listener = http_listener_new(proxy->connections,
+	    CONNECTION_METRICS, metrics, handle_accept, proxy, error);
 	if (listener->metrics_listener != NULL)
 		return listener;
 fail:
--- a/trefoilhill-proxy/proxy.c
+++ b/trefoilhill-proxy/proxy.c
@@ -201,12 +201,14 @@
 	proxy->ops_listener = ops_listener_new(proxy, error);
 	if (proxy->ops_listener == NULL)
 		return false;
-	proxy->mesh_listener = http_listener_new(
-	    proxy->loop, node->mesh_listen, caller_accept_peer, proxy, error);
+	proxy->mesh_listener =
+	    http_listener_new(proxy->connections, CONNECTION_NODE,
+		node->mesh_listen, caller_accept_peer, proxy, error);
 	if (proxy->mesh_listener == NULL)
 		return false;
-	proxy->caller_listener = http_listener_new(proxy->loop,
-	    node->caller_listen, caller_accept_local, proxy, error);
+	proxy->caller_listener =
+	    http_listener_new(proxy->connections, CONNECTION_CALLER,
+		node->caller_listen, caller_accept_local, proxy, error);
 	return proxy->caller_listener != NULL;
 }
 
@@ -237,6 +239,7 @@
 	};
 
 	proxy->log = json_log_new(&log, proxy->clock);
+	proxy->connections = http_connections_new(proxy->loop);
 	proxy->catalog = catalog_new(ops);
 	proxy->retry_budget = fleet_retry_budget_new(&retry_budget);
 	proxy->shaper = shaper_new(proxy->loop, settings->node.link_kbps);
@@ -303,7 +306,8 @@
 	if (!set_addresses(proxy, error))
 		goto fail;
 	proxy->gate = gate_new(proxy, error);
-	source = store_client_new(loop, store_address(settings), error);
+	source = store_client_new(
+	    proxy->connections, store_address(settings), error);
 	if (proxy->gate == NULL || source == NULL)
 		goto fail;
 	proxy->follower = follower_new(proxy, source);
