ops: read no further request while responses are unread

Operators saw a node end, out of memory, when a caller sent many requests ahead to /ready or /metrics and didn't read.

Cause: the listener answered each request as it came, whatever of its responses was still unsent; the write queue had no bound.

Change: with more than 16 KB unsent, the next request is read once a quarter of that is left. The mark is one of the stream, 256 KB for the others.

Conclusion: what an operator's connection holds is bounded like a caller's.

--- a/http/stream.c
+++ b/http/stream.c
@@ -379,6 +379,7 @@
 	stream->side = side;
 	stream->head = http_head_new();
 	stream->head_max_bytes = 64 * 1024;
+	stream->write_high_bytes = HTTP_WRITE_HIGH_BYTES;
 	stream->unacknowledged_ms = UNACKNOWLEDGED_DEFAULT_MS;
 	stream->field_name = g_string_new(NULL);
 	stream->field_value = g_string_new(NULL);
--- a/http/stream_write.c
+++ b/http/stream_write.c
@@ -1,5 +1,9 @@
 #include "http/stream_private.h"
 
+enum {
+	WRITE_LOW_DIVISOR = 4, /* of write_high_bytes */
+};
+
 /* Bytes that the socket didn't accept at once; at most one is in progress. */
 struct write_request {
 	uv_write_t request; /* first */
@@ -52,7 +56,8 @@
 	}
 	write_gathered(stream);
 	if (stream->above_high_mark &&
-	    http_stream_queued_bytes(stream) < HTTP_WRITE_LOW_BYTES) {
+	    http_stream_queued_bytes(stream) <
+		stream->write_high_bytes / WRITE_LOW_DIVISOR) {
 		stream->above_high_mark = false;
 		if (stream->ops->handle_drain != NULL)
 			stream->ops->handle_drain(stream);
@@ -97,7 +102,7 @@
 	stream->gathered = bytes;
 	if (!stream->writing)
 		write_gathered(stream);
-	if (http_stream_queued_bytes(stream) > HTTP_WRITE_HIGH_BYTES)
+	if (http_stream_queued_bytes(stream) > stream->write_high_bytes)
 		stream->above_high_mark = true;
 }
 
--- a/include/http/stream.h
+++ b/include/http/stream.h
@@ -42,7 +42,7 @@
 	/* The connection is unusable; the owner must close the stream. */
 	void (*handle_end)(
 	    struct http_stream *stream, enum http_end_reason reason);
-	/* The write queue fell below HTTP_WRITE_LOW_BYTES. May be NULL. */
+	/* The write queue is short again: see write_high_bytes. May be NULL. */
 	void (*handle_drain)(struct http_stream *stream);
 	/* The body bytes received at once have been delivered. May be NULL. */
 	void (*handle_body_pause)(struct http_stream *stream);
@@ -56,7 +56,6 @@
 
 enum {
 	HTTP_WRITE_HIGH_BYTES = 256 * 1024, /* pause the source above this */
-	HTTP_WRITE_LOW_BYTES = 64 * 1024,
 	HTTP_PENDING_MAX_BYTES = 64 * 1024, /* unparsed next messages */
 	HTTP_INTERIM_MAX = 16, /* 1xx responses before the final one */
 };
@@ -79,6 +78,8 @@
 	struct http_head *head;
 	uint32_t head_max_bytes;
 	uint32_t read_max_bytes; /* at once; 0: unlimited */
+	/* Of unsent bytes: above_high_mark is set until a quarter is left. */
+	uint32_t write_high_bytes;
 	uint32_t head_bytes;
 	uint32_t interim_count; /* of 1xx responses to the current request */
 	struct account_buffer pending; /* received and not parsed */
--- a/trefoilhill-proxy/ops_listener.c
+++ b/trefoilhill-proxy/ops_listener.c
@@ -3,6 +3,11 @@
 #include "platform/headers.h"
 #include "trefoilhill-proxy/ops_listener.h"
 
+enum {
+	/* Of responses that an operator doesn't read. */
+	UNSENT_MAX_BYTES = 16 * 1024,
+};
+
 struct ops_listener {
 	struct proxy *proxy;
 	struct http_listener *listener;
@@ -55,7 +60,15 @@
 	}
 	if (proxy->stopping || !stream->keep_alive)
 		http_stream_close(stream);
-	else
+	else if (!stream->above_high_mark)
+		http_stream_next(stream);
+}
+
+/* The responses so far are read: go on with the next request. */
+static void
+handle_drain(struct http_stream *stream)
+{
+	if (stream->message_done)
 		http_stream_next(stream);
 }
 
@@ -70,6 +83,7 @@
 	.handle_body = handle_body,
 	.handle_message = handle_message,
 	.handle_end = handle_end,
+	.handle_drain = handle_drain,
 };
 
 static void
@@ -77,6 +91,7 @@
 {
 	stream->ops = &ops;
 	stream->owner = arg;
+	stream->write_high_bytes = UNSENT_MAX_BYTES;
 	http_stream_start(stream);
 }
 
