exchange: free an ended request in the iteration in which it ends

Cause: an ended request closed its first timer, and in the callback of that the second, whose callback freed it: it took one iteration of the loop more than needed.

Change: both timers are closed at once, and the last callback frees.

Conclusion: what ends in an iteration is gone when the next one begins.

--- a/include/trefoilhill-proxy/exchange.h
+++ b/include/trefoilhill-proxy/exchange.h
@@ -22,8 +22,9 @@
 
 /* A request and its response. */
 struct exchange {
-	uv_timer_t timer;      /* deadline; must be the first member */
-	uv_timer_t hedge;      /* second attempt of a slow idempotent request */
+	uv_timer_t timer; /* deadline; must be the first member */
+	uv_timer_t hedge; /* second attempt of a slow idempotent request */
+	uint32_t open_timers;
 	struct caller *caller; /* NULL: connection closed */
 	struct proxy *proxy;
 	enum caller_origin origin;
--- a/trefoilhill-proxy/exchange.c
+++ b/trefoilhill-proxy/exchange.c
@@ -113,18 +113,13 @@
 	g_free(exchange);
 }
 
-static void
-handle_hedge_closed(uv_handle_t *handle)
-{
-	exchange_free(handle->data);
-}
-
 static void
 handle_timer_closed(uv_handle_t *handle)
 {
-	struct exchange *exchange = (struct exchange *)handle;
+	struct exchange *exchange = handle->data;
 
-	uv_close((uv_handle_t *)&exchange->hedge, handle_hedge_closed);
+	if (--exchange->open_timers == 0)
+		exchange_free(exchange);
 }
 
 /*
@@ -146,6 +141,7 @@
 		proxy_record_latency(&exchange->proxy->stats, LATENCY_TOTAL,
 		    proxy_now_ms(exchange->proxy) - exchange->started_ms);
 	uv_close((uv_handle_t *)&exchange->timer, handle_timer_closed);
+	uv_close((uv_handle_t *)&exchange->hedge, handle_timer_closed);
 }
 
 /*
--- a/trefoilhill-proxy/exchange_begin.c
+++ b/trefoilhill-proxy/exchange_begin.c
@@ -34,7 +34,8 @@
 		str_from("HEAD"));
 	uv_timer_init(exchange->proxy->loop, &exchange->timer);
 	uv_timer_init(exchange->proxy->loop, &exchange->hedge);
-	exchange->hedge.data = exchange;
+	exchange->timer.data = exchange->hedge.data = exchange;
+	exchange->open_timers = 2;
 	exchange->proxy->exchanges++;
 	caller_add_exchange(caller, exchange);
 	return exchange;
