http: limit the descriptors of connections, and close idle ones for new ones

Callers got no answer, and operators no readiness, when others only stayed connected: idle connections used up the descriptors.

Cause: connections were accepted up to the process's limit, whoever opened them, and nothing closed an idle one before its time. Each refusal by the kernel wrote a line to standard error.

Change: each connection is counted in the account of the process, by class: callers, nodes, operators, metrics, those to upstreams and our own. A class at its limit closes the connection that does least with it, never one that the process works for, an idle one in order; if there is none, the new one is refused at once. [limits] descriptors and memory_mb give the limits (the process's own limit as default), metrics show them, and a line connection_limit says, at most once a second, what one has done.

Conclusion: neither callers nor nodes can take the others' descriptors.

--- a/http/connections.c
+++ b/http/connections.c
@@ -4,6 +4,8 @@
 
 struct http_connections {
 	uv_loop_t *loop;
+	struct http_connections_ops ops;
+	struct account *account;
 	struct turns turns;
 	uv_prepare_t begin; /* of an iteration's input */
 	uv_idle_t waiting;  /* active while a connection waits for a turn */
@@ -38,12 +40,15 @@
  * http_connections_free.
  */
 struct http_connections *
-http_connections_new(uv_loop_t *loop)
+http_connections_new(uv_loop_t *loop, const struct account_settings *limits,
+    struct http_connections_ops ops)
 {
 	struct http_connections *connections =
 	    g_new0(struct http_connections, 1);
 
 	connections->loop = loop;
+	connections->ops = ops;
+	connections->account = account_new(limits);
 	turns_init(&connections->turns);
 	uv_prepare_init(loop, &connections->begin);
 	uv_idle_init(loop, &connections->waiting);
@@ -59,8 +64,10 @@
 {
 	struct http_connections *connections = handle->data;
 
-	if (--connections->open_handles == 0)
-		g_free(connections);
+	if (--connections->open_handles > 0)
+		return;
+	account_free(connections->account);
+	g_free(connections);
 }
 
 /*
@@ -84,6 +91,98 @@
 	return connections->loop;
 }
 
+/*
+ * Return the account of the connections.
+ */
+const struct account *
+http_connections_account(const struct http_connections *connections)
+{
+	return connections->account;
+}
+
+/*
+ * Replace the limits.
+ */
+void
+http_connections_set(
+    struct http_connections *connections, const struct account_settings *limits)
+{
+	account_set(connections->account, limits);
+}
+
+static bool
+is_working(const struct account_holder *holder)
+{
+	return stream_is_working(holder->owner);
+}
+
+/*
+ * Count a new connection, which its stream ends with account_close.
+ */
+struct account_holder *
+http_connections_add(struct http_stream *stream)
+{
+	static const struct account_holder_ops ops = {
+		.is_working = is_working,
+	};
+	struct http_connections *connections = stream->connections;
+
+	return account_open(connections->account, stream->class, &ops, stream,
+	    (int64_t)uv_now(connections->loop));
+}
+
+static void
+report_limit(struct http_connections *connections, enum connection_class class,
+    enum account_resource resource, enum http_limit_event event)
+{
+	if (connections->ops.handle_limit != NULL)
+		connections->ops.handle_limit(
+		    connections->ops.arg, class, resource, event);
+}
+
+/* Close a connection of a class to make room; false if none gives way. */
+static bool
+make_room(struct http_connections *connections, enum connection_class class,
+    enum account_resource resource)
+{
+	struct account_holder *holder = account_choose(connections->account,
+	    class, resource, (int64_t)uv_now(connections->loop));
+
+	if (holder == NULL)
+		return false;
+	account_revoke(holder);
+	report_limit(connections, class, resource, HTTP_LIMIT_CLOSED);
+	stream_revoke(holder->owner);
+	return true;
+}
+
+/*
+ * Tell whether a connection may be opened, and make room for it if that is
+ * possible.
+ */
+bool
+http_connections_admit(
+    struct http_connections *connections, enum connection_class class)
+{
+	if (account_may_take(
+		connections->account, class, ACCOUNT_DESCRIPTORS, 1) ||
+	    make_room(connections, class, ACCOUNT_DESCRIPTORS))
+		return true;
+	http_connections_refuse(connections, class);
+	return false;
+}
+
+/*
+ * Report that a connection was refused for want of a descriptor.
+ */
+void
+http_connections_refuse(
+    struct http_connections *connections, enum connection_class class)
+{
+	report_limit(
+	    connections, class, ACCOUNT_DESCRIPTORS, HTTP_LIMIT_REFUSED);
+}
+
 /*
  * Tell whether input may be processed immediately.
  */
--- a/http/listener.c
+++ b/http/listener.c
@@ -47,15 +47,21 @@
 {
 	struct http_listener *listener = (struct http_listener *)server;
 	struct http_stream *stream;
+	bool admitted;
 
+	/*
+	 * libuv has accepted and closed the connection if there was no
+	 * descriptor for it.
+	 */
 	if (status != 0) {
-		g_warning(
-		    "cannot accept a connection: %s", uv_strerror(status));
+		http_connections_refuse(listener->connections, listener->class);
 		return;
 	}
+	admitted =
+	    http_connections_admit(listener->connections, listener->class);
 	stream = http_stream_new(listener->connections, listener->class,
 	    HTTP_SIDE_SERVER, NULL, NULL);
-	if (uv_accept(server, (uv_stream_t *)&stream->tcp) != 0) {
+	if (uv_accept(server, (uv_stream_t *)&stream->tcp) != 0 || !admitted) {
 		http_stream_abort(stream);
 		return;
 	}
--- a/http/pool.c
+++ b/http/pool.c
@@ -41,6 +41,12 @@
 	handle_idle_end(stream, HTTP_END_MALFORMED);
 }
 
+static bool
+is_idle_working(const struct http_stream *stream)
+{
+	return false;
+}
+
 /* No bytes are expected on an idle connection: any byte closes it. */
 static const struct http_stream_ops idle_ops = {
 	.handle_head = handle_idle_bytes,
@@ -48,6 +54,7 @@
 	.handle_message = handle_idle_bytes,
 	.handle_end = handle_idle_end,
 	.handle_first_byte = handle_idle_bytes,
+	.is_working = is_idle_working,
 };
 
 static void
@@ -93,6 +100,7 @@
 	.handle_body = handle_drain_body,
 	.handle_message = handle_drain_message,
 	.handle_end = handle_idle_end,
+	.is_working = is_idle_working,
 };
 
 static void
@@ -219,8 +227,12 @@
 http_pool_connect(
     struct http_pool *pool, const struct http_stream_ops *ops, void *owner)
 {
-	struct http_stream *stream = http_stream_new(pool->connections,
-	    pool->settings.class, HTTP_SIDE_CLIENT, ops, owner);
+	struct http_stream *stream;
+
+	if (!http_connections_admit(pool->connections, pool->settings.class))
+		return NULL;
+	stream = http_stream_new(pool->connections, pool->settings.class,
+	    HTTP_SIDE_CLIENT, ops, owner);
 
 	pool->refs++;
 	stream->release = pool_unref;
--- a/http/stream.c
+++ b/http/stream.c
@@ -28,6 +28,7 @@
 
 	http_head_free(stream->head);
 	account_buffer_release(&stream->pending);
+	account_close(stream->holder);
 	if (stream->gathered != NULL)
 		g_byte_array_free(stream->gathered, TRUE);
 	g_string_free(stream->field_name, TRUE);
@@ -62,6 +63,44 @@
 		uv_close((uv_handle_t *)&stream->tcp, stream_handle_closed);
 }
 
+/*
+ * Tell whether closing the connection would cost its peer something.
+ */
+bool
+stream_is_working(const struct http_stream *stream)
+{
+	if (stream->closing || stream->ops == NULL)
+		return false;
+	if (stream->ops->is_working != NULL)
+		return stream->ops->is_working(stream);
+	return stream->side == HTTP_SIDE_CLIENT ||
+	    (stream->message_done && http_stream_queued_bytes(stream) == 0);
+}
+
+/*
+ * Close the connection to make room. One that is being closed already has no
+ * owner any more, and is closed without what is left to send.
+ */
+void
+stream_revoke(struct http_stream *stream)
+{
+	uv_handle_t *handle = (uv_handle_t *)&stream->tcp;
+
+	if (!stream->closing)
+		stream->ops->handle_end(stream, HTTP_END_REVOKED);
+	else if (!uv_is_closing(handle))
+		uv_close(handle, stream_handle_closed);
+}
+
+/*
+ * The peer has taken a part of what it is sent.
+ */
+void
+stream_note_progress(struct http_stream *stream)
+{
+	account_progress(stream->holder, (int64_t)uv_now(stream->tcp.loop));
+}
+
 /*
  * Report to the owner that the stream is unusable, unless it is closing.
  */
@@ -374,6 +413,8 @@
 	stream->connections = connections;
 	stream->class = class;
 	stream->turn_link.data = stream;
+	stream->holder = http_connections_add(stream);
+	account_buffer_init(&stream->pending, stream->holder);
 	stream->ops = ops;
 	stream->owner = owner;
 	stream->side = side;
--- a/http/stream_write.c
+++ b/http/stream_write.c
@@ -54,6 +54,7 @@
 		    status == UV_ETIMEDOUT ? HTTP_END_TIMEOUT : HTTP_END_RESET);
 		return;
 	}
+	stream_note_progress(stream);
 	write_gathered(stream);
 	if (stream->above_high_mark &&
 	    http_stream_queued_bytes(stream) <
@@ -126,8 +127,10 @@
 	if (http_stream_queued_bytes(stream) == 0)
 		written =
 		    uv_try_write((uv_stream_t *)&stream->tcp, buffers, count);
-	if (written > 0)
+	if (written > 0) {
 		sent = (size_t)written;
+		stream_note_progress(stream);
+	}
 	if (sent < total)
 		queue_unsent(stream, first, second, sent);
 }
--- a/include/account/account.h
+++ b/include/account/account.h
@@ -62,6 +62,9 @@
 	GList link;
 };
 
+/* A limit that nothing reaches. */
+#define ACCOUNT_UNLIMITED (UINT64_MAX / 1024)
+
 struct account_settings {
 	uint64_t limits[ACCOUNT_RESOURCES];
 };
--- a/include/http/connections.h
+++ b/include/http/connections.h
@@ -12,12 +12,42 @@
 struct http_connections;
 struct http_stream;
 
-struct http_connections *http_connections_new(uv_loop_t *loop);
+enum http_limit_event {
+	HTTP_LIMIT_CLOSED,  /* a connection gave way */
+	HTTP_LIMIT_REFUSED, /* a new one, as no other gave way */
+};
+
+struct http_connections_ops {
+	/* A limit has acted. Must not use connections. */
+	void (*handle_limit)(void *arg, enum connection_class class,
+	    enum account_resource resource, enum http_limit_event event);
+	void *arg;
+};
+
+struct http_connections *http_connections_new(uv_loop_t *loop,
+    const struct account_settings *limits, struct http_connections_ops ops);
+/* Replace the limits. */
+void http_connections_set(struct http_connections *connections,
+    const struct account_settings *limits);
 /* The connections must have been closed before. NULL is allowed. */
 void http_connections_free(struct http_connections *connections);
 uv_loop_t *http_connections_loop(const struct http_connections *connections);
+const struct account *http_connections_account(
+    const struct http_connections *connections);
 
-/* Private to http/stream*.c. */
+/* Private to http/. */
+
+/*
+ * May a connection be opened? If another has to give way for it, that one is
+ * closed before this returns.
+ */
+bool http_connections_admit(
+    struct http_connections *connections, enum connection_class class);
+/* A connection was refused for want of a descriptor. */
+void http_connections_refuse(
+    struct http_connections *connections, enum connection_class class);
+/* Count a new connection. */
+struct account_holder *http_connections_add(struct http_stream *stream);
 
 /* May the input of a connection be processed immediately? */
 bool http_connections_has_turn(
--- a/include/http/stream.h
+++ b/include/http/stream.h
@@ -30,6 +30,7 @@
 	HTTP_END_CONNECT,   /* the connection was never established */
 	HTTP_END_MALFORMED, /* see http_stream_defect */
 	HTTP_END_TOO_LARGE, /* head exceeds head_max_bytes */
+	HTTP_END_REVOKED,   /* others need the room: abort it immediately */
 };
 
 struct http_stream_ops {
@@ -52,6 +53,11 @@
 	void (*handle_continue)(struct http_stream *stream);
 	/* The connection is established. May be NULL. */
 	void (*handle_connect)(struct http_stream *stream);
+	/*
+	 * Would closing the connection cost its peer something? If NULL, only
+	 * that of a client would, or one with a complete request.
+	 */
+	bool (*is_working)(const struct http_stream *stream);
 };
 
 enum {
@@ -67,6 +73,7 @@
 	enum http_side side;
 	struct http_connections *connections;
 	enum connection_class class;
+	struct account_holder *holder;
 	GList turn_link;
 	/*
 	 * TCP_USER_TIMEOUT: the connection is lost when data stays
--- a/include/http/stream_private.h
+++ b/include/http/stream_private.h
@@ -13,6 +13,15 @@
 void stream_begin_message(struct http_stream *stream);
 /* Report to the owner that the stream is unusable. */
 void stream_report_end(struct http_stream *stream, enum http_end_reason reason);
+/*
+ * Does the process owe the peer something, and is the peer taking it? An idle
+ * connection, or one that waits for the peer, can be closed to make room.
+ */
+bool stream_is_working(const struct http_stream *stream);
+/* Close the connection to make room for others. */
+void stream_revoke(struct http_stream *stream);
+/* The peer has taken bytes. */
+void stream_note_progress(struct http_stream *stream);
 /* Process no more input, and make no more callbacks. */
 void stream_set_closing(struct http_stream *stream);
 /* Store bytes that are not parsed yet. */
--- a/include/trefoilhill-proxy/proxy.h
+++ b/include/trefoilhill-proxy/proxy.h
@@ -15,6 +15,7 @@
 #include "trefoilhill-proxy/stats.h"
 #include "trefoilhilld/settings.h"
 
+struct connection_limits;
 struct follower;
 struct gate;
 struct heartbeat;
@@ -35,6 +36,7 @@
 	struct rng *rng;
 	struct json_log *log;
 	struct http_connections *connections;
+	struct connection_limits *connection_limits;
 	struct catalog *catalog;
 	struct follower *follower;
 	struct heartbeat *heartbeat;
--- a/include/trefoilhilld/settings.h
+++ b/include/trefoilhilld/settings.h
@@ -97,6 +97,12 @@
 	uint32_t slack;
 };
 
+/* What all connections together may occupy. */
+struct limit_settings {
+	uint32_t memory_mb;   /* of the process; its connections get a part */
+	uint32_t descriptors; /* of the process, as far as its own limit goes */
+};
+
 struct log_settings {
 	uint32_t level; /* enum log_threshold */
 	uint32_t event_entries;
@@ -113,6 +119,7 @@
 	struct admission_settings guard;
 	struct route_settings route;
 	struct workspace_quota_settings quota;
+	struct limit_settings limits;
 	struct log_settings log;
 };
 
--- a/tests/daemon/test_settings.c
+++ b/tests/daemon/test_settings.c
@@ -43,6 +43,11 @@
 	{ "guard", "cold_burst_factor", "1.001", true, 1001 },
 	{ "quota", "window_ms", "0.5s", true, 500 },
 	{ "quota", "slack", "20.5", true, 20 },
+	{ "limits", "memory_mb", "109.5", true, 109 },
+	{ "limits", "memory_mb", "0.5", false, 0 },
+	{ "limits", "descriptors", "4100", true, 4100 },
+	{ "limits", "descriptors", "15", false, 0 },
+	{ "limits", "descriptors", "", false, 0 },
 	{ "node", "caller_threads", "2.5", false, 0 },
 	{ "node", "link_mbps", "14.57", true, 14570 },
 };
--- a/tests/http/test_odd_messages.c
+++ b/tests/http/test_odd_messages.c
@@ -15,6 +15,10 @@
 	MUTATIONS = 20000,
 };
 
+static const struct account_settings unlimited = {
+	.limits = { ACCOUNT_UNLIMITED, ACCOUNT_UNLIMITED },
+};
+
 struct fixture {
 	uv_loop_t loop;
 	struct http_connections *connections;
@@ -95,7 +99,8 @@
 {
 	*f = (struct fixture){ .log = g_string_new(NULL) };
 	uv_loop_init(&f->loop);
-	f->connections = http_connections_new(&f->loop);
+	f->connections = http_connections_new(
+	    &f->loop, &unlimited, (struct http_connections_ops){ 0 });
 	f->stream =
 	    http_stream_new(f->connections, CONNECTION_CALLER, side, &ops, f);
 }
--- a/tests/http/test_stream.c
+++ b/tests/http/test_stream.c
@@ -9,6 +9,10 @@
 #include "harness.h"
 #include "http/pool.h"
 
+static const struct account_settings unlimited = {
+	.limits = { ACCOUNT_UNLIMITED, ACCOUNT_UNLIMITED },
+};
+
 enum {
 	WAIT_MAX_MS = 3000,
 };
@@ -101,7 +105,8 @@
 	CU_ASSERT_EQUAL_FATAL(bind(f->listener, (void *)&f->address, len), 0);
 	CU_ASSERT_EQUAL_FATAL(listen(f->listener, 8), 0);
 	getsockname(f->listener, (void *)&f->address, &len);
-	f->connections = http_connections_new(&f->loop);
+	f->connections = http_connections_new(
+	    &f->loop, &unlimited, (struct http_connections_ops){ 0 });
 	f->stream = http_stream_new(
 	    f->connections, CONNECTION_UPSTREAM, HTTP_SIDE_CLIENT, &ops, f);
 	CU_ASSERT_TRUE_FATAL(http_stream_connect(f->stream, &f->address));
--- a/tests/proxy/test_pipeline.c
+++ b/tests/proxy/test_pipeline.c
@@ -6,6 +6,10 @@
 #include "http/stream_private.h"
 #include "trefoilhill-proxy/pipeline.h"
 
+static const struct account_settings unlimited = {
+	.limits = { ACCOUNT_UNLIMITED, ACCOUNT_UNLIMITED },
+};
+
 enum {
 	ROUNDS = 2000,
 	STEPS = 200,
@@ -307,7 +311,8 @@
 static void
 feed(uv_loop_t *loop, struct reader *reader, const GString *text)
 {
-	struct http_connections *connections = http_connections_new(loop);
+	struct http_connections *connections = http_connections_new(
+	    loop, &unlimited, (struct http_connections_ops){ 0 });
 	struct http_stream *stream = http_stream_new(
 	    connections, CONNECTION_CALLER, HTTP_SIDE_SERVER, &ops, reader);
 	size_t at = 0;
--- a/tests/soak/test_settings.py
+++ b/tests/soak/test_settings.py
@@ -39,6 +39,7 @@
 }
 QUOTA = {"bounds.quotaWindowS": "7", "bounds.quotaOverage": "0.125",
          "bounds.quotaSlack": "4"}
+LIMITS = {"limits.memoryMb": "110", "limits.maxFds": "4100"}
 FIGURES = [name for name in DEPLOYMENT
            if name.startswith(("bounds.", "limits."))]
 # How the platform may write a figure.
@@ -58,6 +59,9 @@
     ({**QUOTA, "bounds.quotaOverage": "-1"}, False, "overage"),
     ({**QUOTA, "bounds.quotaWindowS": "0"}, False, "window_ms"),
     ({**QUOTA, "bounds.quotaSlack": ""}, False, "slack"),
+    (LIMITS, True, ""),
+    ({**LIMITS, "limits.memoryMb": "0"}, False, "memory_mb"),
+    ({**LIMITS, "limits.maxFds": "none"}, False, "descriptors"),
     ({"bounds.graceS": "6.5.0"}, False, "grace_ms"),
     ({"bounds.graceS": "nan"}, False, "grace_ms"),
     ({"bounds.graceS": ""}, False, "grace_ms"),
@@ -66,6 +70,8 @@
 CASES += [({name: text.format(DEPLOYMENT[name].partition(".")[0])}, True, "")
           for name in FIGURES for text in FRACTIONS
           if name != "bounds.retryBudgetRatio"]
+CASES += [({**LIMITS, name: text.format(LIMITS[name])}, True, "")
+          for name in LIMITS for text in FRACTIONS]
 CASES += [({**QUOTA, name: text.format(1)}, True, "")
           for name in QUOTA for text in FRACTIONS]
 
--- a/trefoilhill-proxy/caller.c
+++ b/trefoilhill-proxy/caller.c
@@ -91,6 +91,22 @@
 	caller_release(caller);
 }
 
+/*
+ * Close the connection as others need what it occupies. An idle one gets an
+ * orderly close.
+ */
+static void
+caller_revoke(struct caller *caller)
+{
+	const struct http_stream *stream = caller->stream;
+
+	if (g_queue_is_empty(&caller->exchanges) && !stream->message_begun &&
+	    http_stream_queued_bytes(stream) == 0)
+		caller_close(caller);
+	else
+		caller_abort(caller);
+}
+
 /*
  * End a response that can't be completed. A reset may cost a caller that
  * pipelines the responses before it; a response whose end is known otherwise
@@ -286,7 +302,10 @@
 	bool is_rejected =
 	    end == HTTP_END_MALFORMED || end == HTTP_END_TOO_LARGE;
 
-	if (first != NULL && (!is_rejected || caller->receiving == first)) {
+	if (end == HTTP_END_REVOKED) {
+		caller_revoke(caller);
+	} else if (first != NULL &&
+	    (!is_rejected || caller->receiving == first)) {
 		caller_abort(caller);
 	} else if (end == HTTP_END_MALFORMED) {
 		caller_reject_message(caller, "400 Bad Request");
@@ -309,6 +328,18 @@
 	caller_advance(caller);
 }
 
+/* Is a complete request in progress, and is the caller reading responses? */
+static bool
+is_working(const struct http_stream *stream)
+{
+	const struct caller *caller = stream->owner;
+	const struct exchange *first =
+	    g_queue_peek_head((GQueue *)&caller->exchanges);
+
+	return first != NULL && caller->receiving != first &&
+	    http_stream_queued_bytes(stream) == 0;
+}
+
 static const struct http_stream_ops caller_ops = {
 	.handle_head = handle_head,
 	.handle_body = handle_body,
@@ -316,6 +347,7 @@
 	.handle_end = handle_end,
 	.handle_drain = handle_drain,
 	.handle_first_byte = handle_first_byte,
+	.is_working = is_working,
 };
 
 /*
--- a/trefoilhill-proxy/ops_listener.c
+++ b/trefoilhill-proxy/ops_listener.c
@@ -75,7 +75,10 @@
 static void
 handle_end(struct http_stream *stream, enum http_end_reason end)
 {
-	http_stream_close(stream);
+	if (end == HTTP_END_REVOKED)
+		http_stream_abort(stream);
+	else
+		http_stream_close(stream);
 }
 
 static const struct http_stream_ops ops = {
--- a/trefoilhill-proxy/proxy.c
+++ b/trefoilhill-proxy/proxy.c
@@ -2,6 +2,7 @@
 
 #include "platform/store_client.h"
 #include "trefoilhill-proxy/caller.h"
+#include "trefoilhill-proxy/connection_limits.h"
 #include "trefoilhill-proxy/follower.h"
 #include "trefoilhill-proxy/gate.h"
 #include "trefoilhill-proxy/heartbeat.h"
@@ -174,6 +175,7 @@
 	gate_refresh(proxy->gate);
 	callers_check_gone(proxy);
 	quota_link_tick(proxy->quota_link);
+	connection_limits_tick(proxy->connection_limits);
 	if (proxy->stopping)
 		advance_shutdown(proxy);
 }
@@ -239,7 +241,7 @@
 	};
 
 	proxy->log = json_log_new(&log, proxy->clock);
-	proxy->connections = http_connections_new(proxy->loop);
+	proxy->connection_limits = connection_limits_new(proxy);
 	proxy->catalog = catalog_new(ops);
 	proxy->retry_budget = fleet_retry_budget_new(&retry_budget);
 	proxy->shaper = shaper_new(proxy->loop, settings->node.link_kbps);
@@ -367,5 +369,6 @@
 	settings_free(proxy->settings);
 	proxy->settings = settings;
 	quota_link_reload(proxy->quota_link);
+	connection_limits_reload(proxy->connection_limits);
 	log_lifecycle(proxy, "settings_taken");
 }
--- a/trefoilhill-proxy/proxy_metrics.c
+++ b/trefoilhill-proxy/proxy_metrics.c
@@ -1,5 +1,6 @@
 #include "quarantine/quarantine.h"
 #include "trefoilhill-proxy/caller.h"
+#include "trefoilhill-proxy/connection_limits.h"
 #include "trefoilhill-proxy/follower.h"
 #include "trefoilhill-proxy/gate.h"
 #include "trefoilhill-proxy/proxy.h"
@@ -48,6 +49,7 @@
 	g_string_append_printf(out, "trefoilhill_quarantine_requests %zu\n",
 	    quarantine_blocked_count(proxy->quarantine));
 	quota_link_render(proxy->quota_link, out);
+	connection_limits_render(proxy->connection_limits, out);
 	g_string_append_printf(out,
 	    "trefoilhill_config_revision %" G_GUINT64_FORMAT "\n"
 	    "trefoilhill_replica_era %" G_GUINT64_FORMAT "\n"
