--- a/account/account.c
+++ b/account/account.c
@@ -25,6 +25,7 @@
 
 struct account {
 	struct account_settings settings;
+	uint64_t reserves[CONNECTION_CLASSES][ACCOUNT_RESOURCES];
 	uint64_t used[CONNECTION_CLASSES][ACCOUNT_RESOURCES];
 	/* The part of it that revoked connections occupy. */
 	uint64_t revoked[CONNECTION_CLASSES][ACCOUNT_RESOURCES];
@@ -48,7 +49,7 @@
 {
 	struct account *account = g_new0(struct account, 1);
 
-	account->settings = *settings;
+	account_set(account, settings);
 	for (size_t i = 0; i < CONNECTION_CLASSES; i++)
 		g_queue_init(&account->open[i]);
 	return account;
@@ -70,6 +71,10 @@
 account_set(struct account *account, const struct account_settings *settings)
 {
 	account->settings = *settings;
+	for (size_t i = 0; i < CONNECTION_CLASSES; i++)
+		for (size_t j = 0; j < ACCOUNT_RESOURCES; j++)
+			account->reserves[i][j] = settings->limits[j] *
+			    reserve_percent[i][j] / PERCENT;
 }
 
 /* Count more or less of a resource; more is negative when it is freed. */
@@ -225,8 +230,20 @@
 account_reserve(const struct account *account, enum connection_class class,
     enum account_resource resource)
 {
-	return account->settings.limits[resource] *
-	    reserve_percent[class][resource] / PERCENT;
+	return account->reserves[class][resource];
+}
+
+/*
+ * Return what all classes occupy.
+ */
+uint64_t
+account_total(const struct account *account, enum account_resource resource)
+{
+	uint64_t total = 0;
+
+	for (size_t i = 0; i < CONNECTION_CLASSES; i++)
+		total += account_used(account, i, resource);
+	return total;
 }
 
 /*
@@ -237,18 +254,15 @@
 account_may_take(const struct account *account, enum connection_class class,
     enum account_resource resource, uint64_t amount)
 {
-	uint64_t needed = 0;
+	uint64_t own = account_used(account, class, resource) + amount;
+	uint64_t needed = own;
 
+	if (own <= account->reserves[class][resource])
+		return true;
 	for (size_t i = 0; i < CONNECTION_CLASSES; i++) {
-		uint64_t used = account_used(account, i, resource);
-		uint64_t reserve = account_reserve(account, i, resource);
-
-		if (i == class) {
-			used += amount;
-			if (used <= reserve)
-				return true;
-		}
-		needed += MAX(used, reserve);
+		if (i != class)
+			needed += MAX(account_used(account, i, resource),
+			    account->reserves[i][resource]);
 	}
 	return needed <= account->settings.limits[resource];
 }
--- a/account/buffer.c
+++ b/account/buffer.c
@@ -82,9 +82,11 @@
 	buffer->end = len;
 }
 
-/* Make room for more bytes at the end. */
-static void
-make_room(struct account_buffer *buffer, size_t more)
+/*
+ * Make room for more bytes at the end.
+ */
+void
+account_buffer_reserve(struct account_buffer *buffer, size_t more)
 {
 	size_t needed = account_buffer_len(buffer) + more;
 	size_t capacity = MAX(buffer->capacity, (size_t)CAPACITY_MIN);
@@ -113,7 +115,7 @@
 {
 	if (bytes.len == 0)
 		return;
-	make_room(buffer, bytes.len);
+	account_buffer_reserve(buffer, bytes.len);
 	memcpy(buffer->memory + buffer->end, bytes.ptr, bytes.len);
 	buffer->end += bytes.len;
 }
@@ -129,6 +131,15 @@
 		buffer->start = buffer->end = 0;
 }
 
+/*
+ * Drop all bytes.
+ */
+void
+account_buffer_empty(struct account_buffer *buffer)
+{
+	buffer->start = buffer->end = 0;
+}
+
 /*
  * Free the memory of an empty buffer that occupies much.
  */
--- a/http/connections.c
+++ b/http/connections.c
@@ -8,7 +8,10 @@
 	struct account *account;
 	struct turns turns;
 	uv_prepare_t begin; /* of an iteration's input */
-	uv_idle_t waiting;  /* active while a connection waits for a turn */
+	uv_check_t end;     /* of it */
+	/* Bytes that connections of a class have asked for in vain. */
+	size_t wanted[CONNECTION_CLASSES];
+	uv_idle_t waiting; /* active while a connection waits for a turn */
 	uint32_t open_handles;
 };
 
@@ -35,6 +38,50 @@
 		uv_idle_stop(&connections->waiting);
 }
 
+static void
+report_limit(struct http_connections *connections, enum connection_class class,
+    enum account_resource resource, enum http_limit_event event)
+{
+	if (connections->ops.handle_limit != NULL)
+		connections->ops.handle_limit(
+		    connections->ops.arg, class, resource, event);
+}
+
+/* Close a connection of a class to make room; false if none gives way. */
+static bool
+make_room(struct http_connections *connections, enum connection_class class,
+    enum account_resource resource)
+{
+	struct account_holder *holder = account_choose(connections->account,
+	    class, resource, (int64_t)uv_now(connections->loop));
+
+	if (holder == NULL)
+		return false;
+	account_revoke(holder);
+	report_limit(connections, class, resource, HTTP_LIMIT_CLOSED);
+	stream_revoke(holder->owner);
+	return true;
+}
+
+/*
+ * Make room for what connections occupy beyond the limits, or have asked for.
+ * What closed connections occupied is freed at the end of this iteration.
+ */
+static void
+handle_end(uv_check_t *check)
+{
+	struct http_connections *connections = check->data;
+	const struct account *account = connections->account;
+
+	for (size_t i = 0; i < CONNECTION_CLASSES; i++) {
+		while (!account_may_take(account, i, ACCOUNT_MEMORY,
+			   connections->wanted[i]) &&
+		    make_room(connections, i, ACCOUNT_MEMORY))
+			;
+		connections->wanted[i] = 0;
+	}
+}
+
 /*
  * Return a set without connections. The caller frees it with
  * http_connections_free.
@@ -52,10 +99,14 @@
 	turns_init(&connections->turns);
 	uv_prepare_init(loop, &connections->begin);
 	uv_idle_init(loop, &connections->waiting);
-	connections->open_handles = 2;
-	connections->begin.data = connections->waiting.data = connections;
+	uv_check_init(loop, &connections->end);
+	connections->open_handles = 3;
+	connections->begin.data = connections->waiting.data =
+	    connections->end.data = connections;
 	uv_prepare_start(&connections->begin, handle_begin);
 	uv_unref((uv_handle_t *)&connections->begin);
+	uv_check_start(&connections->end, handle_end);
+	uv_unref((uv_handle_t *)&connections->end);
 	return connections;
 }
 
@@ -80,6 +131,7 @@
 		return;
 	uv_close((uv_handle_t *)&connections->begin, handle_closed);
 	uv_close((uv_handle_t *)&connections->waiting, handle_closed);
+	uv_close((uv_handle_t *)&connections->end, handle_closed);
 }
 
 /*
@@ -131,31 +183,6 @@
 	    (int64_t)uv_now(connections->loop));
 }
 
-static void
-report_limit(struct http_connections *connections, enum connection_class class,
-    enum account_resource resource, enum http_limit_event event)
-{
-	if (connections->ops.handle_limit != NULL)
-		connections->ops.handle_limit(
-		    connections->ops.arg, class, resource, event);
-}
-
-/* Close a connection of a class to make room; false if none gives way. */
-static bool
-make_room(struct http_connections *connections, enum connection_class class,
-    enum account_resource resource)
-{
-	struct account_holder *holder = account_choose(connections->account,
-	    class, resource, (int64_t)uv_now(connections->loop));
-
-	if (holder == NULL)
-		return false;
-	account_revoke(holder);
-	report_limit(connections, class, resource, HTTP_LIMIT_CLOSED);
-	stream_revoke(holder->owner);
-	return true;
-}
-
 /*
  * Tell whether a connection may be opened, and make room for it if that is
  * possible.
@@ -183,6 +210,23 @@
 	    connections, class, ACCOUNT_DESCRIPTORS, HTTP_LIMIT_REFUSED);
 }
 
+/*
+ * Tell whether a connection may read more.
+ */
+bool
+http_connections_has_memory(const struct http_stream *stream, size_t bytes)
+{
+	struct http_connections *connections = stream->connections;
+	enum connection_class class = stream->payer->class;
+
+	if (class == CONNECTION_CONTROL ||
+	    account_may_take(
+		connections->account, class, ACCOUNT_MEMORY, bytes))
+		return true;
+	connections->wanted[class] = bytes;
+	return false;
+}
+
 /*
  * Tell whether input may be processed immediately.
  */
--- a/http/head.c
+++ b/http/head.c
@@ -9,17 +9,19 @@
 
 enum {
 	LETTER_CASE_BIT = 0x20,
+	TEXT_RESERVED_BYTES = 512, /* enough for most heads */
 };
 
 /*
  * Return an empty head. Free it with http_head_free.
  */
 struct http_head *
-http_head_new(void)
+http_head_new(struct account_holder *holder)
 {
 	struct http_head *head = g_new0(struct http_head, 1);
 
-	head->text = g_string_sized_new(512);
+	account_buffer_init(&head->text, holder);
+	account_buffer_reserve(&head->text, TEXT_RESERVED_BYTES);
 	return head;
 }
 
@@ -31,7 +33,7 @@
 {
 	if (head == NULL)
 		return;
-	g_string_free(head->text, TRUE);
+	account_buffer_release(&head->text);
 	g_free(head);
 }
 
@@ -41,7 +43,8 @@
 void
 http_head_clear(struct http_head *head)
 {
-	g_string_truncate(head->text, 0);
+	account_buffer_empty(&head->text);
+	account_buffer_trim(&head->text);
 	head->method = (struct http_span){ 0 };
 	head->target = (struct http_span){ 0 };
 	head->status = 0;
@@ -54,7 +57,8 @@
 struct str
 http_head_span(const struct http_head *head, struct http_span span)
 {
-	return str_make(head->text->str + span.offset, span.len);
+	return str_make(
+	    account_buffer_view(&head->text).ptr + span.offset, span.len);
 }
 
 /*
@@ -106,11 +110,11 @@
 head_append(struct http_head *head, struct str bytes)
 {
 	struct http_span span = {
-		.offset = (uint32_t)head->text->len,
+		.offset = (uint32_t)account_buffer_len(&head->text),
 		.len = (uint32_t)bytes.len,
 	};
 
-	g_string_append_len(head->text, bytes.ptr, (gssize)bytes.len);
+	account_buffer_append(&head->text, bytes);
 	return span;
 }
 
@@ -203,3 +207,15 @@
 	g_string_append_len(text, value.ptr, (gssize)value.len);
 	g_string_append_len(text, "\r\n", 2);
 }
+
+/*
+ * Append a header field line to a buffer.
+ */
+void
+http_field_store(struct account_buffer *text, struct str name, struct str value)
+{
+	account_buffer_append(text, name);
+	account_buffer_append(text, str_from(": "));
+	account_buffer_append(text, value);
+	account_buffer_append(text, str_from("\r\n"));
+}
--- a/http/pool.c
+++ b/http/pool.c
@@ -293,6 +293,7 @@
 		http_stream_close(stream);
 		return;
 	}
+	http_stream_reset_payer(stream);
 	stream->ops = &idle_ops;
 	stream->owner = pool;
 	g_array_append_val(pool->idle, idle);
@@ -323,6 +324,7 @@
 		http_stream_abort(stream);
 		return;
 	}
+	http_stream_reset_payer(stream);
 	stream->ops = &drain_ops;
 	stream->owner = pool;
 	g_array_append_val(pool->idle, idle);
--- a/http/stream.c
+++ b/http/stream.c
@@ -12,6 +12,8 @@
 	UNACKNOWLEDGED_DEFAULT_MS = 2000,
 	/* Grace for the last bytes of a connection that is being closed. */
 	FINISH_MAX_MS = 3000,
+	/* Of each connection, whatever arrives on it. */
+	STREAM_BYTES = sizeof(struct http_stream) + sizeof(struct http_head),
 	KEEPALIVE_IDLE_S = 3, /* limits how long a lost peer goes unnoticed */
 };
 
@@ -28,11 +30,12 @@
 
 	http_head_free(stream->head);
 	account_buffer_release(&stream->pending);
+	account_buffer_release(&stream->gathered);
+	account_buffer_release(&stream->field_name);
+	account_buffer_release(&stream->field_value);
+	account_holder_unref(stream->payer);
+	account_refund(stream->holder, STREAM_BYTES);
 	account_close(stream->holder);
-	if (stream->gathered != NULL)
-		g_byte_array_free(stream->gathered, TRUE);
-	g_string_free(stream->field_name, TRUE);
-	g_string_free(stream->field_value, TRUE);
 	if (stream->release != NULL)
 		stream->release(stream->release_arg);
 	g_free(stream);
@@ -63,6 +66,32 @@
 		uv_close((uv_handle_t *)&stream->tcp, stream_handle_closed);
 }
 
+/*
+ * Count the memory of the stream, also what it will occupy, for a connection.
+ */
+void
+http_stream_set_payer(struct http_stream *stream, struct account_holder *payer)
+{
+	account_holder_ref(payer);
+	account_holder_unref(stream->payer);
+	stream->payer = payer;
+	account_buffer_assign(&stream->pending, payer);
+	account_buffer_assign(&stream->gathered, payer);
+	account_buffer_assign(&stream->field_name, payer);
+	account_buffer_assign(&stream->field_value, payer);
+	account_buffer_assign(&stream->head->text, payer);
+}
+
+/*
+ * Count the memory of the stream for its own connection.
+ */
+void
+http_stream_reset_payer(struct http_stream *stream)
+{
+	if (stream->payer != stream->holder)
+		http_stream_set_payer(stream, stream->holder);
+}
+
 /*
  * Tell whether closing the connection would cost its peer something.
  */
@@ -112,8 +141,8 @@
 }
 
 /*
- * Return how many bytes may be read at once; 0 if the stream has to wait for a
- * turn to parse them. Until then they stay in the socket.
+ * Return how many bytes may be read at once; 0 if the stream has to wait, for
+ * memory or a turn to parse them. Until then they stay in the socket.
  */
 static unsigned
 read_max(const struct http_stream *stream)
@@ -122,8 +151,11 @@
 
 	if (stream->read_max_bytes > 0)
 		len = MIN(len, stream->read_max_bytes);
-	if (stream->side == HTTP_SIDE_CLIENT || stream->discarding ||
-	    stream->closing)
+	if (stream->discarding || stream->closing)
+		return len;
+	if (!http_connections_has_memory(stream, len))
+		return 0;
+	if (stream->side == HTTP_SIDE_CLIENT)
 		return len;
 	if (!stream->message_done && !stream->has_turn &&
 	    !http_connections_has_turn(stream->connections, stream->class))
@@ -414,16 +446,19 @@
 	stream->class = class;
 	stream->turn_link.data = stream;
 	stream->holder = http_connections_add(stream);
+	stream->payer = account_holder_ref(stream->holder);
+	account_charge(stream->holder, STREAM_BYTES);
 	account_buffer_init(&stream->pending, stream->holder);
+	account_buffer_init(&stream->gathered, stream->holder);
+	account_buffer_init(&stream->field_name, stream->holder);
+	account_buffer_init(&stream->field_value, stream->holder);
 	stream->ops = ops;
 	stream->owner = owner;
 	stream->side = side;
-	stream->head = http_head_new();
+	stream->head = http_head_new(stream->holder);
 	stream->head_max_bytes = 64 * 1024;
 	stream->write_high_bytes = HTTP_WRITE_HIGH_BYTES;
 	stream->unacknowledged_ms = UNACKNOWLEDGED_DEFAULT_MS;
-	stream->field_name = g_string_new(NULL);
-	stream->field_value = g_string_new(NULL);
 	stream->syntax.is_response = side == HTTP_SIDE_CLIENT;
 	stream_begin_message(stream);
 	return stream;
--- a/http/stream_parse.c
+++ b/http/stream_parse.c
@@ -12,19 +12,27 @@
 	STATUS_FINAL_MIN = 200,
 };
 
+static void
+field_clear(struct http_stream *stream)
+{
+	account_buffer_empty(&stream->field_name);
+	account_buffer_trim(&stream->field_name);
+	account_buffer_empty(&stream->field_value);
+	account_buffer_trim(&stream->field_value);
+}
+
 /* Add the parsed header field to the head. */
 static int
 field_flush(struct http_stream *stream)
 {
 	bool stored;
 
-	if (stream->field_name->len == 0)
+	if (account_buffer_len(&stream->field_name) == 0)
 		return 0;
 	stored = http_head_add(stream->head,
-	    str_make(stream->field_name->str, stream->field_name->len),
-	    str_make(stream->field_value->str, stream->field_value->len));
-	g_string_truncate(stream->field_name, 0);
-	g_string_truncate(stream->field_value, 0);
+	    account_buffer_view(&stream->field_name),
+	    account_buffer_view(&stream->field_value));
+	field_clear(stream);
 	return stored ? 0 : -1;
 }
 
@@ -53,8 +61,7 @@
 	stream->body_bytes = 0;
 	stream->in_value = false;
 	stream->head_done = false;
-	g_string_truncate(stream->field_name, 0);
-	g_string_truncate(stream->field_value, 0);
+	field_clear(stream);
 	return 0;
 }
 
@@ -65,8 +72,8 @@
 	struct http_head *head = stream->head;
 
 	if (head->target.len == 0)
-		head->target.offset = (uint32_t)head->text->len;
-	g_string_append_len(head->text, at, (gssize)len);
+		head->target.offset = (uint32_t)account_buffer_len(&head->text);
+	account_buffer_append(&head->text, str_make(at, len));
 	head->target.len += (uint32_t)len;
 	return head_bytes_add(stream, len);
 }
@@ -81,7 +88,7 @@
 	if (stream->in_value && field_flush(stream) != 0)
 		return -1;
 	stream->in_value = false;
-	g_string_append_len(stream->field_name, at, (gssize)len);
+	account_buffer_append(&stream->field_name, str_make(at, len));
 	return head_bytes_add(stream, len + 4);
 }
 
@@ -93,7 +100,7 @@
 	if (stream->head_done)
 		return 0;
 	stream->in_value = true;
-	g_string_append_len(stream->field_value, at, (gssize)len);
+	account_buffer_append(&stream->field_value, str_make(at, len));
 	return head_bytes_add(stream, len);
 }
 
@@ -124,9 +131,9 @@
 	struct str method =
 	    str_from(http_method_str((enum http_method)stream->parser.method));
 
-	head->method.offset = (uint32_t)head->text->len;
+	head->method.offset = (uint32_t)account_buffer_len(&head->text);
 	head->method.len = (uint32_t)method.len;
-	g_string_append_len(head->text, method.ptr, (gssize)method.len);
+	account_buffer_append(&head->text, method);
 }
 
 /* Does no body follow the head, whatever its fields say? */
--- a/http/stream_write.c
+++ b/http/stream_write.c
@@ -7,44 +7,40 @@
 /* Bytes that the socket didn't accept at once; at most one is in progress. */
 struct write_request {
 	uv_write_t request; /* first */
-	GByteArray *bytes;
+	struct account_buffer bytes;
 };
 
 static void handle_written(uv_write_t *request, int status);
 
-/* Let libuv send bytes, of which it takes ownership. */
+/* Let libuv send what has gathered. */
 static void
-start_write(struct http_stream *stream, GByteArray *bytes)
+write_gathered(struct http_stream *stream)
 {
-	struct write_request *write = g_new0(struct write_request, 1);
-	uv_buf_t buffer = uv_buf_init((char *)bytes->data, bytes->len);
+	struct write_request *write;
+	struct str bytes = account_buffer_view(&stream->gathered);
+	uv_buf_t buffer = uv_buf_init((char *)bytes.ptr, (unsigned)bytes.len);
 
-	write->bytes = bytes;
+	if (bytes.len == 0)
+		return;
+	write = g_new0(struct write_request, 1);
+	write->bytes = account_buffer_steal(&stream->gathered);
 	if (uv_write(&write->request, (uv_stream_t *)&stream->tcp, &buffer, 1,
 		handle_written) == 0) {
 		stream->writing = true;
 		return;
 	}
 	/* The connection is broken; the read side reports it. */
-	g_byte_array_free(bytes, TRUE);
+	account_buffer_release(&write->bytes);
 	g_free(write);
 }
 
-/* Send what has gathered behind the write in progress. */
-static void
-write_gathered(struct http_stream *stream)
-{
-	if (stream->gathered != NULL)
-		start_write(stream, g_steal_pointer(&stream->gathered));
-}
-
 static void
 handle_written(uv_write_t *request, int status)
 {
 	struct write_request *write = (struct write_request *)request;
 	struct http_stream *stream = (struct http_stream *)request->handle;
 
-	g_byte_array_free(write->bytes, TRUE);
+	account_buffer_release(&write->bytes);
 	g_free(write);
 	stream->writing = false;
 	if (stream->closing)
@@ -71,9 +67,7 @@
 size_t
 http_stream_queued_bytes(const struct http_stream *stream)
 {
-	size_t gathered = stream->gathered == NULL ? 0 : stream->gathered->len;
-
-	return gathered +
+	return account_buffer_len(&stream->gathered) +
 	    uv_stream_get_write_queue_size((const uv_stream_t *)&stream->tcp);
 }
 
@@ -88,19 +82,15 @@
 {
 	size_t skip_first = MIN(sent, first.len);
 	size_t skip_second = sent - skip_first;
-	GByteArray *bytes = stream->gathered;
-
-	if (bytes == NULL)
-		bytes = g_byte_array_new();
-	if (first.len > skip_first)
-		g_byte_array_append(bytes,
-		    (const guint8 *)first.ptr + skip_first,
-		    (guint)(first.len - skip_first));
+
+	account_buffer_reserve(
+	    &stream->gathered, first.len + second.len - sent);
+	account_buffer_append(&stream->gathered,
+	    str_make(first.ptr + skip_first, first.len - skip_first));
 	if (second.len > skip_second)
-		g_byte_array_append(bytes,
-		    (const guint8 *)second.ptr + skip_second,
-		    (guint)(second.len - skip_second));
-	stream->gathered = bytes;
+		account_buffer_append(&stream->gathered,
+		    str_make(
+			second.ptr + skip_second, second.len - skip_second));
 	if (!stream->writing)
 		write_gathered(stream);
 	if (http_stream_queued_bytes(stream) > stream->write_high_bytes)
--- a/include/account/account.h
+++ b/include/account/account.h
@@ -95,6 +95,9 @@
 /* The peer has taken a part of a response. */
 void account_progress(struct account_holder *holder, int64_t now_ms);
 
+/* What all classes occupy, without connections that are going to be closed. */
+uint64_t account_total(
+    const struct account *account, enum account_resource resource);
 /* May connections of a class occupy so much more? */
 bool account_may_take(const struct account *account,
     enum connection_class class, enum account_resource resource,
--- a/include/account/buffer.h
+++ b/include/account/buffer.h
@@ -31,7 +31,11 @@
 /* Move the contents of a buffer to a new one, and leave it empty. */
 struct account_buffer account_buffer_steal(struct account_buffer *buffer);
 
+/* Get room for so many more bytes, to be appended in small pieces. */
+void account_buffer_reserve(struct account_buffer *buffer, size_t more);
 void account_buffer_append(struct account_buffer *buffer, struct str bytes);
+/* Drop all bytes; the memory stays as it is. */
+void account_buffer_empty(struct account_buffer *buffer);
 /*
  * Drop bytes at the start. Views stay valid until the buffer is changed
  * otherwise.
--- a/include/http/connections.h
+++ b/include/http/connections.h
@@ -55,6 +55,11 @@
 /* Take a turn; false if there is none. */
 bool http_connections_take_turn(
     struct http_connections *connections, enum connection_class class);
+/*
+ * May a connection read so many bytes? If not, room is made in this iteration.
+ */
+bool http_connections_has_memory(
+    const struct http_stream *stream, size_t bytes);
 /* Wait for a turn, which stream_take_turn is. */
 void http_connections_wait(struct http_stream *stream);
 /* Wait no more. */
--- a/include/http/head.h
+++ b/include/http/head.h
@@ -5,6 +5,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "account/buffer.h"
 #include "common/str.h"
 
 enum {
@@ -23,7 +24,7 @@
 
 /* Start line and header fields of a message; spans refer to text. */
 struct http_head {
-	GString *text;
+	struct account_buffer text;
 	struct http_span method; /* request only */
 	struct http_span target; /* request only */
 	unsigned status;         /* of a response, 0 for a request */
@@ -31,7 +32,8 @@
 	struct http_field fields[HTTP_FIELDS_MAX];
 };
 
-struct http_head *http_head_new(void);
+/* holder is whom the text is counted for; it may be NULL. */
+struct http_head *http_head_new(struct account_holder *holder);
 void http_head_free(struct http_head *head);
 void http_head_clear(struct http_head *head);
 
@@ -56,5 +58,7 @@
 
 /* Append a header field line to a message. */
 void http_field_append(GString *text, struct str name, struct str value);
+void http_field_store(
+    struct account_buffer *text, struct str name, struct str value);
 
 #endif
--- a/include/http/stream.h
+++ b/include/http/stream.h
@@ -74,6 +74,7 @@
 	struct http_connections *connections;
 	enum connection_class class;
 	struct account_holder *holder;
+	struct account_holder *payer; /* whom the memory is counted for */
 	GList turn_link;
 	/*
 	 * TCP_USER_TIMEOUT: the connection is lost when data stays
@@ -89,10 +90,10 @@
 	uint32_t write_high_bytes;
 	uint32_t head_bytes;
 	uint32_t interim_count; /* of 1xx responses to the current request */
-	struct account_buffer pending; /* received and not parsed */
-	GByteArray *gathered; /* to be sent after the write in progress */
-	GString *field_name;  /* header field being parsed */
-	GString *field_value;
+	struct account_buffer pending;    /* received and not parsed */
+	struct account_buffer gathered;   /* sent after the write in progress */
+	struct account_buffer field_name; /* header field being parsed */
+	struct account_buffer field_value;
 	bool in_value;
 	bool connected;
 	bool message_begun;
@@ -124,6 +125,13 @@
 struct http_stream *http_stream_new(struct http_connections *connections,
     enum connection_class class, enum http_side side,
     const struct http_stream_ops *ops, void *owner);
+/*
+ * Count the memory of a client's stream for the connection whose request it
+ * carries, until http_stream_reset_payer.
+ */
+void http_stream_set_payer(
+    struct http_stream *stream, struct account_holder *payer);
+void http_stream_reset_payer(struct http_stream *stream);
 /* Connect; handle_connect or handle_end follows. False: no socket. */
 bool http_stream_connect(
     struct http_stream *stream, const struct sockaddr_in *address);
--- a/include/trefoilhill-proxy/exchange.h
+++ b/include/trefoilhill-proxy/exchange.h
@@ -28,14 +28,15 @@
 	struct caller *caller; /* NULL: connection closed */
 	struct proxy *proxy;
 	enum caller_origin origin;
+	struct account_holder *holder; /* whom it is counted for */
 	int64_t started_ms;
 	int64_t deadline_ms;
 	/* The request. */
 	struct http_head *head;
 	struct str id;          /* points into head */
 	struct request_key key; /* for a caller's request once has_key is set */
-	GByteArray *body;       /* buffered part */
-	uint64_t body_dropped;  /* bytes sent and no longer buffered */
+	struct account_buffer body; /* buffered part */
+	uint64_t body_dropped;      /* bytes sent and no longer buffered */
 	bool body_complete;
 	bool caller_left; /* found before its close was read */
 	bool has_key;
@@ -82,10 +83,10 @@
 	struct attempt *responding;  /* whose response is relayed; or NULL */
 	int64_t response_started_ms; /* when its head arrived */
 	int64_t response_run_ms;     /* the upstream's time until then */
-	GString *response_head;      /* formatted status line and fields */
-	GByteArray *buffered_body;   /* received and not yet passed on */
-	struct shaper_flow flow;     /* for a large response */
-	bool response_complete;      /* received; some may be unsent */
+	struct account_buffer response_head; /* status line and fields */
+	struct account_buffer buffered_body; /* received, not passed on */
+	struct shaper_flow flow;             /* for a large response */
+	bool response_complete;              /* received; some may be unsent */
 	bool has_turn; /* the responses before this one have been sent */
 	bool held;     /* its response has come before its turn */
 	bool waiting;  /* to be forwarded after other requests */
@@ -98,6 +99,12 @@
 	char reason[64]; /* for the last refusal or failure */
 };
 
+enum {
+	/* Of each request, with its head and an attempt. */
+	EXCHANGE_BYTES = sizeof(struct exchange) + sizeof(struct http_head) +
+	    sizeof(struct attempt),
+};
+
 void exchange_begin(struct caller *caller);
 void exchange_append_body(struct exchange *exchange, struct str bytes);
 void exchange_end_body(struct exchange *exchange);
--- a/include/trefoilhill-proxy/shaper.h
+++ b/include/trefoilhill-proxy/shaper.h
@@ -11,7 +11,10 @@
  */
 struct shaper;
 
-/* Unsent bytes of one large response; embedded by its owner. */
+/*
+ * Unsent bytes of one large response; embedded by its owner, and ended with
+ * shaper_flow_end.
+ */
 struct shaper_flow {
 	struct http_stream *to;
 	/* Some bytes have been sent; may end the flow. */
@@ -19,8 +22,8 @@
 	bool late; /* sent after flows that can meet their objective */
 	/* Private to the shaper. */
 	GList link;
-	GByteArray *bytes; /* NULL: the flow has not started */
-	size_t sent;
+	struct account_buffer bytes;
+	bool started;
 	uint64_t sequence; /* order in which flows started */
 	bool queued;
 };
--- a/tests/platform/test_codec.c
+++ b/tests/platform/test_codec.c
@@ -272,7 +272,7 @@
 static void
 test_headers(void)
 {
-	struct http_head *head = http_head_new();
+	struct http_head *head = http_head_new(NULL);
 	struct platform_request_headers request;
 	struct platform_response_headers response;
 	GString *text = g_string_new(NULL);
@@ -337,7 +337,7 @@
 static void
 test_request_key(void)
 {
-	struct http_head *head = http_head_new();
+	struct http_head *head = http_head_new(NULL);
 
 	CU_ASSERT_EQUAL(platform_request_key(head).len, 0);
 	http_head_add(head, str_from("X-Api-Key"), str_from("other"));
@@ -354,7 +354,7 @@
 static struct upstream_notice
 parse_notice(const char *limit, const char *leaving)
 {
-	struct http_head *head = http_head_new();
+	struct http_head *head = http_head_new(NULL);
 	struct platform_response_headers response;
 
 	if (limit != NULL)
--- a/tests/proxy/test_fuzz.c
+++ b/tests/proxy/test_fuzz.c
@@ -327,7 +327,7 @@
 	struct str key;
 
 	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
-		struct http_head *head = http_head_new();
+		struct http_head *head = http_head_new(NULL);
 
 		for (size_t j = 0; j < G_N_ELEMENTS(names); j++)
 			http_head_add(head, str_from(names[j]),
--- a/tests/proxy/test_hop_fields.c
+++ b/tests/proxy/test_hop_fields.c
@@ -30,7 +30,7 @@
 		.key = { UINT64_MAX, 5 },
 		.suspect = true,
 		.work_ms = 40 };
-	struct http_head *head = http_head_new();
+	struct http_head *head = http_head_new(NULL);
 	struct hop_response response;
 	GString *text = g_string_new(NULL);
 	char **lines;
@@ -73,7 +73,7 @@
 static void
 test_earlier_hop_fields(void)
 {
-	struct http_head *head = http_head_new();
+	struct http_head *head = http_head_new(NULL);
 	struct hop_response response;
 	struct hop_request request;
 
@@ -101,7 +101,7 @@
 test_lag_fields(void)
 {
 	static const char load[] = "12 3 0 90000 0 0 5 1 87 1 14800 130";
-	struct http_head *head = http_head_new();
+	struct http_head *head = http_head_new(NULL);
 	struct hop_response response;
 	struct load_report report = { .latency_age_ms = 70, .lag_ms = 350 };
 	GString *text = g_string_new(NULL);
--- a/tests/soak/crowd.py
+++ b/tests/soak/crowd.py
@@ -170,6 +170,12 @@
     return not failures
 
 
+def limits():
+    """Return the section of the settings that has the node's limits."""
+    return (f"[limits]\nmemory_mb={MEMORY_MB}\n"
+            f"descriptors={DESCRIPTORS}\n")
+
+
 def prepare_node():
     """Limit the descriptors of a node before its program runs."""
     mesh_prepare_node()
--- a/tests/soak/test_crowd.py
+++ b/tests/soak/test_crowd.py
@@ -152,5 +152,6 @@
         crowd.DESCRIPTORS = 200
     if case is idle_unlogged:
         mesh_module.Host.open_log = lambda host: UnreadLog()
+    mesh_module.SETTINGS += crowd.limits()
     mesh_module.prepare_node = crowd.prepare_node
     sys.exit(crowd.run(case()))
--- a/trefoilhill-proxy/attempt_confirm.c
+++ b/trefoilhill-proxy/attempt_confirm.c
@@ -28,7 +28,7 @@
 {
 	return !exchange->idempotent && exchange->body_complete &&
 	    exchange_is_resendable(exchange) &&
-	    exchange->body->len <= CONFIRM_BODY_MAX_BYTES;
+	    account_buffer_len(&exchange->body) <= CONFIRM_BODY_MAX_BYTES;
 }
 
 static void
--- a/trefoilhill-proxy/attempt_request.c
+++ b/trefoilhill-proxy/attempt_request.c
@@ -103,7 +103,7 @@
 		.late = exchange->late,
 		.repeat = is_repeat(attempt),
 		.confirm = attempt->needs_confirmation,
-		.body_length = exchange->body->len,
+		.body_length = account_buffer_len(&exchange->body),
 		.rate_limit_per_ks = attempt->upstream->load.rate_limit_per_ks,
 		.key = exchange->key,
 		.suspect = exchange_is_suspect(exchange),
@@ -181,7 +181,8 @@
 attempt_push_body(struct attempt *attempt)
 {
 	struct exchange *exchange = attempt->exchange;
-	uint64_t start, available;
+	struct str unsent;
+	uint64_t start;
 
 	if (attempt->ended || attempt->stream == NULL || !attempt->may_run ||
 	    attempt->body_end_sent)
@@ -189,11 +190,11 @@
 	if (http_stream_queued_bytes(attempt->stream) > HTTP_WRITE_HIGH_BYTES)
 		return;
 	start = attempt->body_sent - exchange->body_dropped;
-	available = exchange->body->len - start;
-	if (available > 0) {
-		write_body(
-		    attempt, str_make(exchange->body->data + start, available));
-		attempt->body_sent += available;
+	unsent = account_buffer_view(&exchange->body);
+	unsent = str_make(unsent.ptr + start, unsent.len - start);
+	if (unsent.len > 0) {
+		write_body(attempt, unsent);
+		attempt->body_sent += unsent.len;
 	}
 	if (!exchange->body_complete)
 		return;
--- a/trefoilhill-proxy/caller_pipeline.c
+++ b/trefoilhill-proxy/caller_pipeline.c
@@ -17,10 +17,10 @@
 		const struct exchange *exchange = link->data;
 
 		if (!exchange->has_turn)
-			bytes += exchange->response_head->len +
-			    exchange->buffered_body->len;
+			bytes += account_buffer_len(&exchange->response_head) +
+			    account_buffer_len(&exchange->buffered_body);
 		if (exchange->waiting)
-			bytes += exchange->body->len;
+			bytes += account_buffer_len(&exchange->body);
 	}
 	return bytes;
 }
--- a/trefoilhill-proxy/exchange.c
+++ b/trefoilhill-proxy/exchange.c
@@ -106,9 +106,11 @@
 	for (size_t i = 0; i < exchange->tried_count; i++)
 		upstream_unref(exchange->tried_refs[i]);
 	http_head_free(exchange->head);
-	g_byte_array_free(exchange->body, TRUE);
-	g_string_free(exchange->response_head, TRUE);
-	g_byte_array_free(exchange->buffered_body, TRUE);
+	account_buffer_release(&exchange->body);
+	account_buffer_release(&exchange->response_head);
+	account_buffer_release(&exchange->buffered_body);
+	account_refund(exchange->holder, EXCHANGE_BYTES);
+	account_holder_unref(exchange->holder);
 	mesh_config_unref(exchange->config);
 	g_free(exchange);
 }
--- a/trefoilhill-proxy/exchange_begin.c
+++ b/trefoilhill-proxy/exchange_begin.c
@@ -19,10 +19,12 @@
 	exchange->origin = caller->origin;
 	exchange->started_ms = proxy_now_ms(caller->proxy);
 	exchange->head = stream->head;
-	stream->head = http_head_new();
-	exchange->body = g_byte_array_new();
-	exchange->buffered_body = g_byte_array_new();
-	exchange->response_head = g_string_new(NULL);
+	stream->head = http_head_new(stream->holder);
+	exchange->holder = account_holder_ref(stream->holder);
+	account_charge(exchange->holder, EXCHANGE_BYTES);
+	account_buffer_init(&exchange->body, exchange->holder);
+	account_buffer_init(&exchange->buffered_body, exchange->holder);
+	account_buffer_init(&exchange->response_head, exchange->holder);
 	exchange->has_length = stream->has_length;
 	exchange->length = stream->length;
 	exchange->body_complete = stream->has_length && stream->length == 0;
--- a/trefoilhill-proxy/exchange_body.c
+++ b/trefoilhill-proxy/exchange_body.c
@@ -31,7 +31,8 @@
 exchange_push_body(struct exchange *exchange)
 {
 	uint64_t min_sent = UINT64_MAX;
-	uint64_t end = exchange->body_dropped + exchange->body->len;
+	uint64_t end =
+	    exchange->body_dropped + account_buffer_len(&exchange->body);
 
 	for (size_t i = 0; i < EXCHANGE_ATTEMPTS_MAX; i++) {
 		struct attempt *attempt = exchange->attempts[i];
@@ -47,11 +48,11 @@
 	 */
 	if (min_sent != UINT64_MAX && end > BODY_BUFFER_BYTES &&
 	    !exchange->body_complete && min_sent > exchange->body_dropped) {
-		g_byte_array_remove_range(exchange->body, 0,
-		    (guint)(min_sent - exchange->body_dropped));
+		account_buffer_consume(
+		    &exchange->body, min_sent - exchange->body_dropped);
 		exchange->body_dropped = min_sent;
 	}
-	if (exchange->body->len <= BODY_HIGH_WATER_BYTES &&
+	if (account_buffer_len(&exchange->body) <= BODY_HIGH_WATER_BYTES &&
 	    exchange->caller != NULL && exchange->caller->receiving == exchange)
 		http_stream_resume(exchange->caller->stream);
 }
@@ -83,9 +84,8 @@
 {
 	uint64_t total;
 
-	g_byte_array_append(
-	    exchange->body, (const guint8 *)bytes.ptr, (guint)bytes.len);
-	total = exchange->body_dropped + exchange->body->len;
+	account_buffer_append(&exchange->body, bytes);
+	total = exchange->body_dropped + account_buffer_len(&exchange->body);
 	if (total > body_max_bytes(exchange)) {
 		exchange_cancel_attempts(exchange, NULL);
 		if (exchange->committed)
@@ -99,12 +99,29 @@
 	if (exchange->ended || exchange->response_complete)
 		return;
 	exchange_push_body(exchange);
-	if (exchange->body->len > BODY_HIGH_WATER_BYTES &&
+	if (account_buffer_len(&exchange->body) > BODY_HIGH_WATER_BYTES &&
 	    exchange->caller != NULL &&
 	    (exchange->attempt_count > 0 || exchange->waiting))
 		http_stream_pause(exchange->caller->stream);
 }
 
+static void
+send_heartbeat_response(struct exchange *exchange, GBytes *response)
+{
+	GString *head = g_string_new(NULL);
+
+	g_string_printf(head, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n",
+	    g_bytes_get_size(response));
+	hop_write_lag(head, loop_lag_expected_ms(exchange->proxy->loop_lag));
+	g_string_append(head, "\r\n");
+	http_stream_write_pair(exchange->caller->stream,
+	    str_make(head->str, head->len),
+	    str_make(
+		g_bytes_get_data(response, NULL), g_bytes_get_size(response)));
+	g_string_free(head, TRUE);
+	caller_finish_response(exchange->caller);
+}
+
 /*
  * Handle the end of the request.
  */
@@ -126,30 +143,18 @@
 	}
 	if (!exchange->has_length) {
 		exchange->has_length = true;
-		exchange->length = exchange->body->len;
+		exchange->length = account_buffer_len(&exchange->body);
 	}
 	if (!is_heartbeat(exchange)) {
 		exchange_dispatch(exchange);
 		return;
 	}
-	response =
-	    heartbeat_handle_request(exchange->proxy->heartbeat, exchange->head,
-		str_make(exchange->body->data, exchange->body->len));
+	response = heartbeat_handle_request(exchange->proxy->heartbeat,
+	    exchange->head, account_buffer_view(&exchange->body));
 	if (response == NULL) {
 		exchange_respond(exchange, 400, "bad_heartbeat", false);
 		return;
 	}
-	g_string_printf(exchange->response_head,
-	    "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n",
-	    g_bytes_get_size(response));
-	hop_write_lag(exchange->response_head,
-	    loop_lag_expected_ms(exchange->proxy->loop_lag));
-	g_string_append(exchange->response_head, "\r\n");
-	http_stream_write_pair(exchange->caller->stream,
-	    str_make(
-		exchange->response_head->str, exchange->response_head->len),
-	    str_make(
-		g_bytes_get_data(response, NULL), g_bytes_get_size(response)));
+	send_heartbeat_response(exchange, response);
 	g_bytes_unref(response);
-	caller_finish_response(exchange->caller);
 }
--- a/trefoilhill-proxy/exchange_outcome.c
+++ b/trefoilhill-proxy/exchange_outcome.c
@@ -30,8 +30,8 @@
 {
 	exchange->responding = NULL;
 	if (!exchange->committed) {
-		g_string_truncate(exchange->response_head, 0);
-		g_byte_array_set_size(exchange->buffered_body, 0);
+		account_buffer_clear(&exchange->response_head);
+		account_buffer_clear(&exchange->buffered_body);
 		return false;
 	}
 	exchange_abort_response(exchange, attempt, "upstream broke off");
--- a/trefoilhill-proxy/exchange_quarantine.c
+++ b/trefoilhill-proxy/exchange_quarantine.c
@@ -15,7 +15,7 @@
 		.host = http_head_find(head, str_from("host")),
 		.target = http_head_span(head, head->target),
 		.caller = exchange->proxy->settings->upstream.service,
-		.body = str_make(exchange->body->data, exchange->body->len),
+		.body = account_buffer_view(&exchange->body),
 	};
 
 	exchange->key = request_key_of(&identity);
--- a/trefoilhill-proxy/exchange_response.c
+++ b/trefoilhill-proxy/exchange_response.c
@@ -11,6 +11,11 @@
 	 */
 	RESPONSE_BUFFER_BYTES = 128 * 1024,
 	CHUNK_HEADER_MAX = 24,
+	STATUS_LINE_MAX = 80,
+	LENGTH_TEXT_MAX = 24,
+	/* Enough for most heads, and for what is added for a peer. */
+	HEAD_RESERVED_BYTES = 512,
+	FIELDS_RESERVED_BYTES = 256,
 	/*
 	 * Unsent bytes of a large response. Reading from the upstream pauses
 	 * above the high mark and resumes below the low mark.
@@ -36,15 +41,47 @@
 	    !str_equal_nocase(name, str_from("content-length"));
 }
 
+static void
+append_head(struct exchange *exchange, struct str text)
+{
+	account_buffer_append(&exchange->response_head, text);
+}
+
+/* Begin the response head, in place of what there is of it. */
+static void
+begin_head(struct exchange *exchange)
+{
+	char line[STATUS_LINE_MAX];
+
+	g_snprintf(line, sizeof(line), "HTTP/1.1 %u %s\r\n", exchange->status,
+	    status_text(exchange->status));
+	account_buffer_empty(&exchange->response_head);
+	account_buffer_reserve(&exchange->response_head, HEAD_RESERVED_BYTES);
+	append_head(exchange, str_from(line));
+}
+
+static void
+append_length(struct exchange *exchange, uint64_t length)
+{
+	char digits[LENGTH_TEXT_MAX];
+
+	g_snprintf(
+	    digits, sizeof(digits), "%" G_GUINT64_FORMAT, (guint64)length);
+	http_field_store(&exchange->response_head, str_from("Content-Length"),
+	    str_from(digits));
+}
+
 /* Tell a peer the load of the upstream here, and whether upstream leaves. */
 static void
 write_load_fields(
     struct exchange *exchange, const struct upstream *upstream, int64_t run_ms)
 {
 	struct load_report load;
+	GString *fields;
 
 	if (exchange->origin != CALLER_PEER)
 		return;
+	fields = g_string_sized_new(FIELDS_RESERVED_BYTES);
 	load = gate_load_report(exchange->proxy->gate);
 	/* The local instance's load doesn't apply to the intended one. */
 	if (exchange->misdirected) {
@@ -52,13 +89,14 @@
 		load.rate_limit_known = false;
 		load.rate_limit_per_ks = 0;
 	}
-	hop_write_load(exchange->response_head, &load, run_ms);
-	quota_link_write(
-	    exchange->proxy->quota_link, true, exchange->response_head);
-	exchange_write_suspect(exchange, exchange->response_head);
+	hop_write_load(fields, &load, run_ms);
+	quota_link_write(exchange->proxy->quota_link, true, fields);
+	exchange_write_suspect(exchange, fields);
 	if (upstream != NULL && upstream->notice.leaving)
-		hop_write_leaving(exchange->response_head,
-		    str_from(upstream->entry.id), upstream->entry.started_ms);
+		hop_write_leaving(fields, str_from(upstream->entry.id),
+		    upstream->entry.started_ms);
+	append_head(exchange, str_make(fields->str, fields->len));
+	g_string_free(fields, TRUE);
 }
 
 static bool
@@ -115,6 +153,13 @@
 		http_stream_pause(exchange->responding->stream);
 }
 
+static void
+empty_buffered(struct exchange *exchange)
+{
+	account_buffer_empty(&exchange->buffered_body);
+	account_buffer_trim(&exchange->buffered_body);
+}
+
 /*
  * Send the buffered part of the body, as one chunk if the response is chunked.
  * Does nothing before the head is sent.
@@ -122,21 +167,21 @@
 void
 exchange_relay_buffered(struct exchange *exchange)
 {
-	GByteArray *buffered = exchange->buffered_body;
+	struct str buffered = account_buffer_view(&exchange->buffered_body);
 	char chunk_header[CHUNK_HEADER_MAX];
 	int len;
 
-	if (!exchange->committed || buffered->len == 0)
+	if (!exchange->committed || buffered.len == 0)
 		return;
 	if (exchange->chunked) {
-		len = g_snprintf(chunk_header, sizeof(chunk_header), "%x\r\n",
-		    buffered->len);
+		len = g_snprintf(chunk_header, sizeof(chunk_header), "%zx\r\n",
+		    buffered.len);
 		send_bytes(exchange, str_make(chunk_header, (size_t)len));
 	}
-	send_bytes(exchange, str_make(buffered->data, buffered->len));
+	send_bytes(exchange, buffered);
 	if (exchange->chunked)
 		send_bytes(exchange, str_from("\r\n"));
-	g_byte_array_set_size(buffered, 0);
+	empty_buffered(exchange);
 	pause_if_behind(exchange);
 }
 
@@ -146,32 +191,30 @@
 void
 exchange_commit(struct exchange *exchange, bool has_length, uint64_t length)
 {
-	GString *text = exchange->response_head;
+	struct str head, body;
 
 	exchange->committed = true;
 	if (has_length)
-		g_string_append_printf(text,
-		    "Content-Length: %" G_GUINT64_FORMAT "\r\n",
-		    (guint64)length);
+		append_length(exchange, length);
 	else if (exchange->http_1_0)
 		exchange->caller->close_after_response = true;
 	else if (!has_no_body(exchange))
 		exchange->chunked = true;
 	if (exchange->chunked)
-		g_string_append(text, "Transfer-Encoding: chunked\r\n");
-	g_string_append(text, "\r\n");
+		append_head(
+		    exchange, str_from("Transfer-Encoding: chunked\r\n"));
+	append_head(exchange, str_from("\r\n"));
+	head = account_buffer_view(&exchange->response_head);
 	if (!exchange->bulk && !exchange->chunked) {
-		http_stream_write_pair(exchange->caller->stream,
-		    str_make(text->str, text->len),
-		    str_make(exchange->buffered_body->data,
-			exchange->buffered_body->len));
-		shaper_charge(exchange->proxy->shaper,
-		    text->len + exchange->buffered_body->len);
+		body = account_buffer_view(&exchange->buffered_body);
+		http_stream_write_pair(exchange->caller->stream, head, body);
+		shaper_charge(exchange->proxy->shaper, head.len + body.len);
 	} else {
-		send_bytes(exchange, str_make(text->str, text->len));
+		send_bytes(exchange, head);
 		exchange_relay_buffered(exchange);
 	}
-	g_byte_array_set_size(exchange->buffered_body, 0);
+	empty_buffered(exchange);
+	account_buffer_clear(&exchange->response_head);
 }
 
 /* Is the body known to be too large to buffer? */
@@ -201,17 +244,15 @@
 exchange_relay_head(struct exchange *exchange, struct attempt *attempt)
 {
 	const struct http_stream *from = attempt->stream;
-	GString *text = exchange->response_head;
 
 	exchange->status = attempt->status;
-	g_string_printf(text, "HTTP/1.1 %u %s\r\n", exchange->status,
-	    status_text(exchange->status));
+	begin_head(exchange);
 	for (size_t i = 0; i < from->head->field_count; i++) {
 		struct str name = http_head_name(from->head, i);
 
 		if (field_is_relayed(exchange, from->head, name))
-			http_field_append(
-			    text, name, http_head_value(from->head, i));
+			http_field_store(&exchange->response_head, name,
+			    http_head_value(from->head, i));
 	}
 	if (is_too_large(from))
 		note_large(exchange);
@@ -235,7 +276,7 @@
 void
 exchange_relay_body(struct exchange *exchange, struct str bytes)
 {
-	GByteArray *buffered = exchange->buffered_body;
+	struct account_buffer *buffered = &exchange->buffered_body;
 	const struct http_stream *from = exchange->responding->stream;
 
 	if (exchange->committed && !exchange->chunked) {
@@ -243,14 +284,13 @@
 		pause_if_behind(exchange);
 		return;
 	}
-	g_byte_array_append(
-	    buffered, (const guint8 *)bytes.ptr, (guint)bytes.len);
+	account_buffer_append(buffered, bytes);
 	if (!exchange->has_turn)
 		exchange_pause_if_held(exchange, 0);
 	else if (!exchange->committed && is_too_large(from))
 		exchange_commit(exchange, true, from->length);
 	else if (!exchange->committed &&
-	    buffered->len > RESPONSE_BUFFER_BYTES) {
+	    account_buffer_len(buffered) > RESPONSE_BUFFER_BYTES) {
 		note_large(exchange);
 		exchange_commit(exchange, false, 0);
 	}
@@ -287,7 +327,7 @@
 {
 	if (!exchange->committed)
 		exchange_commit(exchange, !has_no_body(exchange),
-		    exchange->buffered_body->len);
+		    account_buffer_len(&exchange->buffered_body));
 	exchange_relay_buffered(exchange);
 	if (exchange->chunked)
 		send_bytes(exchange, str_from("0\r\n\r\n"));
@@ -339,17 +379,15 @@
 void
 exchange_send_local(struct exchange *exchange)
 {
-	GString *text = exchange->response_head;
-	const char *reason = exchange->reason;
+	const char *reason = exchange->is_head_method ? "" : exchange->reason;
 
 	exchange->committed = true;
 	exchange_write_connection(exchange);
 	write_load_fields(exchange, gate_upstream(exchange->proxy->gate), 0);
-	g_string_append_printf(text, "Content-Length: %zu\r\n\r\n",
-	    exchange->is_head_method ? 0 : strlen(reason));
+	append_length(exchange, strlen(reason));
+	append_head(exchange, str_from("\r\n"));
 	http_stream_write_pair(exchange->caller->stream,
-	    str_make(text->str, text->len),
-	    str_from(exchange->is_head_method ? "" : reason));
+	    account_buffer_view(&exchange->response_head), str_from(reason));
 	caller_finish_response(exchange->caller);
 }
 
@@ -363,7 +401,7 @@
 exchange_respond(struct exchange *exchange, unsigned status, const char *reason,
     bool retryable)
 {
-	GString *text = exchange->response_head;
+	GString *fields;
 
 	if (exchange->ended || exchange->committed ||
 	    exchange->response_complete || exchange->caller == NULL)
@@ -372,14 +410,16 @@
 	log_local_response(exchange, reason);
 	if (!exchange->may_have_run)
 		exchange_return_quota(exchange);
-	g_string_printf(
-	    text, "HTTP/1.1 %u %s\r\n", status, status_text(status));
-	platform_write_local_response_headers(text, exchange->id);
+	begin_head(exchange);
+	fields = g_string_sized_new(FIELDS_RESERVED_BYTES);
+	platform_write_local_response_headers(fields, exchange->id);
 	if (exchange->origin == CALLER_PEER)
-		hop_write_outcome(text,
+		hop_write_outcome(fields,
 		    exchange->may_have_run ? HOP_FAILED : HOP_NOT_RUN, reason,
 		    exchange->upstream_rejections > 0);
-	else if (retryable)
+	append_head(exchange, str_make(fields->str, fields->len));
+	g_string_free(fields, TRUE);
+	if (exchange->origin != CALLER_PEER && retryable)
 		exchange_write_retry_after(exchange);
 	if (reason != exchange->reason)
 		g_strlcpy(exchange->reason, reason, sizeof(exchange->reason));
--- a/trefoilhill-proxy/exchange_return.c
+++ b/trefoilhill-proxy/exchange_return.c
@@ -4,6 +4,7 @@
 /* When refused callers are told to come back. */
 
 enum {
+	SECONDS_TEXT_MAX = 24,
 	/* Estimates run times from the objective before the first response. */
 	RUN_ESTIMATE_DIVISOR = 3,
 	/* After later returns a request is late, see route/queue_time.c. */
@@ -52,9 +53,12 @@
 	int64_t ms = exchange->quota_retry_ms > 0
 	    ? exchange->quota_retry_ms
 	    : return_time_ms(&situation, proxy->return_queue, proxy->rng);
+	char seconds[SECONDS_TEXT_MAX];
 
 	proxy_count(&proxy->stats, STAT_RETURNS_PROMISED);
 	proxy_record_latency(&proxy->stats, LATENCY_RETURN, ms);
-	g_string_append_printf(exchange->response_head,
-	    "Retry-After: %d.%03d\r\n", (int)(ms / 1000), (int)(ms % 1000));
+	g_snprintf(seconds, sizeof(seconds), "%d.%03d", (int)(ms / 1000),
+	    (int)(ms % 1000));
+	http_field_store(&exchange->response_head, str_from("Retry-After"),
+	    str_from(seconds));
 }
--- a/trefoilhill-proxy/exchange_turn.c
+++ b/trefoilhill-proxy/exchange_turn.c
@@ -26,7 +26,8 @@
 	if (is_connection_reusable(exchange))
 		return;
 	exchange->caller->close_after_response = true;
-	g_string_append(exchange->response_head, "Connection: close\r\n");
+	account_buffer_append(
+	    &exchange->response_head, str_from("Connection: close\r\n"));
 }
 
 /*
--- a/trefoilhill-proxy/shaper.c
+++ b/trefoilhill-proxy/shaper.c
@@ -2,8 +2,7 @@
 
 enum {
 	WRITE_MAX_BYTES = 8 * 1024,
-	COMPACT_BYTES = 64 * 1024, /* sent bytes are dropped from here on */
-	BURST_MS = 24,             /* of sending, in the link's queue at most */
+	BURST_MS = 24, /* of sending, in the link's queue at most */
 	SEND_INTERVAL_MS = 3,
 	RATE_PERCENT = 97, /* of the link; packet headers take the rest */
 	/* A flow whose receiver is slower is skipped. */
@@ -88,7 +87,7 @@
 size_t
 shaper_flow_pending(const struct shaper_flow *flow)
 {
-	return flow->bytes == NULL ? 0 : flow->bytes->len - flow->sent;
+	return account_buffer_len(&flow->bytes);
 }
 
 /*
@@ -100,28 +99,23 @@
 	if (flow->queued)
 		g_queue_unlink(&shaper->flows, &flow->link);
 	flow->queued = false;
-	if (flow->bytes != NULL)
-		g_byte_array_free(flow->bytes, TRUE);
-	flow->bytes = NULL;
-	flow->sent = 0;
+	account_buffer_release(&flow->bytes);
+	flow->started = false;
 }
 
 /* Send one piece of a flow; false if its receiver is behind. */
 static bool
 send_from_flow(struct shaper *shaper, struct shaper_flow *flow)
 {
-	size_t count = MIN(shaper_flow_pending(flow), (size_t)WRITE_MAX_BYTES);
+	struct str bytes = account_buffer_view(&flow->bytes);
+
+	bytes.len = MIN(bytes.len, (size_t)WRITE_MAX_BYTES);
 
 	if (http_stream_queued_bytes(flow->to) > SOCKET_QUEUE_MAX_BYTES)
 		return false;
-	http_stream_write(
-	    flow->to, str_make(flow->bytes->data + flow->sent, count));
-	flow->sent += count;
-	shaper->tokens -= (int64_t)count;
-	if (flow->sent >= COMPACT_BYTES || flow->sent == flow->bytes->len) {
-		g_byte_array_remove_range(flow->bytes, 0, (guint)flow->sent);
-		flow->sent = 0;
-	}
+	http_stream_write(flow->to, bytes);
+	shaper->tokens -= (int64_t)bytes.len;
+	account_buffer_consume(&flow->bytes, bytes.len);
 	return true;
 }
 
@@ -193,12 +187,12 @@
 		http_stream_write(flow->to, bytes);
 		return;
 	}
-	if (flow->bytes == NULL) {
-		flow->bytes = g_byte_array_new();
+	if (!flow->started) {
+		account_buffer_init(&flow->bytes, flow->to->holder);
 		flow->sequence = shaper->next_sequence++;
+		flow->started = true;
 	}
-	g_byte_array_append(
-	    flow->bytes, (const guint8 *)bytes.ptr, (guint)bytes.len);
+	account_buffer_append(&flow->bytes, bytes);
 	if (!flow->queued && bytes.len > 0)
 		enqueue_flow(shaper, flow);
 	if (!uv_is_active((uv_handle_t *)shaper->timer))
