proxy: return memory to the system after a crowd has left

Operators saw a node stay as large as at its peak, 17 MB above its usual size, after the callers had left.

Cause: the heap keeps what is free between blocks in use.

Change: when 4 MB less are in use than at the peak since the last time, the heap is trimmed, at most every 2 s (account/trim_policy). A load that varies by less never costs a trim.

--- a/include/trefoilhill-proxy/connection_limits.h
+++ b/include/trefoilhill-proxy/connection_limits.h
@@ -23,7 +23,10 @@
 struct connection_limits *connection_limits_new(struct proxy *proxy);
 /* The settings have changed. */
 void connection_limits_reload(struct connection_limits *limits);
-/* Log what the limits have done, at most once a second. */
+/*
+ * To be called regularly: logs what the limits have done, at most once a
+ * second, and returns free memory to the system.
+ */
 void connection_limits_tick(struct connection_limits *limits);
 /* Append the metrics in the Prometheus text format. */
 void connection_limits_render(
--- a/trefoilhill-proxy/connection_limits.c
+++ b/trefoilhill-proxy/connection_limits.c
@@ -1,5 +1,7 @@
+#include <malloc.h>
 #include <sys/resource.h>
 
+#include "account/trim_policy.h"
 #include "trefoilhill-proxy/connection_limits.h"
 #include "trefoilhill-proxy/proxy.h"
 
@@ -24,6 +26,7 @@
 	struct limit_counts counts[CONNECTION_CLASSES][ACCOUNT_RESOURCES];
 	struct limit_counts logged[CONNECTION_CLASSES][ACCOUNT_RESOURCES];
 	int64_t logged_ms;
+	struct trim_policy trim_policy;
 };
 
 static const char *const resource_names[ACCOUNT_RESOURCES] = {
@@ -136,13 +139,10 @@
 	return true;
 }
 
-/*
- * Log what the limits have done, at most once a second.
- */
-void
-connection_limits_tick(struct connection_limits *limits)
+/* Log what the limits have done, at most once a second. */
+static void
+log_limits(struct connection_limits *limits, int64_t now_ms)
 {
-	int64_t now_ms = proxy_now_ms(limits->proxy);
 	bool any = false;
 
 	if (now_ms - limits->logged_ms < LINE_INTERVAL_MS)
@@ -154,6 +154,23 @@
 		limits->logged_ms = now_ms;
 }
 
+/*
+ * Log what the limits have done, and return memory to the system after a crowd
+ * has left.
+ */
+void
+connection_limits_tick(struct connection_limits *limits)
+{
+	int64_t now_ms = proxy_now_ms(limits->proxy);
+	uint64_t used =
+	    account_total(http_connections_account(limits->proxy->connections),
+		ACCOUNT_MEMORY);
+
+	log_limits(limits, now_ms);
+	if (trim_policy_check(&limits->trim_policy, used, now_ms))
+		malloc_trim(0);
+}
+
 static void
 render_class(const struct connection_limits *limits,
     const struct account *account, enum connection_class class, GString *out)
