caller: send on what has been read of a body at once

Callers waited 2.7 s for an ordinary answer beside sixty others that sent bodies in chunks of one byte; an iteration of the loop took over a second.

Cause: each chunk was sent on by itself, with three writes, as soon as it was parsed; and an iteration parsed any number of bytes, as turns counted messages.

Change: what has been read at once is sent on together. Input of more than 4 KB takes further turns, so that an iteration parses 256 KB of each class.

Conclusion: the work of an iteration is bounded by bytes, too.

--- a/account/turns.c
+++ b/account/turns.c
@@ -13,6 +13,11 @@
 	[CONNECTION_CONTROL] = 64,
 };
 
+enum {
+	/* More input takes longer than the handling of a small message. */
+	TURN_BYTES = 4096,
+};
+
 /*
  * Initialize turns: nobody waits.
  */
@@ -57,6 +62,17 @@
 	return true;
 }
 
+/*
+ * Take further turns for much input.
+ */
+void
+turns_charge(struct turns *turns, enum connection_class class, size_t bytes)
+{
+	struct turns_class *own = &turns->classes[class];
+
+	own->left -= (uint32_t)MIN(own->left, bytes / TURN_BYTES);
+}
+
 /*
  * Wait behind the others of the class.
  */
--- a/http/connections.c
+++ b/http/connections.c
@@ -247,6 +247,16 @@
 	return turns_take(&connections->turns, class);
 }
 
+/*
+ * Count the input that was processed in a turn.
+ */
+void
+http_connections_charge_turn(struct http_connections *connections,
+    enum connection_class class, size_t bytes)
+{
+	turns_charge(&connections->turns, class, bytes);
+}
+
 /*
  * Let a connection wait for a turn. Does nothing if it does already.
  */
--- a/http/stream_parse.c
+++ b/http/stream_parse.c
@@ -278,6 +278,7 @@
 	stream->parsing = true;
 	used = parse_parts(stream, bytes.ptr, bytes.len);
 	stream->parsing = false;
+	http_connections_charge_turn(stream->connections, stream->class, used);
 	if (stream->closing || stream->discarding)
 		return;
 	error = HTTP_PARSER_ERRNO(&stream->parser);
--- a/include/account/turns.h
+++ b/include/account/turns.h
@@ -31,6 +31,9 @@
  * wait for theirs.
  */
 bool turns_take(struct turns *turns, enum connection_class class);
+/* So many bytes were processed in a turn; much input costs several turns. */
+void turns_charge(
+    struct turns *turns, enum connection_class class, size_t bytes);
 /* Wait for a turn. */
 void turns_wait(struct turns *turns, enum connection_class class, GList *link);
 /* Wait no more. */
--- a/include/http/connections.h
+++ b/include/http/connections.h
@@ -55,6 +55,9 @@
 /* Take a turn; false if there is none. */
 bool http_connections_take_turn(
     struct http_connections *connections, enum connection_class class);
+/* So much input was processed in the turn. */
+void http_connections_charge_turn(struct http_connections *connections,
+    enum connection_class class, size_t bytes);
 /*
  * May a connection read so many bytes? If not, room is made in this iteration.
  */
--- a/include/trefoilhill-proxy/exchange.h
+++ b/include/trefoilhill-proxy/exchange.h
@@ -107,6 +107,8 @@
 
 void exchange_begin(struct caller *caller);
 void exchange_append_body(struct exchange *exchange, struct str bytes);
+/* Go on with what exchange_append_body has appended. */
+void exchange_handle_body(struct exchange *exchange);
 void exchange_end_body(struct exchange *exchange);
 /* The caller has closed its connection. */
 void exchange_abandon(struct exchange *exchange);
--- a/tests/account/test_turns.c
+++ b/tests/account/test_turns.c
@@ -71,10 +71,32 @@
 	CU_ASSERT_FALSE(turns_any_waits(&turns));
 }
 
+/* Bodies are as much work as many small requests. */
+static void
+test_much_input_costs_more(void)
+{
+	struct turns turns;
+	size_t small = 0, large = 0;
+
+	turns_init(&turns);
+	while (turns_take(&turns, CONNECTION_CALLER)) {
+		turns_charge(&turns, CONNECTION_CALLER, 100);
+		small++;
+	}
+	turns_begin(&turns);
+	while (turns_take(&turns, CONNECTION_CALLER)) {
+		turns_charge(&turns, CONNECTION_CALLER, 64 * 1024);
+		large++;
+	}
+	CU_ASSERT_TRUE(large > 0);
+	CU_ASSERT_TRUE(large * 10 <= small);
+}
+
 static const struct test_case cases[] = {
 	{ "a crowd waits in order", test_waits_in_order },
 	{ "nobody overtakes", test_nobody_overtakes },
 	{ "classes are apart", test_classes_are_apart },
+	{ "much input costs more", test_much_input_costs_more },
 	{ NULL, NULL },
 };
 
--- a/tests/soak/upstream.py
+++ b/tests/soak/upstream.py
@@ -96,6 +96,19 @@
             name.lower(): value.strip() for name, _, value in
             (line.partition(":") for line in lines[1:])}
 
+    @staticmethod
+    async def read_body(reader, headers):
+        """Return the body of a request."""
+        if headers.get("transfer-encoding") != "chunked":
+            return await reader.readexactly(
+                int(headers.get("content-length", "0")))
+        body = bytearray()
+        while True:
+            size = int((await reader.readuntil(b"\r\n")), 16)
+            body += (await reader.readexactly(size + 2))[:size]
+            if size == 0:
+                return bytes(body)
+
     async def reply_health(self, writer):
         """Answer a health check of an upstream that is neither cold nor
         leaving."""
@@ -121,8 +134,7 @@
             name, _, value = line.partition(":")
             fields.append((name.lower(), value.strip()))
         headers = dict(fields)
-        length = int(headers.get("content-length", "0"))
-        sent_body = await reader.readexactly(length) if length else b""
+        sent_body = await self.read_body(reader, headers)
         request = headers.get("x-attempt-id", "")
         if head.split(" ", 2)[1] == HEALTH_PATH:
             await asyncio.sleep(self.health_delay_s)
--- a/trefoilhill-proxy/caller.c
+++ b/trefoilhill-proxy/caller.c
@@ -265,11 +265,20 @@
 {
 	struct caller *caller = stream->owner;
 
-	uv_timer_again(&caller->timer);
 	if (caller->receiving != NULL && !caller->receiving->response_complete)
 		exchange_append_body(caller->receiving, bytes);
 }
 
+static void
+handle_body_pause(struct http_stream *stream)
+{
+	struct caller *caller = stream->owner;
+
+	uv_timer_again(&caller->timer);
+	if (caller->receiving != NULL && !caller->receiving->response_complete)
+		exchange_handle_body(caller->receiving);
+}
+
 static void
 handle_message(struct http_stream *stream)
 {
@@ -343,6 +352,7 @@
 static const struct http_stream_ops caller_ops = {
 	.handle_head = handle_head,
 	.handle_body = handle_body,
+	.handle_body_pause = handle_body_pause,
 	.handle_message = handle_message,
 	.handle_end = handle_end,
 	.handle_drain = handle_drain,
--- a/trefoilhill-proxy/exchange_body.c
+++ b/trefoilhill-proxy/exchange_body.c
@@ -77,7 +77,7 @@
 }
 
 /*
- * Handle a part of the request body.
+ * Handle a part of the request body, which may be as small as a byte.
  */
 void
 exchange_append_body(struct exchange *exchange, struct str bytes)
@@ -91,8 +91,18 @@
 		if (exchange->committed)
 			return;
 		exchange_respond(exchange, 413, "body_too_large", false);
-		return;
 	}
+}
+
+/*
+ * Go on with the parts of the request body that were received at once.
+ */
+void
+exchange_handle_body(struct exchange *exchange)
+{
+	uint64_t total =
+	    exchange->body_dropped + account_buffer_len(&exchange->body);
+
 	if (total > BODY_BUFFER_BYTES && exchange->attempt_count == 0 &&
 	    !is_heartbeat(exchange))
 		exchange_dispatch(exchange);
