http: accept a bounded number of connections at a time

Cause: libuv accepts connections for as long as there are any, in one callback: a crowd that connects as fast keeps the iteration from ending. And a refused connection counted until it was freed, so that it could be chosen to give way for the next one.

Change: each accept takes a turn of its class; without one, libuv holds the connection and accepts no other. A closed connection counts as freed at once. http_connections lives as long as its streams.

Conclusion: an iteration ends, whatever arrives.

--- a/account/account.c
+++ b/account/account.c
@@ -189,7 +189,8 @@
 }
 
 /*
- * A connection is going to be closed, so that others can have what it occupies.
+ * A connection is closed or about to be, so that others can have what it
+ * occupies.
  */
 void
 account_revoke(struct account_holder *holder)
--- a/http/connections.c
+++ b/http/connections.c
@@ -12,7 +12,7 @@
 	/* Bytes that connections of a class have asked for in vain. */
 	size_t wanted[CONNECTION_CLASSES];
 	uv_idle_t waiting; /* active while a connection waits for a turn */
-	uint32_t open_handles;
+	uint32_t refs;     /* of open handles and connections */
 };
 
 /* Only keeps the loop from blocking. */
@@ -31,8 +31,12 @@
 
 	turns_begin(turns);
 	for (size_t i = 0; i < CONNECTION_CLASSES; i++) {
-		while ((link = turns_next(turns, i)) != NULL)
-			stream_take_turn(link->data);
+		while ((link = turns_next(turns, i)) != NULL) {
+			struct http_turn *turn = link->data;
+
+			turn->waits = false;
+			turn->take(turn);
+		}
 	}
 	if (!turns_any_waits(turns))
 		uv_idle_stop(&connections->waiting);
@@ -100,7 +104,7 @@
 	uv_prepare_init(loop, &connections->begin);
 	uv_idle_init(loop, &connections->waiting);
 	uv_check_init(loop, &connections->end);
-	connections->open_handles = 3;
+	connections->refs = 3;
 	connections->begin.data = connections->waiting.data =
 	    connections->end.data = connections;
 	uv_prepare_start(&connections->begin, handle_begin);
@@ -110,19 +114,27 @@
 	return connections;
 }
 
-static void
-handle_closed(uv_handle_t *handle)
+/*
+ * A handle, or the stream of a connection, has been freed.
+ */
+void
+http_connections_unref(struct http_connections *connections)
 {
-	struct http_connections *connections = handle->data;
-
-	if (--connections->open_handles > 0)
+	if (--connections->refs > 0)
 		return;
 	account_free(connections->account);
 	g_free(connections);
 }
 
+static void
+handle_closed(uv_handle_t *handle)
+{
+	http_connections_unref(handle->data);
+}
+
 /*
- * Free a set without connections, once the loop runs again. NULL is allowed.
+ * Free a set, once the loop runs again and its connections are closed. NULL is
+ * allowed.
  */
 void
 http_connections_free(struct http_connections *connections)
@@ -169,7 +181,8 @@
 }
 
 /*
- * Count a new connection, which its stream ends with account_close.
+ * Count a new connection, which its stream ends with account_close and
+ * http_connections_unref.
  */
 struct account_holder *
 http_connections_add(struct http_stream *stream)
@@ -179,6 +192,7 @@
 	};
 	struct http_connections *connections = stream->connections;
 
+	connections->refs++;
 	return account_open(connections->account, stream->class, &ops, stream,
 	    (int64_t)uv_now(connections->loop));
 }
@@ -258,28 +272,28 @@
 }
 
 /*
- * Let a connection wait for a turn. Does nothing if it does already.
+ * Wait for a turn.
  */
 void
-http_connections_wait(struct http_stream *stream)
+http_connections_wait(
+    struct http_connections *connections, struct http_turn *turn)
 {
-	struct http_connections *connections = stream->connections;
-
-	if (stream->waits_for_turn || stream->closing)
+	if (turn->waits)
 		return;
-	stream->waits_for_turn = true;
-	turns_wait(&connections->turns, stream->class, &stream->turn_link);
+	turn->waits = true;
+	turn->link.data = turn;
+	turns_wait(&connections->turns, turn->class, &turn->link);
 	uv_idle_start(&connections->waiting, handle_waiting);
 }
 
 /*
- * A connection waits no more.
+ * Wait no more.
  */
 void
-http_connections_cancel(struct http_stream *stream)
+http_connections_cancel(
+    struct http_connections *connections, struct http_turn *turn)
 {
-	if (stream->waits_for_turn)
-		turns_cancel(&stream->connections->turns, stream->class,
-		    &stream->turn_link);
-	stream->waits_for_turn = false;
+	if (turn->waits)
+		turns_cancel(&connections->turns, turn->class, &turn->link);
+	turn->waits = false;
 }
--- a/http/listener.c
+++ b/http/listener.c
@@ -12,6 +12,7 @@
 	uv_tcp_t tcp; /* first */
 	struct http_connections *connections;
 	enum connection_class class;
+	struct http_turn turn; /* to accept a connection */
 	http_accept_fn accept;
 	void *arg;
 };
@@ -42,32 +43,50 @@
 	return uv_ip4_addr(copy, (int)port, address) == 0;
 }
 
+/* Accept the connection that libuv holds, which then waits for the next one. */
 static void
-handle_connection(uv_stream_t *server, int status)
+accept_one(struct http_listener *listener)
 {
-	struct http_listener *listener = (struct http_listener *)server;
-	struct http_stream *stream;
-	bool admitted;
-
-	/*
-	 * libuv has accepted and closed the connection if there was no
-	 * descriptor for it.
-	 */
-	if (status != 0) {
-		http_connections_refuse(listener->connections, listener->class);
-		return;
-	}
-	admitted =
+	bool admitted =
 	    http_connections_admit(listener->connections, listener->class);
-	stream = http_stream_new(listener->connections, listener->class,
-	    HTTP_SIDE_SERVER, NULL, NULL);
-	if (uv_accept(server, (uv_stream_t *)&stream->tcp) != 0 || !admitted) {
+	struct http_stream *stream = http_stream_new(listener->connections,
+	    listener->class, HTTP_SIDE_SERVER, NULL, NULL);
+
+	if (uv_accept((uv_stream_t *)&listener->tcp,
+		(uv_stream_t *)&stream->tcp) != 0 ||
+	    !admitted) {
 		http_stream_abort(stream);
 		return;
 	}
 	listener->accept(listener->arg, stream);
 }
 
+static void
+handle_turn(struct http_turn *turn)
+{
+	accept_one((struct http_listener *)((char *)turn -
+	    offsetof(struct http_listener, turn)));
+}
+
+/*
+ * A connection has been established. Without a turn, libuv holds it and accepts
+ * no other: it would go on for as long as connections arrive.
+ */
+static void
+handle_connection(uv_stream_t *server, int status)
+{
+	struct http_listener *listener = (struct http_listener *)server;
+
+	/* libuv has closed the connection for want of a descriptor. */
+	if (status != 0)
+		http_connections_refuse(listener->connections, listener->class);
+	else if (http_connections_take_turn(
+		     listener->connections, listener->class))
+		accept_one(listener);
+	else
+		http_connections_wait(listener->connections, &listener->turn);
+}
+
 /*
  * Listen on an address. Accepted streams are passed to accept, which sets their
  * ops and starts them. NULL with error set if the address is invalid or can't
@@ -90,6 +109,10 @@
 	listener = g_new0(struct http_listener, 1);
 	listener->connections = connections;
 	listener->class = class;
+	listener->turn = (struct http_turn){
+		.take = handle_turn,
+		.class = class,
+	};
 	listener->accept = accept;
 	listener->arg = arg;
 	uv_tcp_init(http_connections_loop(connections), &listener->tcp);
@@ -119,6 +142,8 @@
 void
 http_listener_close(struct http_listener *listener)
 {
-	if (listener != NULL)
-		uv_close((uv_handle_t *)&listener->tcp, handle_closed);
+	if (listener == NULL)
+		return;
+	http_connections_cancel(listener->connections, &listener->turn);
+	uv_close((uv_handle_t *)&listener->tcp, handle_closed);
 }
--- a/http/stream.c
+++ b/http/stream.c
@@ -20,11 +20,8 @@
 /* Shared by all streams of the loop: a read is consumed before the next. */
 static char read_buffer[READ_BUFFER_BYTES];
 
-/*
- * Close callback of the handle: free the stream.
- */
-void
-stream_handle_closed(uv_handle_t *handle)
+static void
+handle_closed(uv_handle_t *handle)
 {
 	struct http_stream *stream = (struct http_stream *)handle;
 
@@ -36,11 +33,23 @@
 	account_holder_unref(stream->payer);
 	account_refund(stream->holder, STREAM_BYTES);
 	account_close(stream->holder);
+	http_connections_unref(stream->connections);
 	if (stream->release != NULL)
 		stream->release(stream->release_arg);
 	g_free(stream);
 }
 
+/*
+ * Close the socket. The stream is freed at the end of this iteration, and
+ * counts as if it were already.
+ */
+void
+stream_close_handle(struct http_stream *stream)
+{
+	account_revoke(stream->holder);
+	uv_close((uv_handle_t *)&stream->tcp, handle_closed);
+}
+
 /*
  * The stream processes no more input and makes no more callbacks.
  */
@@ -48,7 +57,7 @@
 stream_set_closing(struct http_stream *stream)
 {
 	stream->closing = true;
-	http_connections_cancel(stream);
+	http_connections_cancel(stream->connections, &stream->turn);
 }
 
 /*
@@ -62,8 +71,9 @@
 	stream_set_closing(stream);
 	if (uv_is_closing((uv_handle_t *)&stream->tcp))
 		return;
-	if (uv_tcp_close_reset(&stream->tcp, stream_handle_closed) != 0)
-		uv_close((uv_handle_t *)&stream->tcp, stream_handle_closed);
+	account_revoke(stream->holder);
+	if (uv_tcp_close_reset(&stream->tcp, handle_closed) != 0)
+		uv_close((uv_handle_t *)&stream->tcp, handle_closed);
 }
 
 /*
@@ -113,12 +123,10 @@
 void
 stream_revoke(struct http_stream *stream)
 {
-	uv_handle_t *handle = (uv_handle_t *)&stream->tcp;
-
 	if (!stream->closing)
 		stream->ops->handle_end(stream, HTTP_END_REVOKED);
-	else if (!uv_is_closing(handle))
-		uv_close(handle, stream_handle_closed);
+	else if (!uv_is_closing((uv_handle_t *)&stream->tcp))
+		stream_close_handle(stream);
 }
 
 /*
@@ -252,7 +260,7 @@
 {
 	stream->blocked = true;
 	stream_update_reading(stream);
-	http_connections_wait(stream);
+	http_connections_wait(stream->connections, &stream->turn);
 }
 
 static void
@@ -379,7 +387,7 @@
 	stream_update_reading(stream);
 	if (stream->side == HTTP_SIDE_SERVER && !stream->message_done &&
 	    !stream->parsing && http_stream_has_pending(stream))
-		http_connections_wait(stream);
+		http_connections_wait(stream->connections, &stream->turn);
 }
 
 /*
@@ -393,7 +401,7 @@
 	account_buffer_consume(
 	    &stream->pending, account_buffer_len(&stream->pending));
 	stream->blocked = false;
-	http_connections_cancel(stream);
+	http_connections_cancel(stream->connections, &stream->turn);
 	http_stream_resume(stream);
 }
 
@@ -444,7 +452,8 @@
 	uv_tcp_init(http_connections_loop(connections), &stream->tcp);
 	stream->connections = connections;
 	stream->class = class;
-	stream->turn_link.data = stream;
+	stream->turn.class = class;
+	stream->turn.take = stream_take_turn;
 	stream->holder = http_connections_add(stream);
 	stream->payer = account_holder_ref(stream->holder);
 	account_charge(stream->holder, STREAM_BYTES);
--- a/http/stream_parse.c
+++ b/http/stream_parse.c
@@ -325,7 +325,8 @@
 	while (!stream->closing && !stream->message_done && !stream->paused &&
 	    http_stream_has_pending(stream)) {
 		if (stream->side == HTTP_SIDE_SERVER && !take_turn(stream)) {
-			http_connections_wait(stream);
+			http_connections_wait(
+			    stream->connections, &stream->turn);
 			break;
 		}
 		parse_message(
@@ -345,7 +346,7 @@
 {
 	if (stream->side == HTTP_SIDE_SERVER && !take_turn(stream)) {
 		stream_pending_add(stream, bytes, len);
-		http_connections_wait(stream);
+		http_connections_wait(stream->connections, &stream->turn);
 		return;
 	}
 	parse_message(stream, str_make(bytes, len), false);
@@ -358,9 +359,11 @@
  * be read.
  */
 void
-stream_take_turn(struct http_stream *stream)
+stream_take_turn(struct http_turn *turn)
 {
-	stream->waits_for_turn = false;
+	struct http_stream *stream = (struct http_stream *)((char *)turn -
+	    offsetof(struct http_stream, turn));
+
 	stream->has_turn = true;
 	stream->blocked = false;
 	parse_pending(stream);
--- a/http/stream_write.c
+++ b/http/stream_write.c
@@ -163,11 +163,11 @@
 static void
 handle_shutdown(uv_shutdown_t *request, int status)
 {
-	uv_handle_t *handle = (uv_handle_t *)request->handle;
+	struct http_stream *stream = (struct http_stream *)request->handle;
 
 	g_free(request);
-	if (!uv_is_closing(handle))
-		uv_close(handle, stream_handle_closed);
+	if (!uv_is_closing((uv_handle_t *)&stream->tcp))
+		stream_close_handle(stream);
 }
 
 /*
@@ -189,7 +189,7 @@
 	if (stream->side == HTTP_SIDE_CLIENT)
 		stream_update_reading(stream);
 	if (http_stream_queued_bytes(stream) == 0) {
-		uv_close((uv_handle_t *)&stream->tcp, stream_handle_closed);
+		stream_close_handle(stream);
 		return;
 	}
 	write_gathered(stream);
@@ -197,6 +197,6 @@
 	if (uv_shutdown(
 		request, (uv_stream_t *)&stream->tcp, handle_shutdown) != 0) {
 		g_free(request);
-		uv_close((uv_handle_t *)&stream->tcp, stream_handle_closed);
+		stream_close_handle(stream);
 	}
 }
--- a/include/account/account.h
+++ b/include/account/account.h
@@ -55,7 +55,7 @@
 	uint64_t used[ACCOUNT_RESOURCES];
 	int64_t progress_ms; /* when the peer last took a part of a response */
 	bool served;         /* has taken one */
-	bool revoked;        /* is going to be closed, to make room */
+	bool revoked;        /* is closed, or about to be */
 	/* Private. */
 	bool open;
 	uint32_t refs;
@@ -109,7 +109,7 @@
 struct account_holder *account_choose(struct account *account,
     enum connection_class class, enum account_resource resource,
     int64_t now_ms);
-/* A connection is going to be closed: count it as if it were. */
+/* A connection is closed, or about to be: count it as if it were freed. */
 void account_revoke(struct account_holder *holder);
 /* First connection of a class, and the next one. */
 struct account_holder *account_first(
--- a/include/http/connections.h
+++ b/include/http/connections.h
@@ -12,6 +12,15 @@
 struct http_connections;
 struct http_stream;
 
+/* What waits for a turn; embedded by a connection or a listener. */
+struct http_turn {
+	void (*take)(struct http_turn *turn);
+	enum connection_class class;
+	/* Private. */
+	GList link;
+	bool waits;
+};
+
 enum http_limit_event {
 	HTTP_LIMIT_CLOSED,  /* a connection gave way */
 	HTTP_LIMIT_REFUSED, /* a new one, as no other gave way */
@@ -29,7 +38,7 @@
 /* Replace the limits. */
 void http_connections_set(struct http_connections *connections,
     const struct account_settings *limits);
-/* The connections must have been closed before. NULL is allowed. */
+/* All connections must be closed. NULL is allowed. */
 void http_connections_free(struct http_connections *connections);
 uv_loop_t *http_connections_loop(const struct http_connections *connections);
 const struct account *http_connections_account(
@@ -48,6 +57,7 @@
     struct http_connections *connections, enum connection_class class);
 /* Count a new connection. */
 struct account_holder *http_connections_add(struct http_stream *stream);
+void http_connections_unref(struct http_connections *connections);
 
 /* May the input of a connection be processed immediately? */
 bool http_connections_has_turn(
@@ -63,9 +73,11 @@
  */
 bool http_connections_has_memory(
     const struct http_stream *stream, size_t bytes);
-/* Wait for a turn, which stream_take_turn is. */
-void http_connections_wait(struct http_stream *stream);
+/* Wait for a turn. Does nothing if it does already. */
+void http_connections_wait(
+    struct http_connections *connections, struct http_turn *turn);
 /* Wait no more. */
-void http_connections_cancel(struct http_stream *stream);
+void http_connections_cancel(
+    struct http_connections *connections, struct http_turn *turn);
 
 #endif
--- a/include/http/stream.h
+++ b/include/http/stream.h
@@ -75,7 +75,7 @@
 	enum connection_class class;
 	struct account_holder *holder;
 	struct account_holder *payer; /* whom the memory is counted for */
-	GList turn_link;
+	struct http_turn turn;        /* to process input */
 	/*
 	 * TCP_USER_TIMEOUT: the connection is lost when data stays
 	 * unacknowledged for so long. Set before it is connected.
@@ -105,10 +105,9 @@
 	bool keep_alive; /* after this message */
 	bool eof;
 	bool reading;
-	bool paused;         /* by the owner */
-	bool blocked;        /* doesn't read until its turn */
-	bool waits_for_turn; /* to process input */
-	bool has_turn;       /* to process input */
+	bool paused;   /* by the owner */
+	bool blocked;  /* doesn't read until its turn */
+	bool has_turn; /* taken, and not used yet */
 	bool closing;
 	bool parsing;
 	bool writing;    /* libuv has bytes to send */
--- a/include/http/stream_private.h
+++ b/include/http/stream_private.h
@@ -30,8 +30,8 @@
 /* Start or stop reading, as the state of the stream says. */
 void stream_update_reading(struct http_stream *stream);
 /* Process input that has waited for a turn. */
-void stream_take_turn(struct http_stream *stream);
-/* uv_close callback: frees the stream. */
-void stream_handle_closed(uv_handle_t *handle);
+void stream_take_turn(struct http_turn *turn);
+/* Close the socket, and free the stream later. */
+void stream_close_handle(struct http_stream *stream);
 
 #endif
--- a/tests/proxy/test_pipeline.c
+++ b/tests/proxy/test_pipeline.c
@@ -298,7 +298,7 @@
 static void
 finish(uv_loop_t *loop, struct reader *reader, struct http_stream *stream)
 {
-	while (!reader->ended && (reader->waits || stream->waits_for_turn)) {
+	while (!reader->ended && (reader->waits || stream->turn.waits)) {
 		if (reader->waits) {
 			reader->waits = false;
 			http_stream_next(stream);
