caller: notice a hang-up behind the last request of a connection, too

An upstream went on with a request for a second whose caller had left.

Cause: while reading is paused, a close shows only in the state of the socket, which was looked at only on connections with several requests in progress. A single one that is the last, with more behind it than is read, was left out.

Change: the socket of every connection that isn't read is looked at.

Measured: pipelining (hang_up_behind_close): runs on before, cancelled within 0.5 s now.

Conclusion: nothing runs on for a caller that has gone, as far as the socket tells.

--- a/tests/soak/test_pipelining.py
+++ b/tests/soak/test_pipelining.py
@@ -226,6 +226,21 @@
             None if begun == REQUESTS_MAX else f"{begun} have begun"]
 
 
+async def case_hang_up_behind_close(mesh):
+    """The caller closes behind bytes that the node doesn't read, as the request
+    before them is the last one."""
+    c = await Connection().open()
+    c.send("q1", 1000, fields="Connection: close\r\n")
+    c.writer.write(b"x" * 150000)
+    await asyncio.sleep(0.1)
+    closed = time.monotonic()
+    c.writer.close()
+    await asyncio.sleep(0.6)
+    run = run_of("q1")
+    return [None if run is not None and run.ended is not None and
+            run.cancelled and run.ended <= closed + 0.5 else "q1 runs on"]
+
+
 async def case_malformed(mesh):
     c = await Connection().open()
     c.send("m1", 100)
--- a/trefoilhill-proxy/caller_pipeline.c
+++ b/trefoilhill-proxy/caller_pipeline.c
@@ -248,7 +248,7 @@
 static void
 check_gone(struct caller *caller)
 {
-	if (caller->exchanges.length > 1 && !caller->stream->reading &&
+	if (caller->exchanges.length > 0 && !caller->stream->reading &&
 	    http_stream_is_peer_gone(caller->stream))
 		caller_abort(caller);
 }
