http: close connections on which nothing happens

Operators' listeners kept connections for ever: nothing limited how long one stayed idle, or within a request without an end. And a connection that was to be closed waited without end for its peer to read the rest.

Cause: only callers' and nodes' requests had time limits.

The tick that closes them also counts what waits unread in sockets that aren't read, since that takes the machine's memory. Metrics and the line connection_limit have what has expired.

Conclusion: each listener gives back what nobody uses.

--- a/account/account.c
+++ b/account/account.c
@@ -224,6 +224,15 @@
 	return account->settings.limits[resource];
 }
 
+/*
+ * Return the settings of an account.
+ */
+const struct account_settings *
+account_settings_of(const struct account *account)
+{
+	return &account->settings;
+}
+
 /*
  * Return the part of a limit that only a class can use.
  */
--- a/account/choice.c
+++ b/account/choice.c
@@ -63,3 +63,31 @@
 	}
 	return chosen;
 }
+
+static bool
+has_passed(int64_t max_ms, uint64_t ms)
+{
+	return max_ms > 0 && ms >= (uint64_t)max_ms;
+}
+
+/*
+ * Tell whether to close a connection on which nothing happens. Requests of
+ * callers and nodes have time limits of their own, but not what is left to send
+ * when they have ended.
+ */
+bool
+account_is_expired(const struct account_holder *holder,
+    bool has_unread_response, int64_t now_ms)
+{
+	const struct account_settings *settings =
+	    account_settings_of(holder->account);
+	uint64_t ms = idle_ms(holder, now_ms);
+
+	if (holder->revoked)
+		return false;
+	if (has_unread_response)
+		return has_passed(settings->unread_max_ms, ms);
+	return (holder->class == CONNECTION_OPERATOR ||
+		   holder->class == CONNECTION_METRICS) &&
+	    has_passed(settings->operator_idle_max_ms, ms);
+}
--- a/http/connections.c
+++ b/http/connections.c
@@ -241,6 +241,41 @@
 	return false;
 }
 
+static void
+tick_class(struct http_connections *connections, enum connection_class class)
+{
+	int64_t now_ms = (int64_t)uv_now(connections->loop);
+	struct account_holder *holder, *next;
+
+	for (holder = account_first(connections->account, class);
+	     holder != NULL; holder = next) {
+		struct http_stream *stream = holder->owner;
+
+		next = account_next(holder);
+		stream_sample(stream);
+		if (!account_is_expired(
+			holder, http_stream_queued_bytes(stream) > 0, now_ms))
+			continue;
+		account_revoke(holder);
+		report_limit(connections, class, ACCOUNT_DESCRIPTORS,
+		    HTTP_LIMIT_EXPIRED);
+		stream_revoke(stream);
+	}
+}
+
+/*
+ * Count what is unread, and close connections that have expired. Closing one
+ * frees it only later, so that the next one stays valid.
+ */
+void
+http_connections_tick(struct http_connections *connections)
+{
+	tick_class(connections, CONNECTION_CALLER);
+	tick_class(connections, CONNECTION_NODE);
+	tick_class(connections, CONNECTION_OPERATOR);
+	tick_class(connections, CONNECTION_METRICS);
+}
+
 /*
  * Tell whether input may be processed immediately.
  */
--- a/http/stream.c
+++ b/http/stream.c
@@ -2,6 +2,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "http/stream_private.h"
@@ -31,7 +32,7 @@
 	account_buffer_release(&stream->field_name);
 	account_buffer_release(&stream->field_value);
 	account_holder_unref(stream->payer);
-	account_refund(stream->holder, STREAM_BYTES);
+	account_refund(stream->holder, STREAM_BYTES + stream->sampled_unread);
 	account_close(stream->holder);
 	http_connections_unref(stream->connections);
 	if (stream->release != NULL)
@@ -129,6 +130,37 @@
 		stream_close_handle(stream);
 }
 
+/* Bytes that wait in the socket, while it isn't read. */
+static size_t
+unread_bytes(const struct http_stream *stream)
+{
+	int bytes = 0, fd;
+
+	if (stream->reading || stream->closing ||
+	    uv_fileno((const uv_handle_t *)&stream->tcp, &fd) != 0 ||
+	    ioctl(fd, FIONREAD, &bytes) != 0)
+		return 0;
+	return (size_t)MAX(bytes, 0);
+}
+
+/*
+ * Count the bytes that wait in the socket, and note whether the peer has read
+ * anything. libuv tells when all of a write has been accepted, not a part.
+ */
+void
+stream_sample(struct http_stream *stream)
+{
+	size_t unread = unread_bytes(stream);
+	size_t queued = http_stream_queued_bytes(stream);
+
+	account_charge(stream->holder, unread);
+	account_refund(stream->holder, stream->sampled_unread);
+	stream->sampled_unread = unread;
+	if (queued < stream->sampled_queued)
+		stream_note_progress(stream);
+	stream->sampled_queued = queued;
+}
+
 /*
  * The peer has taken a part of what it is sent.
  */
--- a/include/account/account.h
+++ b/include/account/account.h
@@ -67,6 +67,12 @@
 
 struct account_settings {
 	uint64_t limits[ACCOUNT_RESOURCES];
+	/*
+	 * For how long a peer may read nothing of what there is for it, and an
+	 * operator may not ask for anything. 0: without end.
+	 */
+	int64_t unread_max_ms;
+	int64_t operator_idle_max_ms;
 };
 
 struct account *account_new(const struct account_settings *settings);
@@ -109,6 +115,9 @@
 struct account_holder *account_choose(struct account *account,
     enum connection_class class, enum account_resource resource,
     int64_t now_ms);
+/* Is it time to close a connection on which nothing happens? */
+bool account_is_expired(const struct account_holder *holder,
+    bool has_unread_response, int64_t now_ms);
 /* A connection is closed, or about to be: count it as if it were freed. */
 void account_revoke(struct account_holder *holder);
 /* First connection of a class, and the next one. */
@@ -123,6 +132,8 @@
 /* Part of a limit that only connections of the class can use. */
 uint64_t account_reserve(const struct account *account,
     enum connection_class class, enum account_resource resource);
+const struct account_settings *account_settings_of(
+    const struct account *account);
 const char *connection_class_name(enum connection_class class);
 
 #endif
--- a/include/http/connections.h
+++ b/include/http/connections.h
@@ -23,6 +23,7 @@
 
 enum http_limit_event {
 	HTTP_LIMIT_CLOSED,  /* a connection gave way */
+	HTTP_LIMIT_EXPIRED, /* nothing has happened on one for too long */
 	HTTP_LIMIT_REFUSED, /* a new one, as no other gave way */
 };
 
@@ -40,6 +41,11 @@
     const struct account_settings *limits);
 /* All connections must be closed. NULL is allowed. */
 void http_connections_free(struct http_connections *connections);
+/*
+ * To be called regularly: counts what is unread in sockets, and closes
+ * connections on which nothing happens.
+ */
+void http_connections_tick(struct http_connections *connections);
 uv_loop_t *http_connections_loop(const struct http_connections *connections);
 const struct account *http_connections_account(
     const struct http_connections *connections);
--- a/include/http/stream.h
+++ b/include/http/stream.h
@@ -114,7 +114,9 @@
 	bool delivering; /* in handle_message */
 	bool discarding; /* drops what it receives */
 	bool above_high_mark;
-	uint64_t body_bytes; /* received of this message */
+	uint64_t body_bytes;   /* received of this message */
+	size_t sampled_unread; /* bytes in the socket, while it isn't read */
+	size_t sampled_queued; /* bytes that the socket hadn't accepted */
 	/* Called with release_arg when the stream is freed. May be NULL. */
 	void (*release)(void *release_arg);
 	void *release_arg;
--- a/include/http/stream_private.h
+++ b/include/http/stream_private.h
@@ -18,6 +18,8 @@
  * connection, or one that waits for the peer, can be closed to make room.
  */
 bool stream_is_working(const struct http_stream *stream);
+/* Note what the socket has not been read for, and what it has sent. */
+void stream_sample(struct http_stream *stream);
 /* Close the connection to make room for others. */
 void stream_revoke(struct http_stream *stream);
 /* The peer has taken bytes. */
--- a/include/trefoilhilld/settings.h
+++ b/include/trefoilhilld/settings.h
@@ -101,6 +101,8 @@
 struct limit_settings {
 	uint32_t memory_mb;   /* of the process; its connections get a part */
 	uint32_t descriptors; /* of the process, as far as its own limit goes */
+	uint32_t unread_ms;   /* for which a peer reads nothing */
+	uint32_t operator_idle_ms; /* for which an operator asks nothing */
 };
 
 struct log_settings {
--- a/tests/account/test_account.c
+++ b/tests/account/test_account.c
@@ -197,6 +197,34 @@
 	account_free(account);
 }
 
+/* Nothing is closed before its time, and nothing stays without end. */
+static void
+test_expiry(void)
+{
+	struct account_settings limited = {
+		.limits = { LIMIT_BYTES, LIMIT_DESCRIPTORS },
+		.unread_max_ms = 3000,
+		.operator_idle_max_ms = 5000,
+	};
+	struct account *account = account_new(&limited);
+	struct account_holder *caller = open_one(account, CONNECTION_CALLER, 0);
+	struct account_holder *operator=
+	    open_one(account, CONNECTION_OPERATOR, 0);
+
+	CU_ASSERT_FALSE(account_is_expired(caller, false, 1000000));
+	CU_ASSERT_FALSE(account_is_expired(caller, true, 2999));
+	CU_ASSERT_TRUE(account_is_expired(caller, true, 3000));
+	account_progress(caller, 3000);
+	CU_ASSERT_FALSE(account_is_expired(caller, true, 5999));
+	CU_ASSERT_FALSE(account_is_expired(operator, false, 4999));
+	CU_ASSERT_TRUE(account_is_expired(operator, false, 5000));
+	account_revoke(operator);
+	CU_ASSERT_FALSE(account_is_expired(operator, false, 5000));
+	account_close(caller);
+	account_close(operator);
+	account_free(account);
+}
+
 /* Whatever happens in whatever order, all is given back in the end. */
 static void
 test_random_balance(void)
@@ -257,6 +285,7 @@
 	{ "the largest give way with their memory",
 	    test_memory_of_the_largest },
 	{ "a crowd of small ones gives way", test_crowd_of_small_ones },
+	{ "connections without progress expire", test_expiry },
 	{ "all is given back", test_random_balance },
 	{ NULL, NULL },
 };
--- a/tests/soak/crowd.py
+++ b/tests/soak/crowd.py
@@ -154,6 +154,28 @@
     return wrong
 
 
+async def play_staying(crowd, mesh):
+    """Play a crowd that stays, on which nothing happens; its connections must
+    be closed without it."""
+    process = mesh.hosts[NODE - 1].process
+    await asyncio.sleep(0.5)
+    before_mb, open_before = status_mb(process, "VmRSS"), descriptors(process)
+    members = [Member(port) for port, _ in crowd]
+    await asyncio.gather(*(member.send(blocks) for member, (_, blocks)
+                           in zip(members, crowd)))
+    opened = descriptors(process) - open_before
+    wrong = [await wait_given_back(process, before_mb, open_before)]
+    if opened < len(crowd) / 2:
+        wrong.append(f"only {opened} connections opened")
+    if not await answered(mesh, "beside"):
+        wrong.append("no answer beside the crowd")
+    for member in members:
+        member.leave()
+    failures = [text for text in wrong if text is not None]
+    print("; ".join(failures) or "within all bounds")
+    return not failures
+
+
 async def play(crowd, mesh):
     process = mesh.hosts[NODE - 1].process
     await asyncio.sleep(0.5)
@@ -173,7 +195,8 @@
 def limits():
     """Return the section of the settings that has the node's limits."""
     return (f"[limits]\nmemory_mb={MEMORY_MB}\n"
-            f"descriptors={DESCRIPTORS}\n")
+            f"descriptors={DESCRIPTORS}\n"
+            "unread_ms=1000\noperator_idle_ms=1000\n")
 
 
 def prepare_node():
@@ -182,6 +205,7 @@
     resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
 
 
-def run(crowd):
+def run(crowd, stays=False):
     """Run a test with a crowd; return the exit status."""
-    return run_mesh_scenario(functools.partial(play, crowd), HOSTS)
+    return run_mesh_scenario(
+        functools.partial(play_staying if stays else play, crowd), HOSTS)
--- a/tests/soak/test_crowd.py
+++ b/tests/soak/test_crowd.py
@@ -133,6 +133,14 @@
     return [(CALLER_PORT, [])] * 2500
 
 
+def stay_idle():
+    """Operators' connections that are never used, and some half used."""
+    return ([(READY_PORT, [])] * 40 +
+            [(READY_PORT, [head("/ready")])] * 40 +
+            [(READY_PORT, [head("/ready", "POST",
+                                "Content-Length: 99\r\n\r\n")])] * 40)
+
+
 def idle_kept():
     """Connections that stay after an answer, on each listener."""
     return list(itertools.chain(*(
@@ -144,7 +152,7 @@
 CASES = (unread_refusals, unread_nodes, unread_ready, unread_metrics,
          unread_answers, unread_closed, heads, bodies, node_bodies, pending,
          idle_callers, idle_nodes, idle_operators, idle_unlogged,
-         idle_kept)
+         idle_kept, stay_idle)
 
 if __name__ == "__main__":
     case = {case.__name__: case for case in CASES}[sys.argv[2]]
@@ -154,4 +162,4 @@
         mesh_module.Host.open_log = lambda host: UnreadLog()
     mesh_module.SETTINGS += crowd.limits()
     mesh_module.prepare_node = crowd.prepare_node
-    sys.exit(crowd.run(case()))
+    sys.exit(crowd.run(case(), case is stay_idle))
--- a/trefoilhill-proxy/connection_limits.c
+++ b/trefoilhill-proxy/connection_limits.c
@@ -1,4 +1,5 @@
 #include <malloc.h>
+#include <string.h>
 #include <sys/resource.h>
 
 #include "account/trim_policy.h"
@@ -18,6 +19,7 @@
 
 struct limit_counts {
 	uint64_t closed;
+	uint64_t expired;
 	uint64_t refused;
 };
 
@@ -54,6 +56,8 @@
 			[ACCOUNT_DESCRIPTORS] =
 			    descriptors - MIN(other, descriptors / 2),
 		},
+		.unread_max_ms = settings->unread_ms,
+		.operator_idle_max_ms = settings->operator_idle_ms,
 	};
 }
 
@@ -74,10 +78,17 @@
 	struct connection_limits *limits = arg;
 	struct limit_counts *counts = &limits->counts[class][resource];
 
-	if (event == HTTP_LIMIT_CLOSED)
+	switch (event) {
+	case HTTP_LIMIT_CLOSED:
 		counts->closed++;
-	else
+		break;
+	case HTTP_LIMIT_EXPIRED:
+		counts->expired++;
+		break;
+	case HTTP_LIMIT_REFUSED:
 		counts->refused++;
+		break;
+	}
 }
 
 /*
@@ -120,13 +131,15 @@
 	struct limit_counts *logged = &limits->logged[class][resource];
 	struct json_line *line;
 
-	if (now->closed == logged->closed && now->refused == logged->refused)
+	if (memcmp(now, logged, sizeof(*now)) == 0)
 		return false;
 	line = json_log_begin(
 	    limits->proxy->log, LOG_CLASS_STATE, "connection_limit");
 	json_line_cstr(line, "class", connection_class_name(class));
 	json_line_cstr(line, "resource", resource_names[resource]);
 	json_line_int(line, "closed", (int64_t)(now->closed - logged->closed));
+	json_line_int(
+	    line, "expired", (int64_t)(now->expired - logged->expired));
 	json_line_int(
 	    line, "refused", (int64_t)(now->refused - logged->refused));
 	json_line_int(
@@ -166,6 +179,7 @@
 	    account_total(http_connections_account(limits->proxy->connections),
 		ACCOUNT_MEMORY);
 
+	http_connections_tick(limits->proxy->connections);
 	log_limits(limits, now_ms);
 	if (trim_policy_check(&limits->trim_policy, used, now_ms))
 		malloc_trim(0);
@@ -193,8 +207,11 @@
 	}
 	g_string_append_printf(out,
 	    "trefoilhill_connections_refused_total{class=\"%s\"} "
+	    "%" G_GUINT64_FORMAT "\n"
+	    "trefoilhill_connections_expired_total{class=\"%s\"} "
 	    "%" G_GUINT64_FORMAT "\n",
-	    name, (guint64)limits->counts[class][ACCOUNT_DESCRIPTORS].refused);
+	    name, (guint64)limits->counts[class][ACCOUNT_DESCRIPTORS].refused,
+	    name, (guint64)limits->counts[class][ACCOUNT_DESCRIPTORS].expired);
 }
 
 /*
