tests: crowds at the listener of metrics

Change: two crowds more, as each listener is one that callers may use: pages of metrics that nobody reads, and idle connections. The times after which idle connections expire are short only where that is tested, so that the limits of descriptors act in the others.

--- a/tests/soak/crowd.py
+++ b/tests/soak/crowd.py
@@ -19,6 +19,7 @@
 
 HOSTS = 3
 NODE = 1  # that the crowds call
+METRICS_PORT = 7106
 MEMORY_MB = 48  # of the node's machine
 DESCRIPTORS = 2000  # of the node
 LEFT_MEMORY_MB = 16  # more than before, once a crowd has left
@@ -192,11 +193,19 @@
     return not failures
 
 
-def limits():
-    """Return the section of the settings that has the node's limits."""
-    return (f"[limits]\nmemory_mb={MEMORY_MB}\n"
-            f"descriptors={DESCRIPTORS}\n"
-            "unread_ms=1000\noperator_idle_ms=1000\n")
+def metrics_listener():
+    """Return the section of the settings that has the listener of metrics."""
+    return f"[node]\nmetrics_listen=127.2.{{n}}.1:{METRICS_PORT}\n"
+
+
+def limits(short_times=False):
+    """Return the section of the settings that has the node's limits; with short
+    times, after which connections without progress are closed."""
+    text = (f"[limits]\nmemory_mb={MEMORY_MB}\n"
+            f"descriptors={DESCRIPTORS}\n")
+    if short_times:
+        text += "unread_ms=1000\noperator_idle_ms=1000\n"
+    return text
 
 
 def prepare_node():
--- a/tests/soak/test_crowd.py
+++ b/tests/soak/test_crowd.py
@@ -68,6 +68,11 @@
     return requests(READY_PORT, "/metrics", 8, 4000)
 
 
+def unread_scrapes():
+    """The same at the listener of metrics."""
+    return requests(crowd.METRICS_PORT, "/metrics", 8, 4000)
+
+
 def unread_answers():
     """Answers of upstreams, on many connections."""
     return [(CALLER_PORT, [b"".join(
@@ -128,6 +133,10 @@
     return [(READY_PORT, [])] * 250
 
 
+def idle_scrapers():
+    return [(crowd.METRICS_PORT, [])] * 250
+
+
 def idle_unlogged():
     """More callers than descriptors, while nobody reads the node's log."""
     return [(CALLER_PORT, [])] * 2500
@@ -150,8 +159,8 @@
 
 
 CASES = (unread_refusals, unread_nodes, unread_ready, unread_metrics,
-         unread_answers, unread_closed, heads, bodies, node_bodies, pending,
-         idle_callers, idle_nodes, idle_operators, idle_unlogged,
+         unread_scrapes, unread_answers, unread_closed, heads, bodies,
+         node_bodies, pending, idle_callers, idle_nodes, idle_operators, idle_scrapers, idle_unlogged,
          idle_kept, stay_idle)
 
 if __name__ == "__main__":
@@ -160,6 +169,7 @@
         crowd.DESCRIPTORS = 200
     if case is idle_unlogged:
         mesh_module.Host.open_log = lambda host: UnreadLog()
-    mesh_module.SETTINGS += crowd.limits()
+    mesh_module.SETTINGS += crowd.metrics_listener()
+    mesh_module.SETTINGS += crowd.limits(case is stay_idle)
     mesh_module.prepare_node = crowd.prepare_node
     sys.exit(crowd.run(case(), case is stay_idle))
