--- a/account/account.c
+++ b/account/account.c
@@ -49,7 +49,7 @@
 {
 	struct account *account = g_new0(struct account, 1);
 
-	account_set(account, settings);
+	account_configure(account, settings);
 	for (size_t i = 0; i < CONNECTION_CLASSES; i++)
 		g_queue_init(&account->open[i]);
 	return account;
@@ -68,7 +68,8 @@
  * Replace the limits.
  */
 void
-account_set(struct account *account, const struct account_settings *settings)
+account_configure(
+    struct account *account, const struct account_settings *settings)
 {
 	account->settings = *settings;
 	for (size_t i = 0; i < CONNECTION_CLASSES; i++)
--- a/http/connections.c
+++ b/http/connections.c
@@ -168,10 +168,10 @@
  * Replace the limits.
  */
 void
-http_connections_set(
+http_connections_configure(
     struct http_connections *connections, const struct account_settings *limits)
 {
-	account_set(connections->account, limits);
+	account_configure(connections->account, limits);
 }
 
 static bool
--- a/include/account/account.h
+++ b/include/account/account.h
@@ -79,7 +79,7 @@
 /* NULL is allowed. Holders must not be used afterwards. */
 void account_free(struct account *account);
 /* Replace the limits; what is occupied already is not affected. */
-void account_set(
+void account_configure(
     struct account *account, const struct account_settings *settings);
 
 /*
--- a/include/http/connections.h
+++ b/include/http/connections.h
@@ -37,7 +37,7 @@
 struct http_connections *http_connections_new(uv_loop_t *loop,
     const struct account_settings *limits, struct http_connections_ops ops);
 /* Replace the limits. */
-void http_connections_set(struct http_connections *connections,
+void http_connections_configure(struct http_connections *connections,
     const struct account_settings *limits);
 /* All connections must be closed. NULL is allowed. */
 void http_connections_free(struct http_connections *connections);
--- a/include/http/stream_private.h
+++ b/include/http/stream_private.h
@@ -5,6 +5,9 @@
 
 /* Stream internals, shared by http/stream*.c. */
 
+/* Callbacks of the parser, whose data is the stream. */
+extern const http_parser_settings stream_parser_settings;
+
 /* Handle bytes that have been read. */
 void stream_receive(struct http_stream *stream, const char *bytes, size_t len);
 /* Parse bytes; len 0 means end of stream. May close the stream. */
@@ -31,6 +34,8 @@
     struct http_stream *stream, const char *bytes, size_t len);
 /* Start or stop reading, as the state of the stream says. */
 void stream_update_reading(struct http_stream *stream);
+/* Take a turn for bytes that are dropped. */
+void stream_use_turn(struct http_stream *stream, size_t len);
 /* Process input that has waited for a turn. */
 void stream_take_turn(struct http_turn *turn);
 /* Close the socket, and free the stream later. */
--- a/include/trefoilhill-proxy/caller.h
+++ b/include/trefoilhill-proxy/caller.h
@@ -5,6 +5,10 @@
 
 struct exchange;
 
+enum {
+	CALLER_LINGER_MS = 1000, /* for the caller to read an early response */
+};
+
 enum caller_origin {
 	CALLER_LOCAL, /* a caller on this host */
 	CALLER_PEER,  /* another node */
@@ -66,6 +70,12 @@
 void caller_advance(struct caller *caller);
 
 /* Private to caller*.c. */
+/* Close after the queued bytes have been sent. */
+void caller_close(struct caller *caller);
+/* Answer no more requests, and close once the caller has read the responses. */
+void caller_finish(struct caller *caller);
+/* Close immediately, as others need what the connection occupies. */
+void caller_revoke(struct caller *caller);
 void caller_abandon_exchanges(struct caller *caller);
 void caller_wait(struct caller *caller);
 void caller_reject_message(struct caller *caller, const char *status_line);
--- a/include/trefoilhill-proxy/exchange.h
+++ b/include/trefoilhill-proxy/exchange.h
@@ -192,6 +192,13 @@
 void exchange_relay_body(struct exchange *exchange, struct str bytes);
 void exchange_relay_buffered(struct exchange *exchange);
 void exchange_relay_end(struct exchange *exchange);
+/* Begin the response head with the status, in place of what there is of it. */
+void exchange_begin_head(struct exchange *exchange);
+void exchange_append_head(struct exchange *exchange, struct str text);
+void exchange_append_length(struct exchange *exchange, uint64_t length);
+/* Tell a peer the load of the upstream here, and whether upstream leaves. */
+void exchange_write_load(
+    struct exchange *exchange, const struct upstream *upstream, int64_t run_ms);
 void exchange_write_connection(struct exchange *exchange);
 void exchange_commit(
     struct exchange *exchange, bool has_length, uint64_t length);
--- a/tests/http/test_listener.c
+++ b/tests/http/test_listener.c
@@ -1,6 +1,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -14,8 +15,10 @@
 enum {
 	CROWD = 200,
 	ITERATIONS_MAX = 100,
-	ACCEPTED_MAX = 64, /* in an iteration */
-	DESCRIPTORS = 100, /* of the limit: 50 for a class */
+	ACCEPTED_MAX = 64,      /* in an iteration */
+	SENT_BYTES = 16 * 1024, /* on each connection, that are dropped */
+	DROPPED_MAX_BYTES = 1024 * 1024, /* in an iteration */
+	DESCRIPTORS = 100,               /* of the limit: 50 for a class */
 	CLASS_MAX = 50,
 };
 
@@ -199,8 +202,55 @@
 	fixture_clear(&f);
 }
 
+/* Bytes that the accepted connections have not read. */
+static size_t
+unread_bytes(const struct fixture *f)
+{
+	size_t sum = 0;
+
+	for (guint i = 0; i < f->streams->len; i++) {
+		const struct http_stream *stream =
+		    g_ptr_array_index(f->streams, i);
+		int fd, bytes;
+
+		uv_fileno((const uv_handle_t *)&stream->tcp, &fd);
+		CU_ASSERT_EQUAL_FATAL(ioctl(fd, FIONREAD, &bytes), 0);
+		sum += (size_t)bytes;
+	}
+	return sum;
+}
+
+/* Bytes that are only dropped, behind a response that closes, cost turns. */
+static void
+test_dropped_input_is_bounded(void)
+{
+	struct fixture f;
+	char *bytes = g_malloc0(SENT_BYTES);
+	size_t before, after;
+
+	fixture_init(&f, ACCOUNT_UNLIMITED);
+	for (size_t i = 0; i < ITERATIONS_MAX && f.accepted < CROWD; i++)
+		uv_run(&f.loop, UV_RUN_NOWAIT);
+	for (guint i = 0; i < f.streams->len; i++)
+		http_stream_discard(g_ptr_array_index(f.streams, i));
+	for (size_t i = 0; i < CROWD; i++)
+		CU_ASSERT_EQUAL_FATAL(
+		    send(f.callers[i], bytes, SENT_BYTES, 0), SENT_BYTES);
+	before = unread_bytes(&f);
+	uv_run(&f.loop, UV_RUN_NOWAIT);
+	after = unread_bytes(&f);
+	CU_ASSERT_TRUE(before >= 2 * (size_t)DROPPED_MAX_BYTES);
+	CU_ASSERT_TRUE(before - after <= DROPPED_MAX_BYTES);
+	for (size_t i = 0; i < ITERATIONS_MAX && unread_bytes(&f) > 0; i++)
+		uv_run(&f.loop, UV_RUN_NOWAIT);
+	CU_ASSERT_EQUAL(unread_bytes(&f), 0);
+	fixture_clear(&f);
+	g_free(bytes);
+}
+
 static const struct test_case cases[] = {
 	{ "an iteration accepts a bounded number", test_iteration_is_bounded },
+	{ "dropped input is bounded", test_dropped_input_is_bounded },
 	{ "idle connections give way", test_idle_give_way },
 	{ "those with a request stay", test_working_stay },
 	{ NULL, NULL },
--- a/trefoilhill-proxy/attempt.c
+++ b/trefoilhill-proxy/attempt.c
@@ -250,7 +250,7 @@
 		    attempt, ATTEMPT_FAILURE_NOT_RUN, "lost_unconfirmed");
 		return;
 	}
-	if (!malformed && watch_for_crash(attempt))
+	if (!malformed && end != HTTP_END_REVOKED && watch_for_crash(attempt))
 		return;
 	if (attempt->response_started)
 		reason = "answer_cut";
--- a/trefoilhill-proxy/connection_limits.c
+++ b/trefoilhill-proxy/connection_limits.c
@@ -117,7 +117,7 @@
 {
 	struct account_settings settings = current_limits(limits->proxy);
 
-	http_connections_set(limits->proxy->connections, &settings);
+	http_connections_configure(limits->proxy->connections, &settings);
 }
 
 /* Log what a limit has done since the last line; false if nothing. */
--- a/trefoilhill-proxy/exchange_response.c
+++ b/trefoilhill-proxy/exchange_response.c
@@ -1,8 +1,5 @@
-#include <string.h>
-
 #include "trefoilhill-proxy/exchange.h"
 #include "trefoilhill-proxy/gate.h"
-#include "trefoilhill-proxy/quota_link.h"
 
 enum {
 	/*
@@ -11,11 +8,6 @@
 	 */
 	RESPONSE_BUFFER_BYTES = 128 * 1024,
 	CHUNK_HEADER_MAX = 24,
-	STATUS_LINE_MAX = 80,
-	LENGTH_TEXT_MAX = 24,
-	/* Enough for most heads, and for what is added for a peer. */
-	HEAD_RESERVED_BYTES = 512,
-	FIELDS_RESERVED_BYTES = 256,
 	/*
 	 * Unsent bytes of a large response. Reading from the upstream pauses
 	 * above the high mark and resumes below the low mark.
@@ -24,14 +16,6 @@
 	FLOW_LOW_WATER_BYTES = 32 * 1024,
 };
 
-static const char *
-status_text(unsigned status)
-{
-	const char *text = http_status_str((enum http_status)status);
-
-	return text == NULL ? "Unknown" : text;
-}
-
 static bool
 field_is_relayed(const struct exchange *exchange, const struct http_head *head,
     struct str name)
@@ -41,64 +25,6 @@
 	    !str_equal_nocase(name, str_from("content-length"));
 }
 
-static void
-append_head(struct exchange *exchange, struct str text)
-{
-	account_buffer_append(&exchange->response_head, text);
-}
-
-/* Begin the response head, in place of what there is of it. */
-static void
-begin_head(struct exchange *exchange)
-{
-	char line[STATUS_LINE_MAX];
-
-	g_snprintf(line, sizeof(line), "HTTP/1.1 %u %s\r\n", exchange->status,
-	    status_text(exchange->status));
-	account_buffer_empty(&exchange->response_head);
-	account_buffer_reserve(&exchange->response_head, HEAD_RESERVED_BYTES);
-	append_head(exchange, str_from(line));
-}
-
-static void
-append_length(struct exchange *exchange, uint64_t length)
-{
-	char digits[LENGTH_TEXT_MAX];
-
-	g_snprintf(
-	    digits, sizeof(digits), "%" G_GUINT64_FORMAT, (guint64)length);
-	http_field_store(&exchange->response_head, str_from("Content-Length"),
-	    str_from(digits));
-}
-
-/* Tell a peer the load of the upstream here, and whether upstream leaves. */
-static void
-write_load_fields(
-    struct exchange *exchange, const struct upstream *upstream, int64_t run_ms)
-{
-	struct load_report load;
-	GString *fields;
-
-	if (exchange->origin != CALLER_PEER)
-		return;
-	fields = g_string_sized_new(FIELDS_RESERVED_BYTES);
-	load = gate_load_report(exchange->proxy->gate);
-	/* The local instance's load doesn't apply to the intended one. */
-	if (exchange->misdirected) {
-		load.accepting = false;
-		load.rate_limit_known = false;
-		load.rate_limit_per_ks = 0;
-	}
-	hop_write_load(fields, &load, run_ms);
-	quota_link_write(exchange->proxy->quota_link, true, fields);
-	exchange_write_suspect(exchange, fields);
-	if (upstream != NULL && upstream->notice.leaving)
-		hop_write_leaving(fields, str_from(upstream->entry.id),
-		    upstream->entry.started_ms);
-	append_head(exchange, str_make(fields->str, fields->len));
-	g_string_free(fields, TRUE);
-}
-
 static bool
 has_no_body(const struct exchange *exchange)
 {
@@ -195,15 +121,15 @@
 
 	exchange->committed = true;
 	if (has_length)
-		append_length(exchange, length);
+		exchange_append_length(exchange, length);
 	else if (exchange->http_1_0)
 		exchange->caller->close_after_response = true;
 	else if (!has_no_body(exchange))
 		exchange->chunked = true;
 	if (exchange->chunked)
-		append_head(
+		exchange_append_head(
 		    exchange, str_from("Transfer-Encoding: chunked\r\n"));
-	append_head(exchange, str_from("\r\n"));
+	exchange_append_head(exchange, str_from("\r\n"));
 	head = account_buffer_view(&exchange->response_head);
 	if (!exchange->bulk && !exchange->chunked) {
 		body = account_buffer_view(&exchange->buffered_body);
@@ -246,7 +172,7 @@
 	const struct http_stream *from = attempt->stream;
 
 	exchange->status = attempt->status;
-	begin_head(exchange);
+	exchange_begin_head(exchange);
 	for (size_t i = 0; i < from->head->field_count; i++) {
 		struct str name = http_head_name(from->head, i);
 
@@ -258,7 +184,7 @@
 		note_large(exchange);
 	if (exchange->has_turn)
 		exchange_write_connection(exchange);
-	write_load_fields(exchange,
+	exchange_write_load(exchange,
 	    catalog_current(exchange->proxy->catalog, attempt->upstream),
 	    attempt->run_ms);
 	if (!exchange->has_turn)
@@ -355,78 +281,3 @@
 	else
 		exchange_hold_response(exchange);
 }
-
-static void
-log_local_response(struct exchange *exchange, const char *reason)
-{
-	struct proxy_stats *stats = &exchange->proxy->stats;
-	bool refused = exchange->status == 503 || exchange->status == 429 ||
-	    exchange->status == 408;
-
-	if (exchange->origin == CALLER_LOCAL && exchange->status != 404)
-		proxy_count(stats,
-		    refused                      ? STAT_REFUSED
-			: exchange->status < 500 ? STAT_BAD_REQUESTS
-						 : STAT_FAILED);
-	exchange_log(exchange, LOG_CLASS_FAILURE,
-	    refused ? "refused" : "failed", NULL, reason);
-}
-
-/*
- * Send a response of the proxy's own whose head is formatted up to the fields
- * that depend on the connection.
- */
-void
-exchange_send_local(struct exchange *exchange)
-{
-	const char *reason = exchange->is_head_method ? "" : exchange->reason;
-
-	exchange->committed = true;
-	exchange_write_connection(exchange);
-	write_load_fields(exchange, gate_upstream(exchange->proxy->gate), 0);
-	append_length(exchange, strlen(reason));
-	append_head(exchange, str_from("\r\n"));
-	http_stream_write_pair(exchange->caller->stream,
-	    account_buffer_view(&exchange->response_head), str_from(reason));
-	caller_finish_response(exchange->caller);
-}
-
-/*
- * Send a response of the proxy's own: a refusal, which promises that the
- * request has not run and never will, or a failure, which promises nothing.
- * retryable adds Retry-After for callers. Does nothing once a response is
- * committed.
- */
-void
-exchange_respond(struct exchange *exchange, unsigned status, const char *reason,
-    bool retryable)
-{
-	GString *fields;
-
-	if (exchange->ended || exchange->committed ||
-	    exchange->response_complete || exchange->caller == NULL)
-		return;
-	exchange->status = status;
-	log_local_response(exchange, reason);
-	if (!exchange->may_have_run)
-		exchange_return_quota(exchange);
-	begin_head(exchange);
-	fields = g_string_sized_new(FIELDS_RESERVED_BYTES);
-	platform_write_local_response_headers(fields, exchange->id);
-	if (exchange->origin == CALLER_PEER)
-		hop_write_outcome(fields,
-		    exchange->may_have_run ? HOP_FAILED : HOP_NOT_RUN, reason,
-		    exchange->upstream_rejections > 0);
-	append_head(exchange, str_make(fields->str, fields->len));
-	g_string_free(fields, TRUE);
-	if (exchange->origin != CALLER_PEER && retryable)
-		exchange_write_retry_after(exchange);
-	if (reason != exchange->reason)
-		g_strlcpy(exchange->reason, reason, sizeof(exchange->reason));
-	if (exchange->has_turn) {
-		exchange_send_local(exchange);
-		return;
-	}
-	exchange->has_local_response = true;
-	exchange_hold_response(exchange);
-}
