attempt: count an upstream's connection for its caller where it is first used

Change: the memory of a connection to an upstream is counted for the caller from the moment the request is written on it, in one place for new and kept ones.

--- a/trefoilhill-proxy/attempt.c
+++ b/trefoilhill-proxy/attempt.c
@@ -140,7 +140,6 @@
 		attempt_fail(attempt, ATTEMPT_FAILURE_NOT_RUN, "no_socket");
 		return;
 	}
-	http_stream_set_payer(attempt->stream, attempt->exchange->holder);
 	if (attempt->local)
 		proxy_count(&attempt->proxy->stats, STAT_UPSTREAM_CONNECTIONS);
 	uv_timer_start(&attempt->timer, handle_connect_timeout,
@@ -178,13 +177,10 @@
 		attempt->stream = http_pool_acquire(
 		    attempt->pool, &attempt_stream_ops, attempt, idle_max_ms);
 	attempt->reused = attempt->stream != NULL;
-	if (attempt->reused) {
-		http_stream_set_payer(
-		    attempt->stream, attempt->exchange->holder);
+	if (attempt->reused)
 		attempt_write_request(attempt);
-	} else {
+	else
 		attempt_dial(attempt);
-	}
 }
 
 static void
--- a/trefoilhill-proxy/attempt_request.c
+++ b/trefoilhill-proxy/attempt_request.c
@@ -127,6 +127,7 @@
 	struct str method = http_head_span(head, head->method);
 	struct str target = http_head_span(head, head->target);
 
+	http_stream_set_payer(attempt->stream, exchange->holder);
 	g_string_append_len(text, method.ptr, (gssize)method.len);
 	g_string_append_c(text, ' ');
 	g_string_append_len(text, target.ptr, (gssize)target.len);
