proxy: return memory that was in use for less than a tick, too

Cause: the peak was sampled every 100 ms, without connections that had just been closed for others. A crowd that is shed at once never showed in it, so that the heap wasn't trimmed.

Change: the account keeps the peak of what was in use at any moment.

Conclusion: what a crowd held is given back however short it held it.

--- a/account/account.c
+++ b/account/account.c
@@ -30,6 +30,8 @@
 	/* The part of it that revoked connections occupy. */
 	uint64_t revoked[CONNECTION_CLASSES][ACCOUNT_RESOURCES];
 	GQueue open[CONNECTION_CLASSES]; /* struct account_holder */
+	uint64_t memory;      /* of all, also of revoked connections */
+	uint64_t memory_peak; /* since account_take_memory_peak */
 };
 
 /*
@@ -89,6 +91,11 @@
 	if (account == NULL)
 		return;
 	account->used[holder->class][resource] += (uint64_t)more;
+	if (resource == ACCOUNT_MEMORY) {
+		account->memory += (uint64_t)more;
+		account->memory_peak =
+		    MAX(account->memory_peak, account->memory);
+	}
 	if (holder->revoked)
 		account->revoked[holder->class][resource] += (uint64_t)more;
 }
@@ -245,16 +252,24 @@
 }
 
 /*
- * Return what all classes occupy.
+ * Return the memory that all classes occupy.
  */
 uint64_t
-account_total(const struct account *account, enum account_resource resource)
+account_memory(const struct account *account)
 {
-	uint64_t total = 0;
+	return account->memory;
+}
 
-	for (size_t i = 0; i < CONNECTION_CLASSES; i++)
-		total += account_used(account, i, resource);
-	return total;
+/*
+ * Return the most memory that was occupied since the last call.
+ */
+uint64_t
+account_take_memory_peak(struct account *account)
+{
+	uint64_t peak = account->memory_peak;
+
+	account->memory_peak = account->memory;
+	return peak;
 }
 
 /*
--- a/account/trim_policy.c
+++ b/account/trim_policy.c
@@ -12,9 +12,10 @@
  * Tell whether it is time to trim: much has been freed since the last time.
  */
 bool
-trim_policy_check(struct trim_policy *policy, uint64_t used, int64_t now_ms)
+trim_policy_check(struct trim_policy *policy, uint64_t used, uint64_t used_peak,
+    int64_t now_ms)
 {
-	policy->peak = MAX(policy->peak, used);
+	policy->peak = MAX(policy->peak, used_peak);
 	if (policy->peak - used < FREED_MIN_BYTES ||
 	    now_ms - policy->trimmed_ms < INTERVAL_MS)
 		return false;
--- a/http/connections.c
+++ b/http/connections.c
@@ -164,6 +164,15 @@
 	return connections->account;
 }
 
+/*
+ * Return the most memory that was occupied since the last call.
+ */
+uint64_t
+http_connections_take_memory_peak(struct http_connections *connections)
+{
+	return account_take_memory_peak(connections->account);
+}
+
 /*
  * Replace the limits.
  */
--- a/include/account/account.h
+++ b/include/account/account.h
@@ -101,9 +101,10 @@
 /* The peer has taken a part of a response. */
 void account_progress(struct account_holder *holder, int64_t now_ms);
 
-/* What all classes occupy, without connections that are going to be closed. */
-uint64_t account_total(
-    const struct account *account, enum account_resource resource);
+/* Memory that all classes occupy, also for connections that are closed. */
+uint64_t account_memory(const struct account *account);
+/* The most of it since the last call. */
+uint64_t account_take_memory_peak(struct account *account);
 /* May connections of a class occupy so much more? */
 bool account_may_take(const struct account *account,
     enum connection_class class, enum account_resource resource,
--- a/include/account/trim_policy.h
+++ b/include/account/trim_policy.h
@@ -16,8 +16,11 @@
 	int64_t trimmed_ms;
 };
 
-/* Is it time to trim, with so many bytes in use? */
-bool trim_policy_check(
-    struct trim_policy *policy, uint64_t used, int64_t now_ms);
+/*
+ * Is it time to trim, with so many bytes in use, and so many at most since the
+ * last check? The peak may be much shorter than the time between checks.
+ */
+bool trim_policy_check(struct trim_policy *policy, uint64_t used,
+    uint64_t used_peak, int64_t now_ms);
 
 #endif
--- a/include/http/connections.h
+++ b/include/http/connections.h
@@ -49,6 +49,9 @@
 uv_loop_t *http_connections_loop(const struct http_connections *connections);
 const struct account *http_connections_account(
     const struct http_connections *connections);
+/* The most memory that was occupied since the last call, in bytes. */
+uint64_t http_connections_take_memory_peak(
+    struct http_connections *connections);
 
 /* Private to http/. */
 
--- a/trefoilhill-proxy/connection_limits.c
+++ b/trefoilhill-proxy/connection_limits.c
@@ -174,14 +174,16 @@
 void
 connection_limits_tick(struct connection_limits *limits)
 {
+	struct http_connections *connections = limits->proxy->connections;
 	int64_t now_ms = proxy_now_ms(limits->proxy);
-	uint64_t used =
-	    account_total(http_connections_account(limits->proxy->connections),
-		ACCOUNT_MEMORY);
+	uint64_t peak;
 
-	http_connections_tick(limits->proxy->connections);
+	http_connections_tick(connections);
 	log_limits(limits, now_ms);
-	if (trim_policy_check(&limits->trim_policy, used, now_ms))
+	peak = http_connections_take_memory_peak(connections);
+	if (trim_policy_check(&limits->trim_policy,
+		account_memory(http_connections_account(connections)), peak,
+		now_ms))
 		malloc_trim(0);
 }
 
